--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+BUILD := build
+SANITIZE ?= 0
+ifeq ($(SANITIZE),1)
+BUILD := build-sanitize
+CMAKE_FLAGS := -DSANITIZE=ON
+endif
+JOBS ?= 8
+
+.PHONY: all build packages test bench demo lint format mutants fuzz docs rpc clean
+
+all: build
+
+packages:
+	./.ci/packages
+
+build:
+	@cmake -S . -B $(BUILD) -G Ninja $(CMAKE_FLAGS) > /dev/null
+	cmake --build $(BUILD) -j $(JOBS)
+
+test: packages build
+	cd $(BUILD) && ctest --output-on-failure -j 4
+
+bench: packages build
+	./bench/run $(BUILD) $(if $(QUICK),--quick)
+
+demo: packages build
+	./examples/demo $(BUILD) $(if $(KEEP),--keep)
+
+lint:
+	./.ci/lint
+
+format:
+	git ls-files '*.h' '*.cc' | grep -v gen-cpp | xargs clang-format -i
+
+rpc:
+	thrift --gen cpp:no_skeleton -out rpc/gen-cpp rpc/jackdawdeck.thrift
+
+mutants: packages
+	./tests/mutants
+
+docs:
+	doxygen Doxyfile
+
+clean:
+	rm -rf build build-sanitize
--- /dev/null
+++ b/cluster/node_action.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "cluster/peer_message.h"
+#include "common/table.h"
+#include "policy/call_action.h"
+
+namespace jd {
+
+/// Sends a message to a peer; lost if the peer cannot be reached.
+struct SendPeer {
+  GatewayId to;
+  PeerMessage message;
+};
+
+/// Tells the transport where a peer listens; an empty address closes its link.
+struct SetPeerAddress {
+  GatewayId peer;
+  std::string address;
+  uint16_t port = 0;
+};
+
+/// Asks the platform's table; answered by Node::OnTableReply with the same id.
+struct CallTable {
+  uint64_t id = 0;
+  TableRequest request;
+  Duration timeout{0};
+};
+
+/// Reads the platform's VM list; answered by Node::OnVmList, if at all.
+struct FetchVmList {};
+
+/// Asks an endpoint's health page; answered by Node::OnProbeResult.
+struct SendProbe {
+  EndpointId endpoint;
+  Duration timeout{0};
+};
+
+/// Answers a caller with a response stored earlier under its request key; ends the call.
+struct ReplayCall {
+  CallId call;
+  int status = 0;
+  std::string content_type;
+  std::string body;
+};
+
+struct SendOperatorReply {
+  OperatorReply reply;
+};
+
+using NodeAction = std::variant<SendAttempt,
+                                CancelAttempt,
+                                AnswerCall,
+                                RefuseCall,
+                                CloseConnections,
+                                SendPeer,
+                                SetPeerAddress,
+                                CallTable,
+                                FetchVmList,
+                                SendProbe,
+                                ReplayCall,
+                                SendOperatorReply>;
+using NodeActions = std::vector<NodeAction>;
+
+}  // namespace jd
--- /dev/null
+++ b/cluster/node_settings.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "common/ids.h"
+
+namespace jd {
+
+struct PeerSeed {
+  GatewayId id;
+  ZoneId zone;
+  std::string address;
+  uint16_t port = 0;
+};
+
+/// What a node is told at its start.
+struct NodeSettings {
+  GatewayId id;
+  ZoneId zone;
+  Incarnation incarnation;
+  std::string address;
+  uint16_t peer_port = 0;
+  std::vector<PeerSeed> seeds;
+  std::string policy =
+      "slots";  ///< "slots", "pooled", "round_robin", "least_request", "reported_load".
+  bool has_platform = false;  ///< False: the configuration comes from the settings file alone.
+  size_t event_capacity = 4096;
+  uint64_t seed = 0;
+};
+
+}  // namespace jd
--- /dev/null
+++ b/policy/local_slots.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string_view>
+#include <unordered_map>
+
+#include "policy/routing_policy.h"
+
+namespace jd {
+
+/// Exact view of all slots for a gateway that is the only one: chooses the endpoint with the lowest
+/// share of busy slots, own zone first, and never exceeds an endpoint's slots. With one gateway
+/// this is the `pooled` bound of the benchmarks.
+class LocalSlots {
+ public:
+  static constexpr std::string_view kName = "pooled";
+
+  std::optional<EndpointId> Acquire(MonoTime now,
+                                    const AcquireRequest& request,
+                                    RandomEngine& random);
+  void Release(MonoTime now, const EndpointId& endpoint, const AttemptResult& result);
+  void SetService(MonoTime now, const ServiceView& view);
+  void RemoveService(MonoTime now, const ServiceId& service);
+  void SetWaiting(MonoTime, const ServiceId&, int32_t) {}
+  void OnLoadReport(MonoTime, const EndpointId&, const LoadReport&) {}
+
+  /// Returns the slots in use at an endpoint.
+  int32_t in_use(const EndpointId& endpoint) const;
+
+ private:
+  std::map<ServiceId, ServiceView> services_;
+  std::unordered_map<EndpointId, int32_t> in_use_;
+};
+
+static_assert(RoutingPolicy<LocalSlots>);
+
+}  // namespace jd
--- /dev/null
+++ b/policy/routing_policy.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <concepts>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "common/ids.h"
+#include "common/load_report.h"
+#include "common/random.h"
+#include "common/units.h"
+#include "policy/attempt_result.h"
+
+namespace jd {
+
+/// One endpoint as a routing policy sees it.
+struct EndpointView {
+  EndpointId id;
+  ZoneId zone;
+  int32_t slots = 1;
+  /// New attempts are allowed; false while its zone is out, or it is draining or ejected.
+  bool usable = true;
+};
+
+/// The endpoints of one service, in the order of the configuration.
+struct ServiceView {
+  ServiceId id;
+  std::vector<EndpointView> endpoints;
+};
+
+/// What a call needs from an endpoint.
+struct AcquireRequest {
+  ServiceId service;
+  ZoneId zone;  ///< The gateway's own zone, preferred.
+  MonoTime deadline;
+  /// Endpoints that this call has already tried.
+  std::vector<EndpointId> excluded;
+};
+
+/// Chooses endpoints and accounts for their slots on one gateway.
+///
+/// Acquire takes one slot of the endpoint that it returns; every acquired slot is given back by
+/// exactly one Release. Acquire returns nothing if no slot is free now; the caller then queues and
+/// tries again after the next Release or grant.
+template <typename P>
+concept RoutingPolicy = requires(P policy,
+                                 MonoTime now,
+                                 const AcquireRequest& request,
+                                 const EndpointId& endpoint,
+                                 const AttemptResult& result,
+                                 const ServiceView& view,
+                                 const ServiceId& service,
+                                 const LoadReport& report,
+                                 RandomEngine& random,
+                                 int32_t waiting) {
+  { policy.Acquire(now, request, random) } -> std::same_as<std::optional<EndpointId>>;
+  { policy.Release(now, endpoint, result) } -> std::same_as<void>;
+  { policy.SetService(now, view) } -> std::same_as<void>;
+  { policy.RemoveService(now, service) } -> std::same_as<void>;
+  /// Tells how many calls of a service wait for a slot at this gateway.
+  { policy.SetWaiting(now, service, waiting) } -> std::same_as<void>;
+  { policy.OnLoadReport(now, endpoint, report) } -> std::same_as<void>;
+  { P::kName } -> std::convertible_to<std::string_view>;
+};
+
+}  // namespace jd
--- /dev/null
+++ b/standin/main.cc
@@ -0,0 +1,6 @@
+#include <cstdio>
+
+int main() {
+  std::puts("jackdawdeck-standin: no command given");
+  return 2;
+}
