--- /dev/null
+++ b/policy/policy_variant.cc
@@ -0,0 +1,64 @@
+#include "policy/policy_variant.h"
+
+#include <stdexcept>
+#include <string>
+
+namespace jd {
+namespace {
+
+template <size_t Index = 0>
+PolicyVariant::Alternatives MakeByName(std::string_view name) {
+  if constexpr (Index == std::variant_size_v<PolicyVariant::Alternatives>) {
+    throw std::invalid_argument("no routing policy named '" + std::string(name) + "'");
+  } else {
+    using P = std::variant_alternative_t<Index, PolicyVariant::Alternatives>;
+    // A policy that needs arguments is passed to the constructor instead.
+    if constexpr (std::is_default_constructible_v<P>) {
+      if (name == P::kName) {
+        return P();
+      }
+    }
+    return MakeByName<Index + 1>(name);
+  }
+}
+
+}  // namespace
+
+PolicyVariant PolicyVariant::ByName(std::string_view name) {
+  return PolicyVariant(MakeByName(name));
+}
+
+std::optional<EndpointId> PolicyVariant::Acquire(MonoTime now,
+                                                 const AcquireRequest& request,
+                                                 RandomEngine& random) {
+  return std::visit([&](auto& policy) { return policy.Acquire(now, request, random); }, policy_);
+}
+
+void PolicyVariant::Release(MonoTime now, const EndpointId& endpoint, const AttemptResult& result) {
+  std::visit([&](auto& policy) { policy.Release(now, endpoint, result); }, policy_);
+}
+
+void PolicyVariant::SetService(MonoTime now, const ServiceView& view) {
+  std::visit([&](auto& policy) { policy.SetService(now, view); }, policy_);
+}
+
+void PolicyVariant::RemoveService(MonoTime now, const ServiceId& service) {
+  std::visit([&](auto& policy) { policy.RemoveService(now, service); }, policy_);
+}
+
+void PolicyVariant::SetWaiting(MonoTime now, const ServiceId& service, int32_t waiting) {
+  std::visit([&](auto& policy) { policy.SetWaiting(now, service, waiting); }, policy_);
+}
+
+void PolicyVariant::OnLoadReport(MonoTime now,
+                                 const EndpointId& endpoint,
+                                 const LoadReport& report) {
+  std::visit([&](auto& policy) { policy.OnLoadReport(now, endpoint, report); }, policy_);
+}
+
+std::string_view PolicyVariant::name() const {
+  return std::visit([](const auto& policy) { return std::decay_t<decltype(policy)>::kName; },
+                    policy_);
+}
+
+}  // namespace jd
--- /dev/null
+++ b/policy/policy_variant.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <optional>
+#include <string_view>
+#include <utility>
+#include <variant>
+
+#include "policy/least_request.h"
+#include "policy/local_slots.h"
+#include "policy/reported_load.h"
+#include "policy/round_robin.h"
+#include "policy/routing_policy.h"
+
+namespace jd {
+
+/// One of the routing policies, chosen at run time by name.
+class PolicyVariant {
+ public:
+  using Alternatives = std::variant<LocalSlots, RoundRobin, LeastRequest, ReportedLoad>;
+  static constexpr std::string_view kName = "variant";
+
+  explicit PolicyVariant(Alternatives policy) : policy_(std::move(policy)) {}
+  /// Makes the policy whose kName is `name`. @throws std::invalid_argument if there is none.
+  static PolicyVariant ByName(std::string_view name);
+
+  std::optional<EndpointId> Acquire(MonoTime now,
+                                    const AcquireRequest& request,
+                                    RandomEngine& random);
+  void Release(MonoTime now, const EndpointId& endpoint, const AttemptResult& result);
+  void SetService(MonoTime now, const ServiceView& view);
+  void RemoveService(MonoTime now, const ServiceId& service);
+  void SetWaiting(MonoTime now, const ServiceId& service, int32_t waiting);
+  void OnLoadReport(MonoTime now, const EndpointId& endpoint, const LoadReport& report);
+
+  /// Returns the name of the policy held.
+  std::string_view name() const;
+  /// Returns the policy held if it is a P, otherwise null.
+  template <RoutingPolicy P>
+  P* get_if() {
+    return std::get_if<P>(&policy_);
+  }
+
+ private:
+  Alternatives policy_;
+};
+
+static_assert(RoutingPolicy<PolicyVariant>);
+
+}  // namespace jd
