Add gateway membership by two-way heartbeats

Cause: pools need an owner that every gateway derives from its own view, and that view must not follow a late VM list, a one-way link or the clock of a process that was paused. Change: cluster/membership holds peers, heartbeats due, silence limits, incarnations, announced leaving, the merged VM list and address changes. After a gap of more than 600 ms between its own events it derives no ownership until each peer that was live has echoed a heartbeat sent after the gap, or 1,000 ms have passed. Heartbeat gains can_own: a gateway without a configuration takes part in membership but owns no pool, otherwise its pools would stall until its first configuration.

Proof: membership_test, 4 cases. Conclusion: liveness needs both directions and ends after 1 s of silence.

--- /dev/null
+++ b/cluster/membership.cc
@@ -0,0 +1,266 @@
+#include "cluster/membership.h"
+
+#include <algorithm>
+
+namespace jd {
+
+Membership::Membership(NodeSettings settings) : settings_(std::move(settings)) {
+  roster_.push_back(settings_.id);
+  for (const PeerSeed& seed : settings_.seeds) {
+    if (seed.id == settings_.id) {
+      continue;
+    }
+    Member& member = members_[seed.id];
+    member.id = seed.id;
+    member.zone = seed.zone;
+    member.address = seed.address;
+    member.port = seed.port;
+    roster_.push_back(seed.id);
+  }
+  std::sort(roster_.begin(), roster_.end());
+}
+
+void Membership::Start(MonoTime now, MembershipOutput* output) {
+  resumed_ = now;
+  last_event_ = now;
+  next_heartbeat_ = now;
+  for (const auto& [id, member] : members_) {
+    awaited_[id] = true;
+    output->addresses.push_back({id, member.address, member.port});
+  }
+  OnTimer(now, output);
+}
+
+void Membership::OnTimer(MonoTime now, MembershipOutput* output) {
+  NoticePause(now);
+  if (now >= next_heartbeat_) {
+    SendHeartbeats(now, output);
+  }
+  Evaluate(now, output);
+}
+
+void Membership::OnHeartbeat(MonoTime now,
+                             const GatewayId& from,
+                             Incarnation incarnation,
+                             const Heartbeat& heartbeat,
+                             MembershipOutput* output) {
+  NoticePause(now);
+  if (from == settings_.id || IsOutdated(from, incarnation)) {
+    return;
+  }
+  Member& member = members_[from];
+  const bool restarted = member.incarnation != Incarnation() && member.incarnation < incarnation;
+  if (member.incarnation == incarnation && heartbeat.sent < member.sent) {
+    return;
+  }
+  if (restarted) {
+    member.echoed = false;
+    member.leaving = false;
+  }
+  member.id = from;
+  member.incarnation = incarnation;
+  member.zone = heartbeat.zone;
+  member.version = heartbeat.version;
+  member.ready = heartbeat.ready;
+  member.can_own = heartbeat.can_own;
+  member.leaving = member.leaving || heartbeat.leaving;
+  member.heard = now;
+  member.sent = heartbeat.sent;
+  // An echo from before a pause says nothing about the present.
+  if (heartbeat.echo_incarnation == settings_.incarnation && heartbeat.echo >= resumed_ &&
+      heartbeat.echo <= now) {
+    member.echo = std::max(member.echo, heartbeat.echo);
+    member.echoed = true;
+  }
+  SetAddress(&member, heartbeat.address, heartbeat.peer_port, output);
+  if (restarted) {
+    member.state = StateOf(now, member);
+    output->changes.push_back({from, member.state, true});
+  } else if (member.state == MemberState::kUnknown) {
+    member.state = MemberState::kOneWay;
+  }
+  Evaluate(now, output);
+}
+
+void Membership::OnVmList(MonoTime now, const VmList& vms, MembershipOutput* output) {
+  NoticePause(now);
+  std::vector<GatewayId> listed;
+  for (const Vm& vm : vms) {
+    if (vm.role == VmRole::kGateway) {
+      listed.emplace_back(vm.name);
+    }
+  }
+  // A list without any gateway is wrong, since this one runs.
+  if (listed.empty()) {
+    return;
+  }
+  for (auto& [id, member] : members_) {
+    member.listed = false;
+  }
+  for (const Vm& vm : vms) {
+    const GatewayId id(vm.name);
+    if (vm.role != VmRole::kGateway || id == settings_.id) {
+      continue;
+    }
+    Member& member = members_[id];
+    member.id = id;
+    member.listed = true;
+    // What a running peer says of itself is newer than the list.
+    if (member.state == MemberState::kUnknown || member.state == MemberState::kDead) {
+      member.zone = vm.zone;
+      SetAddress(&member, vm.address, vm.port, output);
+    }
+  }
+  std::sort(listed.begin(), listed.end());
+  listed.erase(std::unique(listed.begin(), listed.end()), listed.end());
+  roster_ = std::move(listed);
+  has_list_ = true;
+  Evaluate(now, output);
+}
+
+void Membership::Leave(MonoTime now, MembershipOutput* output) {
+  leaving_ = true;
+  SendHeartbeats(now, output);
+}
+
+MonoTime Membership::next_timer() const {
+  MonoTime next = next_heartbeat_;
+  for (const auto& [id, member] : members_) {
+    if (member.state == MemberState::kUnknown || member.state == MemberState::kDead) {
+      continue;
+    }
+    next = std::min(
+        next, member.heard + (member.state == MemberState::kLive ? kSuspectAfter : kDeadAfter));
+  }
+  return fresh_ ? next : std::min(next, resumed_ + kDeadAfter);
+}
+
+std::vector<GatewayId> Membership::owners() const {
+  std::vector<GatewayId> owners;
+  if (!fresh_) {
+    return owners;
+  }
+  if (!leaving_ && self_.can_own) {
+    owners.push_back(settings_.id);
+  }
+  for (const auto& [id, member] : members_) {
+    const bool live = member.state == MemberState::kLive || member.state == MemberState::kSuspect;
+    if (live && member.can_own) {
+      owners.push_back(id);
+    }
+  }
+  std::sort(owners.begin(), owners.end());
+  return owners;
+}
+
+std::vector<GatewayId> Membership::roster() const {
+  return roster_;
+}
+
+bool Membership::IsOutdated(const GatewayId& from, Incarnation incarnation) const {
+  const auto member = members_.find(from);
+  return member != members_.end() && incarnation < member->second.incarnation;
+}
+
+void Membership::NoticePause(MonoTime now) {
+  const bool paused = now - last_event_ > kPauseAfter;
+  last_event_ = std::max(last_event_, now);
+  if (!paused) {
+    return;
+  }
+  // Peers were silent only because this process did not listen: they get a full silence limit
+  // from now, and must show anew that they hear this gateway.
+  resumed_ = now;
+  fresh_ = false;
+  awaited_.clear();
+  for (auto& [id, member] : members_) {
+    member.echoed = false;
+    if (member.state == MemberState::kUnknown || member.state == MemberState::kDead) {
+      continue;
+    }
+    member.heard = now;
+    awaited_[id] = true;
+  }
+}
+
+MemberState Membership::StateOf(MonoTime now, const Member& member) const {
+  if (member.incarnation == Incarnation()) {
+    return MemberState::kUnknown;
+  }
+  if (now - member.heard >= kDeadAfter) {
+    return MemberState::kDead;
+  }
+  if (member.leaving) {
+    return MemberState::kLeaving;
+  }
+  // The echo is compared with the arrival of the heartbeat that carried it, so that the silence
+  // of a peer is counted once, by the limits above and below.
+  if (!member.echoed || member.heard - member.echo >= kDeadAfter) {
+    return MemberState::kOneWay;
+  }
+  return now - member.heard >= kSuspectAfter ? MemberState::kSuspect : MemberState::kLive;
+}
+
+void Membership::Evaluate(MonoTime now, MembershipOutput* output) {
+  for (auto& [id, member] : members_) {
+    const MemberState state = StateOf(now, member);
+    if (state != member.state) {
+      member.state = state;
+      output->changes.push_back({id, state, false});
+    }
+    if (state != MemberState::kUnknown && state != MemberState::kOneWay) {
+      awaited_.erase(id);
+    }
+  }
+  if (!fresh_ && (awaited_.empty() || now - resumed_ >= kDeadAfter)) {
+    fresh_ = true;
+    awaited_.clear();
+  }
+  Forget(output);
+}
+
+void Membership::SendHeartbeats(MonoTime now, MembershipOutput* output) {
+  next_heartbeat_ = now + kHeartbeatEvery;
+  for (const auto& [id, member] : members_) {
+    Heartbeat heartbeat;
+    heartbeat.zone = settings_.zone;
+    heartbeat.address = settings_.address;
+    heartbeat.peer_port = settings_.peer_port;
+    heartbeat.version = self_.version;
+    heartbeat.ready = self_.ready && !leaving_;
+    heartbeat.can_own = self_.can_own;
+    heartbeat.leaving = leaving_;
+    heartbeat.sent = now;
+    heartbeat.echo = member.sent;
+    heartbeat.echo_incarnation = member.incarnation;
+    output->heartbeats.emplace_back(id, std::move(heartbeat));
+  }
+}
+
+void Membership::SetAddress(Member* member,
+                            const std::string& address,
+                            uint16_t port,
+                            MembershipOutput* output) const {
+  if (address.empty() || (member->address == address && member->port == port)) {
+    return;
+  }
+  member->address = address;
+  member->port = port;
+  output->addresses.push_back({member->id, address, port});
+}
+
+void Membership::Forget(MembershipOutput* output) {
+  for (auto member = members_.begin(); member != members_.end();) {
+    const MemberState state = member->second.state;
+    const bool silent = state == MemberState::kDead || state == MemberState::kUnknown;
+    if (has_list_ && silent && !member->second.listed) {
+      output->addresses.push_back({member->first, "", 0});
+      awaited_.erase(member->first);
+      member = members_.erase(member);
+    } else {
+      ++member;
+    }
+  }
+}
+
+}  // namespace jd
--- a/cluster/peer_message.h
+++ b/cluster/peer_message.h
@@ -21,6 +21,7 @@
   ConfigVersion version;
   bool ready = false;
   bool leaving = false;
+  bool can_own = true;           ///< False until the sender has a configuration to lend from.
   MonoTime sent;                 ///< Sender's clock.
   MonoTime echo;                 ///< `sent` of the latest heartbeat received from the receiver.
   Incarnation echo_incarnation;  ///< Incarnation of the receiver that `echo` belongs to.
--- /dev/null
+++ b/tests/membership_test.cc
@@ -0,0 +1,184 @@
+#include "cluster/membership.h"
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+namespace jd {
+namespace {
+
+MonoTime At(int64_t millis) {
+  return MonoTime(std::chrono::milliseconds(millis));
+}
+
+NodeSettings SettingsOf(const std::string& id) {
+  NodeSettings settings;
+  settings.id = GatewayId(id);
+  settings.zone = ZoneId("z");
+  settings.incarnation = Incarnation(10);
+  settings.address = "127.0.0.1";
+  settings.peer_port = 7000;
+  for (const char* peer : {"a", "b", "c"}) {
+    settings.seeds.push_back({GatewayId(peer), ZoneId("z"), "127.0.0.1", 7000});
+  }
+  return settings;
+}
+
+/// Three gateways whose links and processes can be stopped; one step is 50 ms.
+struct Cluster {
+  std::map<GatewayId, Membership> nodes;
+  std::set<std::pair<std::string, std::string>> cut;  ///< Direction that loses messages.
+  std::set<std::string> paused;
+  std::vector<MemberChange> seen_by_a;
+  int64_t now = 100;
+
+  Cluster() {
+    for (const char* id : {"a", "b", "c"}) {
+      nodes.emplace(GatewayId(id), SettingsOf(id));
+    }
+    for (auto& [id, node] : nodes) {
+      MembershipOutput output;
+      node.Start(At(now), &output);
+    }
+  }
+
+  Membership& at(const std::string& id) { return nodes.at(GatewayId(id)); }
+  MemberState State(const std::string& of, const std::string& peer) {
+    return at(of).members().at(GatewayId(peer)).state;
+  }
+
+  void Deliver(const GatewayId& from, const MembershipOutput& output) {
+    for (const auto& [to, heartbeat] : output.heartbeats) {
+      if (cut.contains({from.value, to.value}) || paused.contains(to.value)) {
+        continue;
+      }
+      MembershipOutput reaction;
+      nodes.at(to).OnHeartbeat(At(now), from, Incarnation(10), heartbeat, &reaction);
+      if (to.value == "a") {
+        seen_by_a.insert(seen_by_a.end(), reaction.changes.begin(), reaction.changes.end());
+      }
+    }
+  }
+
+  void Run(int64_t millis) {
+    for (const int64_t end = now + millis; now < end;) {
+      now += 50;
+      for (auto& [id, node] : nodes) {
+        if (paused.contains(id.value) || node.next_timer() > At(now)) {
+          continue;
+        }
+        MembershipOutput output;
+        node.OnTimer(At(now), &output);
+        if (id.value == "a") {
+          seen_by_a.insert(seen_by_a.end(), output.changes.begin(), output.changes.end());
+        }
+        Deliver(id, output);
+      }
+    }
+  }
+};
+
+// Guards against an owner that cannot hear its holders, and against slow detection of a crash.
+TEST_CASE("liveness needs both directions and ends after 1 s of silence", "[membership_test]") {
+  Cluster cluster;
+  CHECK(cluster.at("a").owners().empty());
+  cluster.Run(600);
+  CHECK(cluster.at("a").owners().size() == 3);
+  cluster.cut.insert({"a", "b"});
+  cluster.Run(1600);
+  CHECK(cluster.State("a", "b") == MemberState::kOneWay);
+  CHECK(cluster.State("b", "a") == MemberState::kDead);
+  CHECK(cluster.at("a").owners() == std::vector{GatewayId("a"), GatewayId("c")});
+  cluster.cut.clear();
+  cluster.Run(600);
+  CHECK(cluster.at("a").owners().size() == 3);
+  cluster.paused.insert("c");
+  cluster.Run(850);
+  CHECK(cluster.State("a", "c") == MemberState::kSuspect);
+  CHECK(cluster.at("a").owners().size() == 3);
+  cluster.Run(400);
+  CHECK(cluster.State("a", "c") == MemberState::kDead);
+  CHECK(cluster.at("a").owners().size() == 2);
+}
+
+// Guards against a gateway that wakes from a pause and acts as owner on its old view.
+TEST_CASE("a paused gateway derives no ownership until peers are heard again",
+          "[membership_test]") {
+  for (const int64_t pause : {900, 5000}) {
+    Cluster cluster;
+    cluster.Run(1000);
+    cluster.paused.insert("a");
+    cluster.Run(pause);
+    cluster.seen_by_a.clear();
+    cluster.paused.clear();
+    MembershipOutput output;
+    cluster.at("a").OnTimer(At(cluster.now), &output);
+    CHECK_FALSE(cluster.at("a").fresh());
+    // Heartbeats that were buffered during the pause echo a send time from before it.
+    for (const char* peer : {"b", "c"}) {
+      Heartbeat buffered;
+      buffered.sent = At(cluster.now);
+      buffered.echo = At(cluster.now - pause - 50);
+      buffered.echo_incarnation = Incarnation(10);
+      cluster.at("a").OnHeartbeat(At(cluster.now), GatewayId(peer), Incarnation(10), buffered,
+                                  &output);
+    }
+    CHECK(cluster.at("a").owners().empty());
+    cluster.Run(600);
+    CHECK(cluster.at("a").owners().size() == 3);
+    for (const MemberChange& change : cluster.seen_by_a) {
+      CHECK(change.state != MemberState::kDead);
+    }
+  }
+}
+
+// Guards against a late or wrong VM list that removes a working gateway.
+TEST_CASE("the VM list adds peers and removes only dead ones", "[membership_test]") {
+  Cluster cluster;
+  cluster.Run(1000);
+  Membership& a = cluster.at("a");
+  MembershipOutput output;
+  const VmList list = {
+      {"a", VmRole::kGateway, VmState::kLive, ZoneId("z"), "127.0.0.1", 7000},
+      {"d", VmRole::kGateway, VmState::kLive, ZoneId("z"), "127.0.0.4", 7000},
+      {"u", VmRole::kUpstream, VmState::kLive, ZoneId("z"), "127.0.0.5", 7000},
+  };
+  a.OnVmList(At(cluster.now), list, &output);
+  CHECK(a.owners().size() == 3);
+  CHECK(a.members().contains(GatewayId("d")));
+  CHECK_FALSE(a.members().contains(GatewayId("u")));
+  CHECK(a.roster() == std::vector{GatewayId("a"), GatewayId("d")});
+  a.OnVmList(At(cluster.now), {}, &output);
+  CHECK(a.roster().size() == 2);
+  Heartbeat moved;
+  moved.address = "127.0.0.9";
+  moved.peer_port = 7001;
+  moved.sent = At(1);
+  a.OnHeartbeat(At(cluster.now), GatewayId("c"), Incarnation(11), moved, &output);
+  CHECK(output.addresses.back().address == "127.0.0.9");
+  CHECK(output.changes.back().restarted);
+  CHECK(a.IsOutdated(GatewayId("c"), Incarnation(10)));
+  MembershipOutput later;
+  for (int step = 1; step <= 6; ++step) {
+    a.OnTimer(At(cluster.now + step * 200), &later);
+  }
+  CHECK(a.members().size() == 1);
+  CHECK(a.owners() == std::vector{GatewayId("a")});
+}
+
+// Guards against pools that stay with a gateway that is stopping or not configured yet.
+TEST_CASE("a gateway that leaves or has no configuration owns nothing", "[membership_test]") {
+  Cluster cluster;
+  cluster.Run(1000);
+  MembershipOutput output;
+  cluster.at("b").Leave(At(cluster.now), &output);
+  cluster.Deliver(GatewayId("b"), output);
+  CHECK(cluster.State("a", "b") == MemberState::kLeaving);
+  cluster.at("c").SetSelf({ConfigVersion(0), false, false});
+  cluster.Run(300);
+  CHECK(cluster.at("a").owners() == std::vector{GatewayId("a")});
+  CHECK(cluster.at("b").owners() == std::vector{GatewayId("a")});
+}
+
+}  // namespace
+}  // namespace jd
