Add pool ownership by rendezvous hashing

Cause: every gateway must name the same owner of a pool without asking, and a join or leave must not move pools between gateways that stay. Change: OwnerOf ranks the live gateways by XXH64 of the pool id, seeded with the hash of the gateway id; Ownership tells which pools this gateway gained or lost.

Proof: ownership_test, a property over 100 generated clusters of 2 to 17 gateways and 1,000 pools each. Choosing the gateway by hash modulo the number of gateways instead fails it. Conclusion: a join or leave of one of n gateways moves about 1/n of the pools, only from or to it.

--- /dev/null
+++ b/cluster/ownership.cc
@@ -0,0 +1,58 @@
+#include "cluster/ownership.h"
+
+#include <xxhash.h>
+
+#include <cstdint>
+#include <utility>
+
+namespace jd {
+namespace {
+
+uint64_t Hash(const std::string& text, uint64_t seed) {
+  return XXH64(text.data(), text.size(), seed);
+}
+
+}  // namespace
+
+GatewayId OwnerOf(const PoolId& pool, const std::vector<GatewayId>& gateways) {
+  const GatewayId* best = nullptr;
+  uint64_t best_score = 0;
+  for (const GatewayId& gateway : gateways) {
+    const uint64_t score = Hash(pool.value, Hash(gateway.value, 0));
+    // Equal scores are settled by id, so that every gateway chooses the same owner.
+    if (best == nullptr || score > best_score || (score == best_score && gateway < *best)) {
+      best = &gateway;
+      best_score = score;
+    }
+  }
+  return best == nullptr ? GatewayId() : *best;
+}
+
+Ownership::Change Ownership::Update(const std::vector<GatewayId>& gateways,
+                                    const std::vector<PoolId>& pools) {
+  Change change;
+  std::map<PoolId, GatewayId> next;
+  for (const PoolId& pool : pools) {
+    next[pool] = OwnerOf(pool, gateways);
+  }
+  for (const auto& [pool, owner] : next) {
+    if (owner == self_ && !owns(pool)) {
+      change.gained.push_back(pool);
+    }
+  }
+  for (const auto& [pool, owner] : owners_) {
+    const auto now = next.find(pool);
+    if (owner == self_ && (now == next.end() || now->second != self_)) {
+      change.lost.push_back(pool);
+    }
+  }
+  owners_ = std::move(next);
+  return change;
+}
+
+GatewayId Ownership::owner(const PoolId& pool) const {
+  const auto owner = owners_.find(pool);
+  return owner == owners_.end() ? GatewayId() : owner->second;
+}
+
+}  // namespace jd
--- /dev/null
+++ b/tests/ownership_test.cc
@@ -0,0 +1,59 @@
+#include "cluster/ownership.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+
+namespace jd {
+namespace {
+
+std::vector<PoolId> Pools(int count) {
+  std::vector<PoolId> pools;
+  for (int i = 0; i < count; ++i) {
+    pools.emplace_back("service-" + std::to_string(i / 3) + "#" + std::to_string(i % 3));
+  }
+  return pools;
+}
+
+// Guards against a hash that reshuffles pools among gateways that did not change, or unevenly.
+TEST_CASE("a join or leave moves about 1/n of the pools, only from or to that gateway",
+          "[ownership_test]") {
+  const bool passed = rc::check([] {
+    const int count = *rc::gen::inRange(2, 18);
+    const int name = *rc::gen::inRange(0, 1000000);
+    std::vector<GatewayId> gateways;
+    for (int i = 0; i < count; ++i) {
+      gateways.emplace_back("gateway-" + std::to_string(name + i));
+    }
+    const GatewayId joined = gateways.back();
+    std::vector<GatewayId> before(gateways.begin(), gateways.end() - 1);
+    const std::vector<PoolId> pools = Pools(1000);
+    Ownership self(joined);
+    RC_ASSERT(self.Update(before, pools).gained.empty());
+    const Ownership::Change gained = self.Update(gateways, pools);
+    for (const PoolId& pool : pools) {
+      const GatewayId after = OwnerOf(pool, gateways);
+      RC_ASSERT(after == joined || after == OwnerOf(pool, before));
+    }
+    const double expected = 1000.0 / count;
+    const double moved = static_cast<double>(gained.gained.size());
+    RC_ASSERT(moved > expected * 0.5 - 10);
+    RC_ASSERT(moved < expected * 1.5 + 10);
+    const Ownership::Change lost = self.Update(before, pools);
+    RC_ASSERT(lost.lost == gained.gained);
+  });
+  CHECK(passed);
+}
+
+// Guards against owners that depend on the order in which a gateway learned of its peers.
+TEST_CASE("the owner does not depend on the order of gateways", "[ownership_test]") {
+  const std::vector<GatewayId> forward = {GatewayId("a"), GatewayId("b"), GatewayId("c")};
+  const std::vector<GatewayId> backward(forward.rbegin(), forward.rend());
+  for (const PoolId& pool : Pools(100)) {
+    CHECK(OwnerOf(pool, forward) == OwnerOf(pool, backward));
+  }
+  CHECK(OwnerOf(PoolId("p"), {}).empty());
+}
+
+}  // namespace
+}  // namespace jd
