Add the JSON form of configurations, changes and log rows

ConfigEntry moves from cluster/peer_message.h to common, since Apply needs it there.

Conclusion: a document survives a round trip exactly, and one run reports all of its errors.

--- a/cluster/peer_message.h
+++ b/cluster/peer_message.h
@@ -5,6 +5,7 @@
 #include <variant>
 #include <vector>
 
+#include "common/config_entry.h"
 #include "common/event_ring.h"
 #include "common/hybrid_clock.h"
 #include "common/ids.h"
@@ -41,16 +42,6 @@
   Fingerprint fingerprint;
 };
 
-/// One accepted change of the configuration, as recorded in the platform's table.
-struct ConfigEntry {
-  ConfigVersion version;
-  std::string change;  ///< JSON, see common/config_codec.h.
-  std::string nonce;
-  std::string author;
-  WallTime written;
-  bool operator==(const ConfigEntry&) const = default;
-};
-
 /// Entries in order of version, the answer to ConfigFetch or a push.
 struct ConfigEntries {
   ConfigVersion snapshot_version;  ///< 0: no snapshot, entries only.
--- /dev/null
+++ b/common/config_codec.cc
@@ -0,0 +1,338 @@
+#include "common/config_codec.h"
+
+#include <arpa/inet.h>
+
+#include <limits>
+#include <utility>
+
+namespace jd {
+namespace {
+
+using nlohmann::json;
+
+constexpr int64_t kMaxVersion = std::numeric_limits<int64_t>::max();
+constexpr double kMaxShare = 1000.0;
+
+constexpr std::initializer_list<const char*> kPriorityNames = {"low", "normal", "high"};
+constexpr std::initializer_list<const char*> kZoneStateNames = {"in", "out", "returning"};
+constexpr std::initializer_list<const char*> kObjectKindNames = {"profile", "service", "workspace",
+                                                                 "zone"};
+constexpr std::initializer_list<const char*> kChangeNames = {"put-profile", "put-service",
+                                                             "put-workspace", "set-zone", "remove"};
+constexpr const char* kChangeFields[] = {"profile", "service", "workspace", "zone", "object"};
+
+template <typename Archive, typename T>
+void ProfileFields(Archive& archive, T& profile) {
+  archive.Name("id", profile.id);
+  archive.Texts("idempotent_methods", profile.idempotent_methods);
+  archive.Texts("idempotent_paths", profile.idempotent_paths);
+  archive.Millis("deadline_ms", profile.deadline, 1ms, 10min);
+  archive.Whole("max_attempts", profile.max_attempts, 1, 10, Need::kOptional);
+  archive.Flag("hedge", profile.hedge);
+  archive.Millis("hedge_after_ms", profile.hedge_after, 100us, 10min);
+  archive.Number("retry_budget", profile.retry_budget, 0.0, 1.0, Need::kOptional);
+  archive.Text("request_key_header", profile.request_key_header, Need::kOptional, true);
+  archive.Choice("priority", profile.priority, kPriorityNames, Need::kOptional);
+  archive.Whole("max_queue", profile.max_queue, 0, 1000000, Need::kOptional);
+}
+
+template <typename Archive, typename T>
+void EndpointFields(Archive& archive, T& endpoint) {
+  archive.Name("id", endpoint.id);
+  archive.Name("zone", endpoint.zone);
+  archive.Text("address", endpoint.address, Need::kRequired);
+  archive.Whole("port", endpoint.port, 1, 65535, Need::kRequired);
+  archive.Whole("slots", endpoint.slots, 1, 10000, Need::kOptional);
+  archive.Whole("max_connections", endpoint.max_connections, 0, 100000, Need::kOptional);
+}
+
+template <typename Archive, typename T>
+void ShareFields(Archive& archive, T& share) {
+  archive.Name("workspace", share.workspace);
+  archive.Number("share", share.share, 0.0, kMaxShare, Need::kRequired);
+}
+
+template <typename Archive, typename T>
+void ServiceFields(Archive& archive, T& service) {
+  archive.Name("id", service.id);
+  archive.Name("profile", service.profile);
+  archive.Objects("endpoints", service.endpoints, [](auto& a, auto& e) { EndpointFields(a, e); });
+  archive.Objects("shares", service.shares, [](auto& a, auto& s) { ShareFields(a, s); });
+  archive.Number("probe_share", service.probe_share, 0.0, 0.1, Need::kOptional);
+  archive.Millis("probe_cost_ms", service.probe_cost, 0ms, 10s);
+  archive.Millis("connect_cost_ms", service.connect_cost, 0ms, 10s);
+  archive.Text("health_path", service.health_path, Need::kOptional);
+}
+
+template <typename Archive, typename T>
+void WorkspaceFields(Archive& archive, T& workspace) {
+  archive.Name("id", workspace.id);
+  archive.Number("share", workspace.share, 0.0, kMaxShare, Need::kOptional);
+}
+
+template <typename Archive, typename T>
+void ZoneFields(Archive& archive, T& zone) {
+  archive.Name("id", zone.id);
+  archive.Choice("state", zone.state, kZoneStateNames, Need::kRequired);
+}
+
+template <typename Archive, typename T>
+void RemovalFields(Archive& archive, T& removal) {
+  archive.Choice("kind", removal.object.kind, kObjectKindNames, Need::kRequired);
+  archive.Text("name", removal.object.name, Need::kRequired);
+}
+
+template <typename Archive, typename T>
+void Fields(Archive& archive, T& item) {
+  using Item = std::remove_const_t<T>;
+  if constexpr (std::is_same_v<Item, Profile>) {
+    ProfileFields(archive, item);
+  } else if constexpr (std::is_same_v<Item, Service>) {
+    ServiceFields(archive, item);
+  } else if constexpr (std::is_same_v<Item, Workspace>) {
+    WorkspaceFields(archive, item);
+  } else if constexpr (std::is_same_v<Item, Zone>) {
+    ZoneFields(archive, item);
+  } else {
+    RemovalFields(archive, item);
+  }
+}
+
+template <typename T>
+json Encode(const T& item) {
+  JsonWriter writer;
+  Fields(writer, item);
+  return std::move(writer).Take();
+}
+
+std::string Dump(const json& value) {
+  return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+/// Checks what single fields cannot say.
+void CheckItem(const Profile& profile, const std::string& path, ConfigErrors* errors) {
+  for (size_t i = 0; i < profile.idempotent_paths.size(); ++i) {
+    if (!profile.idempotent_paths[i].starts_with('/')) {
+      errors->push_back({path + "idempotent_paths[" + std::to_string(i) + "]",
+                         "is \"" + profile.idempotent_paths[i] + "\"",
+                         "a path prefix that starts with '/'"});
+    }
+  }
+}
+
+bool IsIpNumber(const std::string& address) {
+  unsigned char buffer[sizeof(in6_addr)];
+  return inet_pton(AF_INET, address.c_str(), buffer) == 1 ||
+         inet_pton(AF_INET6, address.c_str(), buffer) == 1;
+}
+
+void CheckItem(const Service& service, const std::string& path, ConfigErrors* errors) {
+  std::set<EndpointId> ids;
+  for (size_t i = 0; i < service.endpoints.size(); ++i) {
+    const Endpoint& endpoint = service.endpoints[i];
+    const std::string at = path + "endpoints[" + std::to_string(i) + "].";
+    if (!endpoint.id.empty() && !ids.insert(endpoint.id).second) {
+      errors->push_back({at + "id", "\"" + endpoint.id.value + "\" is listed twice",
+                         "an id that no other endpoint has"});
+    }
+    if (!endpoint.address.empty() && !IsIpNumber(endpoint.address)) {
+      errors->push_back(
+          {at + "address", "is \"" + endpoint.address + "\"", "an IPv4 or IPv6 number"});
+    }
+  }
+  std::set<WorkspaceId> workspaces;
+  for (size_t i = 0; i < service.shares.size(); ++i) {
+    if (!workspaces.insert(service.shares[i].workspace).second) {
+      errors->push_back({path + "shares[" + std::to_string(i) + "].workspace",
+                         "\"" + service.shares[i].workspace.value + "\" is listed twice",
+                         "each workspace once"});
+    }
+  }
+  if (!service.health_path.starts_with('/')) {
+    errors->push_back({path + "health_path", "is \"" + service.health_path + "\"",
+                       "a path that starts with '/'"});
+  }
+}
+
+template <typename T>
+void CheckItem(const T& /*item*/, const std::string& /*path*/, ConfigErrors* /*errors*/) {}
+
+template <typename T>
+T Decode(const json& value, const std::string& path, ConfigErrors* errors) {
+  JsonReader reader(value, path, errors);
+  T item;
+  Fields(reader, item);
+  reader.Finish();
+  CheckItem(item, path.empty() ? "" : path + ".", errors);
+  return item;
+}
+
+template <typename T>
+std::optional<T> DecodeText(std::string_view text, ConfigErrors* errors) {
+  const size_t before = errors->size();
+  const json value = ParseJson(text, errors);
+  if (errors->size() > before) {
+    return std::nullopt;
+  }
+  T item = Decode<T>(value, "", errors);
+  return errors->size() > before ? std::nullopt : std::optional<T>(std::move(item));
+}
+
+template <typename Map>
+json EncodeValues(const Map& objects) {
+  json list = json::array();
+  for (const auto& [id, object] : objects) {
+    list.push_back(Encode(object));
+  }
+  return list;
+}
+
+/// Reads a list of objects and gives each to `insert`, which returns false for a repeated id.
+template <typename T, typename Insert>
+void DecodeList(JsonReader* reader, const char* name, Insert insert) {
+  const json* list = reader->Find(name, Need::kOptional);
+  if (list == nullptr) {
+    return;
+  }
+  if (!list->is_array()) {
+    reader->Fail(name, "is not a list", "a list of objects");
+    return;
+  }
+  for (size_t i = 0; i < list->size(); ++i) {
+    const std::string path = reader->PathOf(name) + "[" + std::to_string(i) + "]";
+    T item = Decode<T>((*list)[i], path, reader->errors());
+    if (!insert(std::move(item))) {
+      reader->errors()->push_back({path + ".id", "is listed twice", "each id once"});
+    }
+  }
+}
+
+void DecodeObjectVersions(JsonReader* reader, Configuration* configuration) {
+  const json* versions = reader->Find("object_versions", Need::kOptional);
+  if (versions == nullptr) {
+    return;
+  }
+  if (!versions->is_object()) {
+    reader->Fail("object_versions", "is not an object", "an object of versions by \"kind/name\"");
+    return;
+  }
+  for (const auto& [key, version] : versions->items()) {
+    if (!version.is_number_unsigned()) {
+      reader->Fail("object_versions." + key, "is not a version", "a whole number from 0");
+      continue;
+    }
+    configuration->object_versions[key] = ConfigVersion(version.get<uint64_t>());
+  }
+}
+
+}  // namespace
+
+std::string ToJson(const Profile& profile) {
+  return Dump(Encode(profile));
+}
+
+std::string ToJson(const Service& service) {
+  return Dump(Encode(service));
+}
+
+std::string ToJson(const ConfigChange& change) {
+  json value;
+  value["change"] = kChangeNames.begin()[change.index()];
+  value[kChangeFields[change.index()]] =
+      std::visit([](const auto& item) { return Encode(item); }, change);
+  return Dump(value);
+}
+
+std::string ToJson(const Configuration& configuration) {
+  json value;
+  value["version"] = configuration.version.value;
+  value["workspaces"] = json::array();
+  for (const auto& [id, share] : configuration.workspaces) {
+    value["workspaces"].push_back(Encode(Workspace{id, share}));
+  }
+  value["profiles"] = EncodeValues(configuration.profiles);
+  value["services"] = EncodeValues(configuration.services);
+  value["zones"] = EncodeValues(configuration.zones);
+  value["object_versions"] = json::object();
+  for (const auto& [key, version] : configuration.object_versions) {
+    value["object_versions"][key] = version.value;
+  }
+  return Dump(value);
+}
+
+std::optional<Profile> ProfileFromJson(std::string_view text, ConfigErrors* errors) {
+  return DecodeText<Profile>(text, errors);
+}
+
+std::optional<Service> ServiceFromJson(std::string_view text, ConfigErrors* errors) {
+  return DecodeText<Service>(text, errors);
+}
+
+std::optional<ConfigChange> ChangeFromJson(std::string_view text, ConfigErrors* errors) {
+  const size_t before = errors->size();
+  const json value = ParseJson(text, errors);
+  if (errors->size() > before) {
+    return std::nullopt;
+  }
+  JsonReader reader(value, "", errors);
+  enum class Kind : uint8_t { kProfile, kService, kWorkspace, kZone, kRemoval };
+  Kind kind = Kind::kProfile;
+  reader.Choice("change", kind, kChangeNames, Need::kRequired);
+  if (errors->size() > before) {
+    return std::nullopt;
+  }
+  const char* field = kChangeFields[static_cast<size_t>(kind)];
+  const json* item = reader.Find(field, Need::kRequired);
+  reader.Finish();
+  ConfigChange change;
+  if (item != nullptr) {
+    switch (kind) {
+      case Kind::kProfile:
+        change = Decode<Profile>(*item, field, errors);
+        break;
+      case Kind::kService:
+        change = Decode<Service>(*item, field, errors);
+        break;
+      case Kind::kWorkspace:
+        change = Decode<Workspace>(*item, field, errors);
+        break;
+      case Kind::kZone:
+        change = Decode<Zone>(*item, field, errors);
+        break;
+      case Kind::kRemoval:
+        change = Decode<Removal>(*item, field, errors);
+        break;
+    }
+  }
+  return errors->size() > before ? std::nullopt : std::optional(std::move(change));
+}
+
+std::optional<Configuration> ConfigurationFromJson(std::string_view text, ConfigErrors* errors) {
+  const size_t before = errors->size();
+  const json value = ParseJson(text, errors);
+  if (errors->size() > before) {
+    return std::nullopt;
+  }
+  JsonReader reader(value, "", errors);
+  Configuration result;
+  reader.Whole("version", result.version.value, 0, kMaxVersion, Need::kRequired);
+  DecodeList<Workspace>(&reader, "workspaces", [&](Workspace item) {
+    return result.workspaces.emplace(item.id, item.share).second;
+  });
+  DecodeList<Profile>(&reader, "profiles", [&](Profile item) {
+    return result.profiles.emplace(item.id, std::move(item)).second;
+  });
+  DecodeList<Service>(&reader, "services", [&](Service item) {
+    return result.services.emplace(item.id, std::move(item)).second;
+  });
+  DecodeList<Zone>(&reader, "zones",
+                   [&](Zone item) { return result.zones.emplace(item.id, item).second; });
+  DecodeObjectVersions(&reader, &result);
+  reader.Finish();
+  for (const auto& [id, service] : result.services) {
+    CheckReferences(result, service, "service/" + id.value + ".", errors);
+  }
+  return errors->size() > before ? std::nullopt : std::optional(std::move(result));
+}
+
+}  // namespace jd
--- /dev/null
+++ b/common/config_entry.cc
@@ -0,0 +1,132 @@
+#include "common/config_entry.h"
+
+#include <limits>
+#include <map>
+#include <utility>
+
+#include "common/config_codec.h"
+#include "common/json_fields.h"
+
+namespace jd {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::pair<const char*, const char*> kKinds[] = {{"profiles", "profile/"},
+                                                          {"services", "service/"},
+                                                          {"workspaces", "workspace/"},
+                                                          {"zones", "zone/"}};
+
+using Lines = std::map<std::pair<std::string, std::string>, std::string>;
+
+/// An item is named by its id where it has one, since its place in a list says little.
+std::string ItemName(const json& item, size_t index) {
+  for (const char* name : {"id", "workspace"}) {
+    if (item.is_object() && item.contains(name)) {
+      return item[name].get<std::string>();
+    }
+  }
+  return std::to_string(index);
+}
+
+void Flatten(const std::string& object, const std::string& path, const json& value, Lines* lines) {
+  if (value.is_object()) {
+    for (const auto& [name, field] : value.items()) {
+      Flatten(object, path.empty() ? name : path + "." + name, field, lines);
+    }
+  } else if (value.is_array()) {
+    for (size_t i = 0; i < value.size(); ++i) {
+      Flatten(object, path + "[" + ItemName(value[i], i) + "]", value[i], lines);
+    }
+  } else {
+    (*lines)[{object, path}] = value.dump();
+  }
+}
+
+/// Returns each plain value by its object and its path within the object.
+Lines Flatten(const Configuration& configuration) {
+  const json document = json::parse(ToJson(configuration));
+  Lines lines;
+  for (const auto& [list, prefix] : kKinds) {
+    for (const json& object : document.at(list)) {
+      Flatten(prefix + object.at("id").get<std::string>(), "", object, &lines);
+    }
+  }
+  return lines;
+}
+
+std::string Line(char sign, const std::pair<std::string, std::string>& place) {
+  return std::string(1, sign) + " " + place.first + " " + place.second + ": ";
+}
+
+}  // namespace
+
+Configuration Apply(const Configuration& configuration, const ConfigEntry& entry) {
+  if (entry.version.value != configuration.version.value + 1) {
+    throw ConfigException("entry " + std::to_string(entry.version.value) +
+                          " does not follow version " +
+                          std::to_string(configuration.version.value));
+  }
+  ConfigErrors errors;
+  const std::optional<ConfigChange> change = ChangeFromJson(entry.change, &errors);
+  if (!change) {
+    throw ConfigException("entry " + std::to_string(entry.version.value) +
+                          " is not valid: " + ErrorText(errors));
+  }
+  return WithChange(configuration, *change);
+}
+
+std::string ToLogRow(const ConfigEntry& entry, ConfigVersion base) {
+  json value;
+  value["change"] = entry.change;
+  value["nonce"] = entry.nonce;
+  value["author"] = entry.author;
+  value["written_us"] = Micros(entry.written);
+  value["base"] = base.value;
+  return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::optional<ConfigEntry> EntryFromLogRow(ConfigVersion version,
+                                           std::string_view text,
+                                           ConfigErrors* errors) {
+  const size_t before = errors->size();
+  const json value = ParseJson(text, errors);
+  if (errors->size() > before) {
+    return std::nullopt;
+  }
+  JsonReader reader(value, "", errors);
+  ConfigEntry entry;
+  entry.version = version;
+  reader.Text("change", entry.change, Need::kRequired);
+  reader.Text("nonce", entry.nonce, Need::kRequired);
+  reader.Text("author", entry.author, Need::kRequired, true);
+  int64_t written = 0;
+  reader.Integer("written_us", written, 0, std::numeric_limits<int64_t>::max(), Need::kRequired);
+  entry.written = WallFromMicros(written);
+  int64_t base = 0;
+  reader.Integer("base", base, 0, std::numeric_limits<int64_t>::max(), Need::kRequired);
+  reader.Finish();
+  return errors->size() > before ? std::nullopt : std::optional(std::move(entry));
+}
+
+std::vector<std::string> Diff(const Configuration& from, const Configuration& to) {
+  const Lines old_lines = Flatten(from);
+  const Lines new_lines = Flatten(to);
+  std::vector<std::string> result;
+  for (const auto& [place, value] : old_lines) {
+    const auto now = new_lines.find(place);
+    if (now == new_lines.end()) {
+      result.push_back(Line('-', place) + value);
+    } else if (now->second != value) {
+      result.push_back(Line('~', place) + value + " -> " + now->second);
+    }
+  }
+  for (const auto& [place, value] : new_lines) {
+    if (!old_lines.contains(place)) {
+      result.push_back(Line('+', place) + value);
+    }
+  }
+  return result;
+}
+
+}  // namespace jd
--- /dev/null
+++ b/common/json_fields.cc
@@ -0,0 +1,251 @@
+#include "common/json_fields.h"
+
+#include <algorithm>
+#include <cctype>
+#include <cmath>
+#include <sstream>
+
+namespace jd {
+namespace {
+
+constexpr size_t kMaxName = 128;
+/// Longer values are cut in messages.
+constexpr size_t kMaxShown = 60;
+
+std::string Shown(const nlohmann::json& value) {
+  std::string text = value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return text.size() > kMaxShown ? text.substr(0, kMaxShown) + "..." : text;
+}
+
+template <typename T>
+std::string RangeText(const char* kind, T low, T high) {
+  std::ostringstream text;
+  text << kind << " from " << low << " to " << high;
+  return text.str();
+}
+
+bool IsNameCharacter(char c) {
+  return std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '-' || c == '_' || c == '.' ||
+         c == '/';
+}
+
+double ToMillis(Duration value) {
+  return static_cast<double>(value.count()) / 1000.0;
+}
+
+}  // namespace
+
+std::string ErrorText(const ConfigErrors& errors) {
+  std::string text;
+  for (const ConfigError& error : errors) {
+    text += (text.empty() ? "" : "\n") + error.path + (error.path.empty() ? "" : ": ") +
+            error.problem + "; accepted: " + error.accepted;
+  }
+  return text;
+}
+
+void JsonWriter::Text(const char* name,
+                      const std::string& value,
+                      Need /*need*/,
+                      bool /*may_be_empty*/) {
+  json_[name] = value;
+}
+
+void JsonWriter::Integer(const char* name,
+                         int64_t value,
+                         int64_t /*low*/,
+                         int64_t /*high*/,
+                         Need /*need*/) {
+  json_[name] = value;
+}
+
+void JsonWriter::Number(const char* name,
+                        double value,
+                        double /*low*/,
+                        double /*high*/,
+                        Need /*need*/) {
+  json_[name] = value;
+}
+
+void JsonWriter::Millis(const char* name, Duration value, Duration /*low*/, Duration /*high*/) {
+  json_[name] = ToMillis(value);
+}
+
+void JsonWriter::Flag(const char* name, bool value) {
+  json_[name] = value;
+}
+
+void JsonWriter::Texts(const char* name, const std::vector<std::string>& values) {
+  json_[name] = values;
+}
+
+JsonReader::JsonReader(const nlohmann::json& json, std::string path, ConfigErrors* errors)
+    : json_(&json), path_(std::move(path)), errors_(errors) {
+  if (!json_->is_object()) {
+    errors_->push_back({path_, "is " + Shown(json), "an object"});
+  }
+}
+
+void JsonReader::Text(const char* name, std::string& value, Need need, bool may_be_empty) {
+  const nlohmann::json* found = Find(name, need);
+  if (found == nullptr) {
+    return;
+  }
+  if (!found->is_string() || (!may_be_empty && found->get_ref<const std::string&>().empty())) {
+    Fail(name, "is " + Shown(*found), may_be_empty ? "a text" : "a text that is not empty");
+    return;
+  }
+  value = found->get<std::string>();
+}
+
+void JsonReader::NameText(const char* name, std::string& value) {
+  const nlohmann::json* found = Find(name, Need::kRequired);
+  if (found == nullptr) {
+    return;
+  }
+  const std::string text = found->is_string() ? found->get<std::string>() : std::string();
+  if (text.empty() || text.size() > kMaxName ||
+      !std::all_of(text.begin(), text.end(), IsNameCharacter)) {
+    Fail(name, "is " + Shown(*found), "a name of 1 to 128 letters, digits, '-', '_', '.' and '/'");
+    return;
+  }
+  value = text;
+}
+
+void JsonReader::Integer(const char* name, int64_t& value, int64_t low, int64_t high, Need need) {
+  const nlohmann::json* found = Find(name, need);
+  if (found == nullptr) {
+    return;
+  }
+  const bool fits = found->is_number_integer() &&
+                    (!found->is_number_unsigned() || found->get<uint64_t>() <= INT64_MAX);
+  if (!fits || found->get<int64_t>() < low || found->get<int64_t>() > high) {
+    Fail(name, "is " + Shown(*found), RangeText("a whole number", low, high));
+    return;
+  }
+  value = found->get<int64_t>();
+}
+
+void JsonReader::Number(const char* name, double& value, double low, double high, Need need) {
+  const nlohmann::json* found = Find(name, need);
+  if (found == nullptr) {
+    return;
+  }
+  if (!found->is_number() || !(found->get<double>() >= low) || !(found->get<double>() <= high)) {
+    Fail(name, "is " + Shown(*found), RangeText("a number", low, high));
+    return;
+  }
+  value = found->get<double>();
+}
+
+void JsonReader::Millis(const char* name, Duration& value, Duration low, Duration high) {
+  double millis = ToMillis(value);
+  Number(name, millis, ToMillis(low), ToMillis(high), Need::kOptional);
+  value = Duration(std::llround(millis * 1000.0));
+}
+
+void JsonReader::Flag(const char* name, bool& value) {
+  const nlohmann::json* found = Find(name, Need::kOptional);
+  if (found == nullptr) {
+    return;
+  }
+  if (!found->is_boolean()) {
+    Fail(name, "is " + Shown(*found), "true or false");
+    return;
+  }
+  value = found->get<bool>();
+}
+
+void JsonReader::Texts(const char* name, std::vector<std::string>& values) {
+  const nlohmann::json* array = Array(name);
+  if (array == nullptr) {
+    return;
+  }
+  values.clear();
+  for (size_t i = 0; i < array->size(); ++i) {
+    const nlohmann::json& item = (*array)[i];
+    if (!item.is_string() || item.get_ref<const std::string&>().empty()) {
+      Fail(std::string(name) + "[" + std::to_string(i) + "]", "is " + Shown(item),
+           "a text that is not empty");
+      continue;
+    }
+    values.push_back(item.get<std::string>());
+  }
+}
+
+void JsonReader::ChoiceIndex(const char* name,
+                             size_t& index,
+                             std::initializer_list<const char*> names,
+                             Need need) {
+  const nlohmann::json* found = Find(name, need);
+  if (found == nullptr) {
+    return;
+  }
+  std::string accepted;
+  for (size_t i = 0; i < names.size(); ++i) {
+    if (found->is_string() && found->get_ref<const std::string&>() == names.begin()[i]) {
+      index = i;
+      return;
+    }
+    accepted += std::string(i == 0 ? "" : ", ") + "\"" + names.begin()[i] + "\"";
+  }
+  Fail(name, "is " + Shown(*found), accepted);
+}
+
+void JsonReader::Finish() {
+  if (!json_->is_object()) {
+    return;
+  }
+  std::string accepted;
+  for (const std::string& name : known_) {
+    accepted += (accepted.empty() ? "" : ", ") + name;
+  }
+  for (const auto& [name, value] : json_->items()) {
+    if (!known_.contains(name)) {
+      Fail(name, "is not a known field", accepted);
+    }
+  }
+}
+
+void JsonReader::Fail(const std::string& name, std::string problem, std::string accepted) {
+  errors_->push_back({PathOf(name), std::move(problem), std::move(accepted)});
+}
+
+std::string JsonReader::PathOf(const std::string& name) const {
+  return path_.empty() ? name : path_ + "." + name;
+}
+
+const nlohmann::json* JsonReader::Find(const char* name, Need need) {
+  known_.insert(name);
+  if (!json_->is_object()) {
+    return nullptr;
+  }
+  const auto found = json_->find(name);
+  if (found != json_->end()) {
+    return &*found;
+  }
+  if (need == Need::kRequired) {
+    Fail(name, "is missing", "this field is required");
+  }
+  return nullptr;
+}
+
+const nlohmann::json* JsonReader::Array(const char* name) {
+  const nlohmann::json* found = Find(name, Need::kOptional);
+  if (found != nullptr && !found->is_array()) {
+    Fail(name, "is " + Shown(*found), "a list");
+    return nullptr;
+  }
+  return found;
+}
+
+nlohmann::json ParseJson(std::string_view text, ConfigErrors* errors) {
+  try {
+    return nlohmann::json::parse(text);
+  } catch (const nlohmann::json::parse_error& error) {
+    errors->push_back({"", "is not JSON, error at byte " + std::to_string(error.byte), "JSON"});
+    return {};
+  }
+}
+
+}  // namespace jd
--- /dev/null
+++ b/common/json_fields.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include <cstdint>
+#include <initializer_list>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "common/ids.h"
+#include "common/units.h"
+
+namespace jd {
+
+/// One fault of a JSON document, for the person who wrote it.
+struct ConfigError {
+  std::string path;      ///< For example "endpoints[2].port".
+  std::string problem;   ///< What is wrong there.
+  std::string accepted;  ///< What would be accepted.
+  bool operator==(const ConfigError&) const = default;
+};
+using ConfigErrors = std::vector<ConfigError>;
+
+/// Returns the errors as lines of text.
+std::string ErrorText(const ConfigErrors& errors);
+
+/// Whether a field may be left out, in which case it keeps its default.
+enum class Need : uint8_t { kRequired, kOptional };
+
+/// Writes the fields of a struct into a JSON object. JsonReader has the same functions, so that
+/// one list of fields serves both directions.
+class JsonWriter {
+ public:
+  void Text(const char* name, const std::string& value, Need need, bool may_be_empty = false);
+  template <typename Tag>
+  void Name(const char* name, const NameId<Tag>& id) {
+    json_[name] = id.value;
+  }
+  void Integer(const char* name, int64_t value, int64_t low, int64_t high, Need need);
+  template <typename Int>
+  void Whole(const char* name, const Int& value, int64_t low, int64_t high, Need need) {
+    Integer(name, static_cast<int64_t>(value), low, high, need);
+  }
+  void Number(const char* name, double value, double low, double high, Need need);
+  void Millis(const char* name, Duration value, Duration low, Duration high);
+  void Flag(const char* name, bool value);
+  void Texts(const char* name, const std::vector<std::string>& values);
+  template <typename Enum>
+  void Choice(const char* name,
+              const Enum& value,
+              std::initializer_list<const char*> names,
+              Need /*need*/) {
+    json_[name] = names.begin()[static_cast<size_t>(value)];
+  }
+  template <typename Item, typename Fields>
+  void Objects(const char* name, const std::vector<Item>& items, Fields fields) {
+    json_[name] = nlohmann::json::array();
+    for (const Item& item : items) {
+      JsonWriter writer;
+      fields(writer, item);
+      json_[name].push_back(std::move(writer).Take());
+    }
+  }
+  nlohmann::json Take() && { return std::move(json_); }
+
+ private:
+  nlohmann::json json_ = nlohmann::json::object();
+};
+
+/// Reads the fields of a struct from a JSON object and collects every error.
+class JsonReader {
+ public:
+  /// @param path of the object within its document, empty for the document itself.
+  JsonReader(const nlohmann::json& json, std::string path, ConfigErrors* errors);
+
+  void Text(const char* name, std::string& value, Need need, bool may_be_empty = false);
+  /// A required name of letters, digits, '-', '_', '.' and '/', as it is part of table keys.
+  template <typename Tag>
+  void Name(const char* name, NameId<Tag>& id) {
+    NameText(name, id.value);
+  }
+  void Integer(const char* name, int64_t& value, int64_t low, int64_t high, Need need);
+  template <typename Int>
+  void Whole(const char* name, Int& value, int64_t low, int64_t high, Need need) {
+    int64_t wide = static_cast<int64_t>(value);
+    Integer(name, wide, low, high, need);
+    value = static_cast<Int>(wide);
+  }
+  void Number(const char* name, double& value, double low, double high, Need need);
+  void Millis(const char* name, Duration& value, Duration low, Duration high);
+  void Flag(const char* name, bool& value);
+  void Texts(const char* name, std::vector<std::string>& values);
+  template <typename Enum>
+  void Choice(const char* name, Enum& value, std::initializer_list<const char*> names, Need need) {
+    size_t index = static_cast<size_t>(value);
+    ChoiceIndex(name, index, names, need);
+    value = static_cast<Enum>(index);
+  }
+  template <typename Item, typename Fields>
+  void Objects(const char* name, std::vector<Item>& items, Fields fields) {
+    const nlohmann::json* array = Array(name);
+    for (size_t i = 0; array != nullptr && i < array->size(); ++i) {
+      JsonReader reader((*array)[i], PathOf(name) + "[" + std::to_string(i) + "]", errors_);
+      Item item;
+      fields(reader, item);
+      reader.Finish();
+      items.push_back(std::move(item));
+    }
+  }
+  /// Reports the fields that were not read.
+  void Finish();
+  void Fail(const std::string& name, std::string problem, std::string accepted);
+  std::string PathOf(const std::string& name) const;
+  const std::string& path() const { return path_; }
+  ConfigErrors* errors() const { return errors_; }
+  /// Returns a nested value, or null if it is absent, which is an error if it is required.
+  const nlohmann::json* Find(const char* name, Need need);
+
+ private:
+  void NameText(const char* name, std::string& value);
+  void ChoiceIndex(const char* name,
+                   size_t& index,
+                   std::initializer_list<const char*> names,
+                   Need need);
+  const nlohmann::json* Array(const char* name);
+
+  const nlohmann::json* json_;
+  std::string path_;
+  ConfigErrors* errors_;
+  std::set<std::string> known_;
+};
+
+/// Parses text into JSON; reports an error and returns null if it is malformed.
+nlohmann::json ParseJson(std::string_view text, ConfigErrors* errors);
+
+}  // namespace jd
