Add platform, upstream and load stand-ins

Cause: the gateway needs a platform, upstreams and callers that can be made to fail on demand, and a witness of what really ran.

Change: jackdawdeck-standin gets the subcommands platform, upstream and load.

--- a/standin/main.cc
+++ b/standin/main.cc
@@ -1,6 +1,109 @@
+#include <docopt/docopt.h>
+
 #include <cstdio>
+#include <exception>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "standin/load_client.h"
+#include "standin/platform_server.h"
+#include "standin/upstream_server.h"
+
+namespace {
+
+constexpr char kUsage[] = R"(Test programs for jackdawdeck.
+
+Usage:
+  jackdawdeck-standin platform --port=N [--vm-lag-ms=N]
+  jackdawdeck-standin upstream --config=FILE
+  jackdawdeck-standin load (--targets=LIST | --platform=URL) [--services=LIST]
+                      [--workspaces=LIST] [--rate=N] [--duration-s=N] [--count=N] [--seed=N]
+                      [--get-share=X] [--key-share=X] [--key-header=NAME] [--latency-ms=X]
+                      [--deadline-ms=N] [--timeout-ms=N] [--body-size=N] [--id-prefix=TEXT]
+                      [--ledger=LIST] [--no-series]
+  jackdawdeck-standin (-h | --help)
+
+Options:
+  --port=N           Port of the platform.
+  --vm-lag-ms=N      Time until a change of the VM list is seen [default: 0].
+  --config=FILE      Endpoints of the upstreams, JSON or TOML.
+  --targets=LIST     Gateways to call, host:port separated by commas.
+  --platform=URL     Platform whose balancer list gives the gateways.
+  --services=LIST    Services with weights, "a:2,b" [default: records].
+  --workspaces=LIST  Workspaces with weights [default: hosting].
+  --rate=N           Mean arrivals per second [default: 100].
+  --duration-s=N     Seconds of arrivals [default: 10].
+  --count=N          Number of requests; 0 leaves it to the duration [default: 0].
+  --seed=N           Seed of the arrivals [default: 1].
+  --get-share=X      Share of status reads; the rest are orders [default: 0.7].
+  --key-share=X      Share of orders with a request key [default: 0].
+  --key-header=NAME  Header of the request key [default: x-request-key].
+  --latency-ms=X     One-way latency of clients, added twice to each latency [default: 0].
+  --deadline-ms=N    Deadline sent with each request [default: 2000].
+  --timeout-ms=N     Time until an unanswered request is unknown [default: 5000].
+  --body-size=N      Bytes added to the body of an order [default: 64].
+  --id-prefix=TEXT   Start of each request id [default: load].
+  --ledger=LIST      Control addresses of upstreams to compare with.
+  --no-series        Leaves out the series by second.
+)";
+
+using Arguments = std::map<std::string, docopt::value>;
+
+jd::Duration Millis(const Arguments& arguments, const std::string& name) {
+  return jd::Duration(static_cast<int64_t>(std::stod(arguments.at(name).asString()) * 1000));
+}
+
+jd::LoadSettings ParseLoad(const Arguments& arguments) {
+  const auto text = [&](const char* name) { return arguments.at(name).asString(); };
+  jd::LoadSettings settings;
+  if (arguments.at("--targets")) {
+    for (const std::string& target : jd::SplitList(text("--targets"))) {
+      settings.targets.push_back(jd::ParseHostPort(target));
+    }
+  } else {
+    settings.platform = text("--platform");
+  }
+  settings.services = jd::ParseWeightedNames(text("--services"));
+  settings.workspaces = jd::ParseWeightedNames(text("--workspaces"));
+  settings.rate = std::stod(text("--rate"));
+  settings.duration = jd::Duration(static_cast<int64_t>(std::stod(text("--duration-s")) * 1e6));
+  settings.count = std::stoull(text("--count"));
+  settings.seed = std::stoull(text("--seed"));
+  settings.get_share = std::stod(text("--get-share"));
+  settings.key_share = std::stod(text("--key-share"));
+  settings.key_header = text("--key-header");
+  settings.one_way_latency = Millis(arguments, "--latency-ms");
+  settings.deadline = Millis(arguments, "--deadline-ms");
+  settings.timeout = Millis(arguments, "--timeout-ms");
+  settings.body_size = std::stoull(text("--body-size"));
+  settings.id_prefix = text("--id-prefix");
+  settings.series = !arguments.at("--no-series").asBool();
+  if (arguments.at("--ledger")) {
+    settings.ledgers = jd::SplitList(text("--ledger"));
+  }
+  return settings;
+}
+
+int Run(const Arguments& arguments) {
+  if (arguments.at("platform").asBool()) {
+    return jd::RunPlatform(static_cast<uint16_t>(arguments.at("--port").asLong()),
+                           Millis(arguments, "--vm-lag-ms"));
+  }
+  if (arguments.at("upstream").asBool()) {
+    const auto config = jd::ReadStandinFile(arguments.at("--config").asString());
+    return jd::RunUpstream(jd::ParseUpstreamSettings(config));
+  }
+  return jd::RunLoad(ParseLoad(arguments));
+}
+
+}  // namespace
 
-int main() {
-  std::puts("jackdawdeck-standin: no command given");
-  return 2;
+int main(int argc, char** argv) {
+  try {
+    return Run(docopt::docopt(kUsage, std::vector<std::string>(argv + 1, argv + argc), true));
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "jackdawdeck-standin: %s\n", error.what());
+    return 2;
+  }
 }
--- /dev/null
+++ b/standin/upstream_server.cc
@@ -0,0 +1,131 @@
+#include "standin/upstream_server.h"
+
+#include <cstdio>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "standin/standin_http.h"
+#include "standin/standin_loop.h"
+#include "standin/upstream_port.h"
+
+namespace jd {
+namespace {
+
+using nlohmann::json;
+
+constexpr Duration kDefaultDownTime = 1s;
+constexpr Duration kRestartTime = 200ms;
+
+Duration MillisOr(const json& body, const char* name, Duration fallback) {
+  return body.contains(name) ? Duration(static_cast<int64_t>(body.at(name).get<double>() * 1000))
+                             : fallback;
+}
+
+// Settings that change how an endpoint behaves until they are changed again.
+bool ApplySetting(const json& body, const std::string& action, UpstreamModel* model) {
+  const bool on = body.value("on", true);
+  if (action == "slow") {
+    model->slow_factor = body.at("factor").get<double>();
+  } else if (action == "drain") {
+    model->draining = on;
+  } else if (action == "fail_fast") {
+    model->fail_fast = on;
+  } else if (action == "shed") {
+    model->settings().shed = on;
+  } else if (action == "zone_delay") {
+    model->settings().zone_delay = MillisOr(body, "ms", 0ms);
+  } else if (action == "report") {
+    model->settings().report_lag = MillisOr(body, "lag_ms", 0ms);
+    model->settings().report_fixed = body.value("fixed", -1);
+  } else if (action == "cold") {
+    model->ChillSilently();
+  } else {
+    return false;
+  }
+  return true;
+}
+
+void ApplyAction(const json& body, UpstreamPort* port) {
+  const std::string action = body.at("action");
+  if (ApplySetting(body, action, &port->model())) {
+    return;
+  }
+  if (action == "restart") {
+    port->Crash(MillisOr(body, "for_ms", kRestartTime));
+  } else if (action == "crash") {
+    port->Crash(MillisOr(body, "for_ms", kDefaultDownTime));
+  } else if (action == "silent") {
+    port->SilenceConnections();
+  } else {
+    throw std::runtime_error("unknown action: " + action);
+  }
+}
+
+class UpstreamServer {
+ public:
+  UpstreamServer(event_base* base, const UpstreamSettings& settings)
+      : http_(base, settings.control_port, [this](evhttp_request* request) { Serve(request); }) {
+    uint64_t seed = settings.seed;
+    for (const UpstreamEndpoint& endpoint : settings.endpoints) {
+      ports_.push_back(
+          std::make_unique<UpstreamPort>(base, endpoint, seed++, settings.crash_marker, &ledger_));
+    }
+  }
+
+ private:
+  void Serve(evhttp_request* request) {
+    try {
+      Route(request);
+    } catch (const std::exception& error) {
+      ReplyJson(request, 400, {{"error", error.what()}});
+    }
+  }
+
+  void Route(evhttp_request* request) {
+    const std::string path = RequestPath(request);
+    if (path == "/ledger") {
+      ReplyJson(request, 200, ledger_.Runs());
+    } else if (path == "/ledger/summary") {
+      ReplyJson(request, 200, ledger_.Summary(ReadStandinClocks().mono));
+    } else if (path == "/control" && RequestMethod(request) == "POST") {
+      const int applied = Control(json::parse(ReadBody(request)));
+      ReplyJson(request, applied > 0 ? 200 : 404, {{"applied", applied}});
+    } else {
+      ReplyJson(request, 404, {{"error", "no such path"}});
+    }
+  }
+
+  // Returns how many endpoints the action applied to.
+  int Control(const json& body) {
+    int applied = 0;
+    for (const auto& port : ports_) {
+      const UpstreamEndpoint& settings = port->model().settings();
+      if (body.value("all", false) || body.value("endpoint", "") == settings.id ||
+          (body.contains("zone") && body.at("zone") == settings.zone)) {
+        ApplyAction(body, port.get());
+        ++applied;
+      }
+    }
+    return applied;
+  }
+
+  RunLedger ledger_;
+  std::vector<std::unique_ptr<UpstreamPort>> ports_;
+  StandinHttp http_;
+};
+
+}  // namespace
+
+int RunUpstream(const UpstreamSettings& settings) {
+  const EventBasePtr base = MakeStandinBase();
+  const UpstreamServer server(base.get(), settings);
+  std::printf("upstream: %zu endpoints, control on 127.0.0.1:%u\n", settings.endpoints.size(),
+              settings.control_port);
+  std::fflush(stdout);
+  RunUntilSignal(base.get());
+  return 0;
+}
+
+}  // namespace jd
--- /dev/null
+++ b/standin/upstream_settings.cc
@@ -0,0 +1,115 @@
+#include "standin/upstream_settings.h"
+
+#include <toml++/toml.h>
+#include <cmath>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+namespace jd {
+namespace {
+
+using nlohmann::json;
+
+Duration Millis(const json& object, const char* name, Duration fallback) {
+  if (!object.contains(name)) {
+    return fallback;
+  }
+  return Duration(static_cast<int64_t>(object.at(name).get<double>() * 1000));
+}
+
+ServiceTimeKind ParseKind(const std::string& name) {
+  if (name == "constant") {
+    return ServiceTimeKind::kConstant;
+  }
+  if (name == "exponential") {
+    return ServiceTimeKind::kExponential;
+  }
+  if (name == "lognormal") {
+    return ServiceTimeKind::kLognormal;
+  }
+  if (name == "bimodal") {
+    return ServiceTimeKind::kBimodal;
+  }
+  throw std::runtime_error("unknown service time distribution: " + name);
+}
+
+ServiceTime ParseServiceTime(const json& object) {
+  ServiceTime time;
+  time.kind = ParseKind(object.value("kind", "exponential"));
+  time.mean = Millis(object, "mean_ms", time.mean);
+  time.sigma = object.value("sigma", time.sigma);
+  time.slow = Millis(object, "slow_ms", time.slow);
+  time.slow_share = object.value("slow_share", time.slow_share);
+  return time;
+}
+
+UpstreamEndpoint ParseEndpoint(const json& object) {
+  UpstreamEndpoint endpoint;
+  endpoint.id = object.at("id");
+  endpoint.zone = object.value("zone", "");
+  endpoint.port = object.at("port");
+  endpoint.slots = object.value("slots", endpoint.slots);
+  endpoint.max_connections = object.value("max_connections", endpoint.max_connections);
+  endpoint.queue_limit = object.value("queue_limit", endpoint.queue_limit);
+  endpoint.service_time = ParseServiceTime(object.value("service_time", json::object()));
+  endpoint.connect_cost = Millis(object, "connect_cost_ms", endpoint.connect_cost);
+  endpoint.probe_cost = Millis(object, "probe_cost_ms", endpoint.probe_cost);
+  endpoint.zone_delay = Millis(object, "zone_delay_ms", endpoint.zone_delay);
+  endpoint.shed = object.value("shed", endpoint.shed);
+  endpoint.cold = object.value("cold", endpoint.cold);
+  endpoint.cold_slots = object.value("cold_slots", endpoint.cold_slots);
+  endpoint.cold_factor = object.value("cold_factor", endpoint.cold_factor);
+  endpoint.cold_bound = object.value("cold_bound", endpoint.cold_bound);
+  endpoint.collapse_time = Millis(object, "collapse_ms", endpoint.collapse_time);
+  endpoint.warm_after = object.value("warm_after", endpoint.warm_after);
+  endpoint.report_lag = Millis(object, "report_lag_ms", endpoint.report_lag);
+  endpoint.report_fixed = object.value("report_fixed", endpoint.report_fixed);
+  endpoint.padding = object.value("padding", endpoint.padding);
+  return endpoint;
+}
+
+}  // namespace
+
+Duration ServiceTime::Sample(RandomEngine& random) const {
+  switch (kind) {
+    case ServiceTimeKind::kConstant:
+      return mean;
+    case ServiceTimeKind::kExponential:
+      return Scale(mean, std::exponential_distribution<double>(1.0)(random));
+    case ServiceTimeKind::kLognormal:
+      // The location is chosen so that the mean of the distribution is `mean`.
+      return Scale(mean, std::lognormal_distribution<double>(-sigma * sigma / 2, sigma)(random));
+    case ServiceTimeKind::kBimodal:
+      return std::bernoulli_distribution(slow_share)(random) ? slow : mean;
+  }
+  return mean;
+}
+
+UpstreamSettings ParseUpstreamSettings(const json& object) {
+  UpstreamSettings settings;
+  settings.control_port = object.at("control_port");
+  settings.seed = object.value("seed", settings.seed);
+  settings.crash_marker = object.value("crash_marker", settings.crash_marker);
+  for (const json& own : object.at("endpoints")) {
+    json merged = object.value("defaults", json::object());
+    merged.update(own);
+    settings.endpoints.push_back(ParseEndpoint(merged));
+  }
+  return settings;
+}
+
+json ReadStandinFile(const std::string& path) {
+  if (path.ends_with(".toml")) {
+    std::ostringstream text;
+    text << toml::json_formatter{toml::parse_file(path)};
+    return json::parse(text.str());
+  }
+  std::ifstream file(path);
+  if (!file) {
+    throw std::runtime_error("cannot read " + path);
+  }
+  return json::parse(file);
+}
+
+}  // namespace jd
