Serve calls from a settings file through evhttp

Cause: the decisions existed, but no process drove them; the binary only printed that no command was given.

Change: add the settings (one table of rules that reader and documentation share, all faults at once), the event loop, the callers side and the upstream side over evhttp, and the commands `gateway` and `check`. Peer, table and operator actions are not carried out yet.

Proof: with examples/single.toml and an HTTP server on port 9001, two GETs and a POST through the gateway are answered 200 with the upstream headers, an unknown service gets 404 with x-verdict: not-run, `check` exits 0, and SIGTERM exits 0 after the grace time.

--- /dev/null
+++ b/control/command.cc
@@ -0,0 +1,56 @@
+#include "control/command.h"
+
+#include <iostream>
+
+#include "control/check_command.h"
+#include "control/gateway_command.h"
+
+namespace jd {
+namespace {
+
+void PrintUsage(std::ostream& out) {
+  out << "Usage:\n";
+  for (const Command& command : AllCommands()) {
+    const std::string usage = command.usage;
+    const size_t start = usage.find("  jackdawdeck");
+    out << usage.substr(start, usage.find("\n\n", start) - start) << "\n";
+  }
+}
+
+}  // namespace
+
+const std::vector<Command>& AllCommands() {
+  static const std::vector<Command> commands = {
+      {"gateway", kGatewayUsage, &RunGatewayCommand},
+      {"check", kCheckUsage, &RunCheckCommand},
+  };
+  return commands;
+}
+
+ExitCode RunCommandLine(const std::vector<std::string>& arguments) {
+  if (!arguments.empty() && (arguments[0] == "--help" || arguments[0] == "-h")) {
+    PrintUsage(std::cout);
+    return ExitCode::kDone;
+  }
+  for (const Command& command : AllCommands()) {
+    if (arguments.empty() || arguments[0] != command.name) {
+      continue;
+    }
+    try {
+      return command.run(docopt::docopt_parse(command.usage, arguments, true, false));
+    } catch (const docopt::DocoptExitHelp&) {
+      std::cout << command.usage;
+      return ExitCode::kDone;
+    } catch (const docopt::DocoptArgumentError& error) {
+      std::cerr << "jackdawdeck: " << error.what() << "\n" << command.usage;
+      return ExitCode::kUsage;
+    }
+  }
+  std::cerr << "jackdawdeck: "
+            << (arguments.empty() ? "no command given" : "unknown command '" + arguments[0] + "'")
+            << "\n";
+  PrintUsage(std::cerr);
+  return ExitCode::kUsage;
+}
+
+}  // namespace jd
--- a/control/main.cc
+++ b/control/main.cc
@@ -1,6 +1,5 @@
-#include <cstdio>
+#include "control/command.h"
 
-int main() {
-  std::puts("jackdawdeck: no command given");
-  return 2;
+int main(int argc, char** argv) {
+  return static_cast<int>(jd::RunCommandLine({argv + 1, argv + argc}));
 }
--- /dev/null
+++ b/gateway/caller_server.cc
@@ -0,0 +1,344 @@
+#include "gateway/caller_server.h"
+
+#include <event2/http_struct.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <cmath>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <utility>
+
+#include "gateway/header_rules.h"
+#include "gateway/http_server.h"
+
+namespace jd {
+namespace {
+
+// Time limits of callers are checked this often, so they are exceeded by at most this much.
+constexpr Duration kSweepInterval = 100ms;
+// What a caller may send ahead of the answer to its present request.
+constexpr size_t kMaxPipelinedBytes = 65536;
+constexpr int kBadRequest = 400;
+
+timeval ToTimeval(Duration interval) {
+  return {interval.count() / 1'000'000, interval.count() % 1'000'000};
+}
+
+Fingerprint HashRequest(const std::string& method, const std::string& target, evbuffer* body) {
+  const std::unique_ptr<XXH3_state_t, decltype(&XXH3_freeState)> state(XXH3_createState(),
+                                                                       &XXH3_freeState);
+  XXH3_64bits_reset(state.get());
+  XXH3_64bits_update(state.get(), method.data(), method.size() + 1);
+  XXH3_64bits_update(state.get(), target.data(), target.size() + 1);
+  std::vector<evbuffer_iovec> parts(
+      static_cast<size_t>(evbuffer_peek(body, -1, nullptr, nullptr, 0)));
+  evbuffer_peek(body, -1, nullptr, parts.data(), static_cast<int>(parts.size()));
+  for (const evbuffer_iovec& part : parts) {
+    XXH3_64bits_update(state.get(), part.iov_base, part.iov_len);
+  }
+  return Fingerprint(XXH3_64bits_digest(state.get()));
+}
+
+}  // namespace
+
+CallerServer::CallerServer(EventLoop* loop, const Settings& settings, uint64_t seed)
+    : loop_(loop),
+      limits_(settings.limits),
+      random_(seed),
+      http_(NewHttpServer(loop, settings.callers, &port_)),
+      adopt_(loop, [this] { AdoptConnections(); }),
+      sweep_(loop, [this] { Sweep(); }) {
+  evhttp_set_max_headers_size(http_.get(), limits_.header_bytes);
+  evhttp_set_max_body_size(http_.get(), limits_.body_bytes);
+  const timeval idle = ToTimeval(limits_.idle_timeout);
+  evhttp_set_timeout_tv(http_.get(), &idle);
+  evhttp_set_allowed_methods(http_.get(), EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
+                                              EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
+                                              EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH);
+  evhttp_set_bevcb(http_.get(), &NewStream, this);
+  evhttp_set_gencb(http_.get(), &OnRequest, this);
+  sweep_.Schedule(kSweepInterval);
+}
+
+CallerServer::~CallerServer() {
+  for (const auto& [http, connection] : connections_) {
+    evhttp_connection_set_closecb(http, nullptr, nullptr);
+    evbuffer_remove_cb(bufferevent_get_input(connection->stream), &OnInput, connection.get());
+  }
+}
+
+bufferevent* CallerServer::NewStream(event_base* base, void* argument) {
+  auto* self = static_cast<CallerServer*>(argument);
+  bufferevent* stream = bufferevent_socket_new(base, -1, 0);
+  if (stream != nullptr) {
+    self->fresh_.push_back(stream);
+    self->adopt_.ScheduleNow();
+  }
+  return stream;
+}
+
+void CallerServer::AdoptConnections() {
+  // evhttp makes its connection object after it has asked for the stream; this runs before the
+  // first read. The object is the argument of the stream's callbacks.
+  for (bufferevent* stream : std::exchange(fresh_, {})) {
+    void* http = nullptr;
+    bufferevent_getcb(stream, nullptr, nullptr, nullptr, &http);
+    auto connection = std::make_unique<CallerConnection>();
+    connection->server = this;
+    connection->stream = stream;
+    connection->http = static_cast<evhttp_connection*>(http);
+    connection->since = loop_->ReadClocks().mono;
+    evhttp_connection_set_closecb(connection->http, &OnClose, connection.get());
+    evbuffer_add_cb(bufferevent_get_input(stream), &OnInput, connection.get());
+    const int on = 1;
+    setsockopt(bufferevent_getfd(stream), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    connections_[connection->http] = std::move(connection);
+  }
+}
+
+void CallerServer::OnInput(evbuffer* buffer, const evbuffer_cb_info* info, void* argument) {
+  auto* connection = static_cast<CallerConnection*>(argument);
+  if (info->n_added == 0 ||
+      (connection->state != CallerState::kIdle && connection->state != CallerState::kHeader)) {
+    return;
+  }
+  const MonoTime now = connection->server->loop_->ReadClocks().mono;
+  evbuffer_ptr start;
+  evbuffer_ptr_set(buffer, &start, info->orig_size, EVBUFFER_PTR_SET);
+  std::array<evbuffer_iovec, 8> parts;
+  const int count = evbuffer_peek(buffer, -1, &start, parts.data(), parts.size());
+  for (int i = 0; i < std::min<int>(count, parts.size()); ++i) {
+    connection->OnBytes({static_cast<const char*>(parts[i].iov_base), parts[i].iov_len}, now);
+  }
+}
+
+void CallerServer::OnRequest(evhttp_request* request, void* argument) {
+  auto* self = static_cast<CallerServer*>(argument);
+  const auto connection = self->connections_.find(evhttp_request_get_connection(request));
+  assert(connection != self->connections_.end());
+  self->Receive(connection->second.get(), request);
+}
+
+void CallerServer::Receive(CallerConnection* connection, evhttp_request* request) {
+  const evkeyvalq* headers = evhttp_request_get_input_headers(request);
+  const char* target = evhttp_request_get_uri(request);
+  evhttp_request_set_on_complete_cb(request, &OnAnswered, connection);
+  SetState(connection, CallerState::kInCall);
+  std::string fault = FindRequestFault(headers, target);
+  CallRequest call;
+  const std::string deadline = HeaderValue(headers, "x-deadline-ms");
+  call.timeout = ParseDeadline(deadline);
+  if (fault.empty() && !deadline.empty() && !call.timeout) {
+    fault = "x-deadline-ms is not a whole number of milliseconds up to one day.";
+  }
+  if (!fault.empty()) {
+    Reject(connection, request, fault);
+    return;
+  }
+  // Bytes are left in the stream while the call runs, but its end is noticed. evhttp sets the
+  // callbacks anew when it writes the answer.
+  bufferevent_event_cb on_event = nullptr;
+  bufferevent_getcb(connection->stream, nullptr, nullptr, &on_event, nullptr);
+  bufferevent_setcb(connection->stream, nullptr, nullptr, on_event, connection->http);
+  bufferevent_set_timeouts(connection->stream, nullptr, nullptr);
+  bufferevent_setwatermark(connection->stream, EV_READ, 0, kMaxPipelinedBytes);
+  bufferevent_enable(connection->stream, EV_READ);
+  call.id = connection->call = CallId(next_call_++);
+  call.request = RequestId(HeaderValue(headers, "x-request-id"));
+  if (call.request.empty()) {
+    std::array<char, 33> text{};
+    std::snprintf(text.data(), text.size(), "%016llx%016llx",
+                  static_cast<unsigned long long>(random_()),
+                  static_cast<unsigned long long>(random_()));
+    call.request.value = text.data();
+  }
+  call.workspace = WorkspaceId(HeaderValue(headers, "x-workspace"));
+  call.service = ServiceId(HeaderValue(headers, "x-service"));
+  call.method = MethodName(evhttp_request_get_command(request));
+  call.path = target;
+  call.fingerprint = HashRequest(call.method, call.path, evhttp_request_get_input_buffer(request));
+  calls_[call.id] = request;
+  call_arrived_.emit(call);
+}
+
+void CallerServer::Reject(CallerConnection* connection,
+                          evhttp_request* request,
+                          const std::string& fault) {
+  const BufferPtr body(evbuffer_new());
+  evkeyvalq* headers = evhttp_request_get_output_headers(request);
+  evhttp_add_header(headers, "x-verdict", "not-run");
+  evhttp_add_header(headers, "x-refusal", "bad-request");
+  // The two ends may disagree on where the next request starts.
+  evhttp_add_header(headers, "Connection", "close");
+  AddJson(headers, body.get(),
+          {{"verdict", "not-run"}, {"refusal", "bad-request"}, {"message", fault}});
+  SetState(connection, CallerState::kAnswering);
+  rejected_.emit(kBadRequest);
+  evhttp_send_reply(request, kBadRequest, nullptr, body.get());
+}
+
+evhttp_request* CallerServer::EndCall(CallId call) {
+  evhttp_request* request = calls_.extract(call).mapped();
+  CallerConnection* connection = connections_.at(evhttp_request_get_connection(request)).get();
+  connection->call = CallId();
+  SetState(connection, CallerState::kAnswering);
+  const timeval idle = ToTimeval(limits_.idle_timeout);
+  bufferevent_set_timeouts(connection->stream, &idle, &idle);
+  // A request body larger than the watermark could otherwise never arrive whole.
+  bufferevent_setwatermark(connection->stream, EV_READ, 0, 0);
+  return request;
+}
+
+void CallerServer::Reply(evhttp_request* request, int status, evbuffer* body) {
+  if (closing_) {
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
+  }
+  evhttp_send_reply(request, status, ReasonPhrase(status), body);
+}
+
+void CallerServer::Answer(CallId call, const RequestId& id, evhttp_request* response) {
+  evhttp_request* request = EndCall(call);
+  evkeyvalq* output = evhttp_request_get_output_headers(request);
+  const evkeyvalq* input = evhttp_request_get_input_headers(response);
+  bool has_id = false;
+  for (const auto& [name, value] : EndToEndHeaders(input)) {
+    // Only this gateway's own verdict may reach its caller: an upstream that relays the verdict of
+    // a call of its own would have a request repeated that has run.
+    if (SameHeader(name, "x-verdict") || SameHeader(name, "x-refusal") ||
+        SameHeader(name, "x-refused")) {
+      continue;
+    }
+    has_id = has_id || SameHeader(name, "x-request-id");
+    evhttp_add_header(output, name.c_str(), value.c_str());
+  }
+  if (!has_id) {
+    evhttp_add_header(output, "x-request-id", id.value.c_str());
+  }
+  const char* length = evhttp_find_header(input, "Content-Length");
+  if (evhttp_request_get_command(request) == EVHTTP_REQ_HEAD && length != nullptr) {
+    evhttp_add_header(output, "Content-Length", length);
+  }
+  Reply(request, evhttp_request_get_response_code(response),
+        evhttp_request_get_input_buffer(response));
+}
+
+void CallerServer::Refuse(CallId call, const RequestId& id, const Refusal& refusal) {
+  evhttp_request* request = EndCall(call);
+  evkeyvalq* headers = evhttp_request_get_output_headers(request);
+  const std::string reason(RefusalReasonName(refusal.reason));
+  const std::string verdict(VerdictName(refusal.verdict));
+  evhttp_add_header(headers, "x-verdict", verdict.c_str());
+  evhttp_add_header(headers, "x-refusal", reason.c_str());
+  evhttp_add_header(headers, "x-request-id", id.value.c_str());
+  if (refusal.retry_after > Duration(0)) {
+    // The header has whole seconds; rounding down would invite callers back too early.
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(refusal.retry_after).count();
+    evhttp_add_header(headers, "retry-after", std::to_string(seconds).c_str());
+  }
+  const BufferPtr body(evbuffer_new());
+  AddJson(headers, body.get(),
+          {{"verdict", verdict}, {"refusal", reason}, {"message", refusal.text}});
+  Reply(request, RefusalStatus(refusal.reason, refusal.verdict), body.get());
+}
+
+void CallerServer::Replay(CallId call,
+                          int status,
+                          const std::string& content_type,
+                          const std::string& text) {
+  evhttp_request* request = EndCall(call);
+  if (!content_type.empty()) {
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Content-Type",
+                      content_type.c_str());
+  }
+  const BufferPtr body(evbuffer_new());
+  evbuffer_add(body.get(), text.data(), text.size());
+  Reply(request, status, body.get());
+}
+
+void CallerServer::OnAnswered(evhttp_request*, void* argument) {
+  auto* connection = static_cast<CallerConnection*>(argument);
+  evbuffer* input = bufferevent_get_input(connection->stream);
+  connection->line_ends = 0;
+  // A request that was sent ahead is already here and is not announced again.
+  connection->server->SetState(
+      connection, evbuffer_get_length(input) > 0 ? CallerState::kHeader : CallerState::kIdle);
+}
+
+void CallerServer::OnClose(evhttp_connection* http, void* argument) {
+  auto* connection = static_cast<CallerConnection*>(argument);
+  CallerServer* self = connection->server;
+  evbuffer_remove_cb(bufferevent_get_input(connection->stream), &OnInput, connection);
+  const CallId call = connection->call;
+  self->connections_.erase(http);
+  if (call != CallId()) {
+    // evhttp has let go of the unanswered request.
+    const auto found = self->calls_.extract(call);
+    self->caller_gone_.emit(call);
+    evhttp_request_free(found.mapped());
+  }
+  if (self->quiet()) {
+    self->became_quiet_.emit();
+  }
+}
+
+void CallerServer::SetState(CallerConnection* connection, CallerState state) {
+  connection->state = state;
+  connection->since = loop_->ReadClocks().mono;
+  if (state == CallerState::kIdle && closing_ && quiet()) {
+    became_quiet_.emit();
+  }
+}
+
+size_t CallerServer::busy() const {
+  return static_cast<size_t>(
+      std::count_if(connections_.begin(), connections_.end(),
+                    [](const auto& entry) { return entry.second->state != CallerState::kIdle; }));
+}
+
+void CallerServer::CloseIdle() {
+  std::vector<CallerConnection*> idle;
+  for (const auto& [http, connection] : connections_) {
+    if (connection->state == CallerState::kIdle) {
+      idle.push_back(connection.get());
+    }
+  }
+  for (const CallerConnection* connection : idle) {
+    bufferevent_trigger_event(connection->stream, BEV_EVENT_TIMEOUT | BEV_EVENT_READING, 0);
+  }
+}
+
+void CallerServer::Sweep() {
+  const MonoTime now = loop_->ReadClocks().mono;
+  std::vector<CallerConnection*> overdue;
+  std::vector<CallerConnection*> idle;
+  for (const auto& [http, connection] : connections_) {
+    const Duration age = now - connection->since;
+    if ((connection->state == CallerState::kHeader && age > limits_.header_timeout) ||
+        (connection->state == CallerState::kBody && age > limits_.body_timeout) ||
+        (connection->state == CallerState::kIdle && age > limits_.idle_timeout)) {
+      overdue.push_back(connection.get());
+    } else if (connection->state == CallerState::kIdle) {
+      idle.push_back(connection.get());
+    }
+  }
+  const auto allowed = static_cast<size_t>(limits_.idle_connections);
+  if (idle.size() > allowed) {
+    std::sort(idle.begin(), idle.end(),
+              [](const auto* a, const auto* b) { return a->since < b->since; });
+    overdue.insert(overdue.end(), idle.begin(),
+                   idle.begin() + static_cast<ptrdiff_t>(idle.size() - allowed));
+  }
+  for (const CallerConnection* connection : overdue) {
+    bufferevent_trigger_event(connection->stream, BEV_EVENT_TIMEOUT | BEV_EVENT_READING, 0);
+  }
+  sweep_.Schedule(kSweepInterval);
+}
+
+}  // namespace jd
--- /dev/null
+++ b/gateway/event_loop.cc
@@ -0,0 +1,81 @@
+#include "gateway/event_loop.h"
+
+#include <algorithm>
+#include <stdexcept>
+#include <utility>
+
+namespace jd {
+namespace {
+
+void CallFunction(evutil_socket_t, short, void* argument) {
+  (*static_cast<std::function<void()>*>(argument))();
+}
+
+template <typename Clock>
+Duration SinceEpoch() {
+  return std::chrono::duration_cast<Duration>(Clock::now().time_since_epoch());
+}
+
+}  // namespace
+
+EventLoop::EventLoop() {
+  const std::unique_ptr<event_config, decltype(&event_config_free)> config(event_config_new(),
+                                                                           &event_config_free);
+  // The default timer rounds to the kernel's coarse clock, which is several milliseconds.
+  event_config_set_flag(config.get(), EVENT_BASE_FLAG_PRECISE_TIMER);
+  base_.reset(event_base_new_with_config(config.get()));
+  if (base_ == nullptr) {
+    throw std::runtime_error("cannot create an event base");
+  }
+}
+
+Now EventLoop::ReadClocks() const {
+  return {MonoTime(SinceEpoch<std::chrono::steady_clock>()),
+          WallTime(SinceEpoch<std::chrono::system_clock>())};
+}
+
+void EventLoop::Run() {
+  event_base_loop(base_.get(), EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
+void EventLoop::RunOnce() {
+  event_base_loop(base_.get(), EVLOOP_ONCE);
+}
+
+void EventLoop::Stop() {
+  event_base_loopbreak(base_.get());
+}
+
+Timer::Timer(EventLoop* loop, std::function<void()> callback)
+    : callback_(std::move(callback)),
+      event_(event_new(loop->base(), -1, 0, &CallFunction, &callback_)) {
+  if (event_ == nullptr) {
+    throw std::runtime_error("cannot create a timer");
+  }
+}
+
+void Timer::Schedule(Duration after) {
+  const Duration wait = std::max(after, Duration(0));
+  timeval interval{};
+  interval.tv_sec = wait.count() / 1'000'000;
+  interval.tv_usec = wait.count() % 1'000'000;
+  event_add(event_.get(), &interval);
+}
+
+void Timer::ScheduleNow() {
+  event_active(event_.get(), EV_TIMEOUT, 0);
+}
+
+void Timer::Cancel() {
+  event_del(event_.get());
+}
+
+SignalWatch::SignalWatch(EventLoop* loop, int signal_number, std::function<void()> callback)
+    : callback_(std::move(callback)),
+      event_(evsignal_new(loop->base(), signal_number, &CallFunction, &callback_)) {
+  if (event_ == nullptr || event_add(event_.get(), nullptr) != 0) {
+    throw std::runtime_error("cannot watch a signal");
+  }
+}
+
+}  // namespace jd
--- /dev/null
+++ b/gateway/header_rules.cc
@@ -0,0 +1,153 @@
+#include "gateway/header_rules.h"
+
+#include <event2/keyvalq_struct.h>
+#include <strings.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <charconv>
+#include <vector>
+
+namespace jd {
+namespace {
+
+// RFC 9110 section 7.6.1, and Expect, which the gateway answers itself.
+constexpr std::array<std::string_view, 10> kHopByHop = {"connection",
+                                                        "keep-alive",
+                                                        "proxy-connection",
+                                                        "proxy-authenticate",
+                                                        "proxy-authorization",
+                                                        "te",
+                                                        "trailer",
+                                                        "transfer-encoding",
+                                                        "upgrade",
+                                                        "expect"};
+
+constexpr int64_t kMaxDeadlineMs = 24LL * 3600 * 1000;
+
+std::string_view Trim(std::string_view text) {
+  const size_t begin = text.find_first_not_of(" \t");
+  if (begin == std::string_view::npos) {
+    return {};
+  }
+  return text.substr(begin, text.find_last_not_of(" \t") - begin + 1);
+}
+
+void AppendTokens(std::string_view list, std::vector<std::string_view>* tokens) {
+  while (!list.empty()) {
+    const size_t comma = list.find(',');
+    tokens->push_back(Trim(list.substr(0, comma)));
+    list = comma == std::string_view::npos ? std::string_view() : list.substr(comma + 1);
+  }
+}
+
+bool Contains(const std::vector<std::string_view>& names, std::string_view name) {
+  return std::any_of(names.begin(), names.end(),
+                     [name](std::string_view other) { return SameHeader(name, other); });
+}
+
+bool IsTokenCharacter(char c) {
+  return std::isalnum(static_cast<unsigned char>(c)) != 0 ||
+         std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
+}
+
+bool IsNumber(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
+    return std::isdigit(static_cast<unsigned char>(c)) != 0;
+  });
+}
+
+// Dots may be written as "%2e".
+bool IsDotSegment(std::string_view segment) {
+  size_t dots = 0;
+  while (!segment.empty()) {
+    const bool encoded = segment.size() >= 3 && SameHeader(segment.substr(0, 3), "%2e");
+    if (!encoded && segment[0] != '.') {
+      return false;
+    }
+    segment.remove_prefix(encoded ? 3 : 1);
+    ++dots;
+  }
+  return dots == 1 || dots == 2;
+}
+
+bool HasDotSegment(std::string_view target) {
+  std::string_view path = target.substr(0, target.find_first_of("?#"));
+  while (!path.empty()) {
+    const size_t slash = path.find('/');
+    if (IsDotSegment(path.substr(0, slash))) {
+      return true;
+    }
+    path = slash == std::string_view::npos ? std::string_view() : path.substr(slash + 1);
+  }
+  return false;
+}
+
+}  // namespace
+
+bool SameHeader(std::string_view a, std::string_view b) {
+  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+
+HttpHeaders EndToEndHeaders(const evkeyvalq* headers) {
+  std::vector<std::string_view> dropped(kHopByHop.begin(), kHopByHop.end());
+  dropped.emplace_back("content-length");
+  for (const evkeyval* header = headers->tqh_first; header != nullptr;
+       header = header->next.tqe_next) {
+    if (SameHeader(header->key, "connection")) {
+      AppendTokens(header->value, &dropped);
+    }
+  }
+  HttpHeaders kept;
+  for (const evkeyval* header = headers->tqh_first; header != nullptr;
+       header = header->next.tqe_next) {
+    if (!Contains(dropped, header->key)) {
+      kept.emplace_back(header->key, header->value);
+    }
+  }
+  return kept;
+}
+
+std::string FindRequestFault(const evkeyvalq* headers, std::string_view target) {
+  int lengths = 0;
+  int encodings = 0;
+  for (const evkeyval* header = headers->tqh_first; header != nullptr;
+       header = header->next.tqe_next) {
+    const std::string_view name = header->key;
+    if (name.empty() || !std::all_of(name.begin(), name.end(), IsTokenCharacter)) {
+      return "A header name has a character that is not allowed.";
+    }
+    if (SameHeader(name, "content-length")) {
+      ++lengths;
+      if (!IsNumber(header->value)) {
+        return "Content-Length is not a whole number.";
+      }
+    } else if (SameHeader(name, "transfer-encoding")) {
+      ++encodings;
+      if (!SameHeader(Trim(header->value), "chunked")) {
+        return "Only the transfer encoding 'chunked' is accepted.";
+      }
+    }
+  }
+  if (lengths + encodings > 1) {
+    return "The length of the body is given more than once.";
+  }
+  // A prefix rule for idempotent paths must not be met by a path that resolves to another one.
+  if (HasDotSegment(target)) {
+    return "The path has a '.' or '..' segment.";
+  }
+  return {};
+}
+
+std::optional<Duration> ParseDeadline(std::string_view text) {
+  int64_t milliseconds = 0;
+  const char* end = text.data() + text.size();
+  const auto [rest, error] = std::from_chars(text.data(), end, milliseconds);
+  if (error != std::errc() || rest != end || milliseconds < 0 || milliseconds > kMaxDeadlineMs) {
+    return std::nullopt;
+  }
+  return std::chrono::milliseconds(milliseconds);
+}
+
+}  // namespace jd
--- /dev/null
+++ b/gateway/http_server.cc
@@ -0,0 +1,75 @@
+#include "gateway/http_server.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <stdexcept>
+
+namespace jd {
+
+HttpServerPtr NewHttpServer(EventLoop* loop, const ListenAddress& address, uint16_t* bound) {
+  HttpServerPtr server(evhttp_new(loop->base()));
+  if (server == nullptr) {
+    throw std::runtime_error("cannot create an HTTP server");
+  }
+  evhttp_bound_socket* socket =
+      evhttp_bind_socket_with_handle(server.get(), address.address.c_str(), address.port);
+  if (socket == nullptr) {
+    throw std::runtime_error("cannot listen on " + address.address + " port " +
+                             std::to_string(address.port));
+  }
+  evhttp_set_default_content_type(server.get(), nullptr);
+  sockaddr_storage storage{};
+  socklen_t size = sizeof(storage);
+  getsockname(evhttp_bound_socket_get_fd(socket), reinterpret_cast<sockaddr*>(&storage), &size);
+  *bound = ntohs(storage.ss_family == AF_INET6
+                     ? reinterpret_cast<const sockaddr_in6*>(&storage)->sin6_port
+                     : reinterpret_cast<const sockaddr_in*>(&storage)->sin_port);
+  return server;
+}
+
+void AddJson(evkeyvalq* headers, evbuffer* body, const nlohmann::json& value) {
+  const std::string text =
+      value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+  evhttp_add_header(headers, "Content-Type", "application/json");
+  evbuffer_add(body, text.data(), text.size());
+}
+
+std::string MethodName(evhttp_cmd_type method) {
+  switch (method) {
+    case EVHTTP_REQ_GET:
+      return "GET";
+    case EVHTTP_REQ_POST:
+      return "POST";
+    case EVHTTP_REQ_HEAD:
+      return "HEAD";
+    case EVHTTP_REQ_PUT:
+      return "PUT";
+    case EVHTTP_REQ_DELETE:
+      return "DELETE";
+    case EVHTTP_REQ_OPTIONS:
+      return "OPTIONS";
+    case EVHTTP_REQ_TRACE:
+      return "TRACE";
+    case EVHTTP_REQ_CONNECT:
+      return "CONNECT";
+    case EVHTTP_REQ_PATCH:
+      return "PATCH";
+  }
+  return "UNKNOWN";
+}
+
+const char* ReasonPhrase(int status) {
+  switch (status) {
+    case 422:
+      return "Unprocessable Content";
+    case 429:
+      return "Too Many Requests";
+    default:
+      return nullptr;
+  }
+}
+
+}  // namespace jd
--- /dev/null
+++ b/gateway/http_server.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <event2/http.h>
+
+#include <cstdint>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "gateway/event_loop.h"
+#include "gateway/settings.h"
+
+namespace jd {
+
+struct HttpServerDeleter {
+  void operator()(evhttp* server) const { evhttp_free(server); }
+};
+using HttpServerPtr = std::unique_ptr<evhttp, HttpServerDeleter>;
+
+/// Opens a port for HTTP requests.
+/// @param bound receives the port, which the system chooses if the settings say 0.
+/// @throws std::runtime_error if the port cannot be opened.
+HttpServerPtr NewHttpServer(EventLoop* loop, const ListenAddress& address, uint16_t* bound);
+
+/// Appends a JSON body and its content type.
+void AddJson(evkeyvalq* headers, evbuffer* body, const nlohmann::json& value);
+
+/// Returns the name of a method, for example "GET".
+std::string MethodName(evhttp_cmd_type method);
+
+/// Returns the text of the status line for the statuses that evhttp does not name itself, else
+/// null.
+const char* ReasonPhrase(int status);
+
+}  // namespace jd
--- /dev/null
+++ b/gateway/setting_field.cc
@@ -0,0 +1,176 @@
+#include "gateway/setting_field.h"
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <cmath>
+#include <sstream>
+
+namespace jd {
+namespace {
+
+bool IsName(const std::string& text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
+    return std::isalnum(static_cast<unsigned char>(c)) != 0 ||
+           std::string_view("._/-").find(c) != std::string_view::npos;
+  });
+}
+
+bool IsAddress(const std::string& text) {
+  std::array<unsigned char, sizeof(in6_addr)> bytes{};
+  return inet_pton(AF_INET, text.c_str(), bytes.data()) == 1 ||
+         inet_pton(AF_INET6, text.c_str(), bytes.data()) == 1;
+}
+
+bool IsChoice(const std::string& text, const std::string& choices) {
+  const std::string list = "|" + choices + "|";
+  return choices.empty() || (!text.empty() && text.find('|') == std::string::npos &&
+                             list.find("|" + text + "|") != std::string::npos);
+}
+
+bool IsTextAccepted(const std::string& text, const SettingRule& rule) {
+  switch (rule.kind) {
+    case SettingKind::kName:
+      return IsName(text);
+    case SettingKind::kAddress:
+      return (text.empty() && rule.fallback != nullptr && *rule.fallback == '\0') ||
+             IsAddress(text);
+    default:
+      return text.size() >= static_cast<size_t>(rule.min) && IsChoice(text, rule.choices);
+  }
+}
+
+bool ReadTexts(const toml::node& node, std::vector<std::string>* texts) {
+  const toml::array* array = node.as_array();
+  if (array == nullptr) {
+    return false;
+  }
+  for (const toml::node& element : *array) {
+    const auto* text = element.as_string();
+    if (text == nullptr || text->get().empty()) {
+      return false;
+    }
+    texts->push_back(text->get());
+  }
+  return true;
+}
+
+std::string FormatNumber(double number) {
+  std::ostringstream out;
+  out.precision(15);
+  out << number;
+  return out.str();
+}
+
+std::string DescribeKind(const SettingRule& rule) {
+  switch (rule.kind) {
+    case SettingKind::kName:
+      return "a name of letters, digits and '._/-'";
+    case SettingKind::kText:
+      return rule.min > 0 ? "a text of at least " + FormatNumber(rule.min) + " characters"
+                          : "a text";
+    case SettingKind::kAddress:
+      return "an IP number";
+    case SettingKind::kInteger:
+      return "a whole number";
+    case SettingKind::kNumber:
+      return "a number";
+    case SettingKind::kFlag:
+      return "true or false";
+    case SettingKind::kTexts:
+      return "a list of texts that are not empty";
+  }
+  return {};
+}
+
+}  // namespace
+
+void SettingFaults::Add(const toml::source_region& where, const std::string& text) {
+  // Tables that the file does not write out, such as the root, have no line of their own.
+  faults_.push_back({std::max<uint32_t>(where.begin.line, 1), text});
+}
+
+std::vector<std::string> SettingFaults::Sorted() const {
+  std::vector<Fault> sorted = faults_;
+  std::stable_sort(sorted.begin(), sorted.end(),
+                   [](const Fault& a, const Fault& b) { return a.line < b.line; });
+  std::vector<std::string> lines;
+  lines.reserve(sorted.size());
+  for (const Fault& fault : sorted) {
+    lines.push_back(file_ + ":" + std::to_string(fault.line) + ": " + fault.text);
+  }
+  return lines;
+}
+
+std::string DescribeAccepted(const SettingRule& rule) {
+  if (*rule.choices != '\0') {
+    std::string choices = rule.choices;
+    for (size_t at = 0; (at = choices.find('|', at)) != std::string::npos; at += 2) {
+      choices.replace(at, 1, ", ");
+    }
+    return "one of " + choices;
+  }
+  std::string text = DescribeKind(rule);
+  if (rule.kind == SettingKind::kInteger || rule.kind == SettingKind::kNumber) {
+    text += " from " + FormatNumber(rule.min) + " to " + FormatNumber(rule.max);
+  }
+  if (*rule.unit != '\0') {
+    text += std::string(", in ") + rule.unit;
+  }
+  return text;
+}
+
+bool ReadValue(const toml::node& node, const SettingRule& rule, SettingValue* value) {
+  switch (rule.kind) {
+    case SettingKind::kName:
+    case SettingKind::kText:
+    case SettingKind::kAddress:
+      value->text = node.value_exact<std::string>().value_or(std::string());
+      return node.is_string() && IsTextAccepted(value->text, rule);
+    case SettingKind::kInteger:
+      value->integer = node.value_exact<int64_t>().value_or(0);
+      return node.is_integer() && static_cast<double>(value->integer) >= rule.min &&
+             static_cast<double>(value->integer) <= rule.max;
+    case SettingKind::kNumber:
+      value->number = node.value<double>().value_or(0);
+      return node.is_number() && std::isfinite(value->number) && value->number >= rule.min &&
+             value->number <= rule.max;
+    case SettingKind::kFlag:
+      value->flag = node.value_exact<bool>().value_or(false);
+      return node.is_boolean();
+    case SettingKind::kTexts:
+      return ReadTexts(node, &value->texts);
+  }
+  return false;
+}
+
+SettingValue DefaultValue(const SettingRule& rule) {
+  SettingValue value;
+  if (*rule.fallback != '\0') {
+    const toml::table table = toml::parse("v = " + std::string(rule.fallback));
+    ReadValue(*table.get("v"), rule, &value);
+  }
+  return value;
+}
+
+void ReportUnknownKeys(const toml::table& table,
+                       const std::string& scope,
+                       const std::vector<std::string>& known,
+                       SettingFaults* faults) {
+  for (const auto& [key, node] : table) {
+    const std::string name(key.str());
+    if (std::find(known.begin(), known.end(), name) != known.end()) {
+      continue;
+    }
+    std::string list;
+    for (const std::string& other : known) {
+      list += (list.empty() ? "" : ", ") + other;
+    }
+    faults->Add(key.source(), "unknown key '" + (scope.empty() ? "" : scope + ".") + name +
+                                  "'; accepted: " + list);
+  }
+}
+
+}  // namespace jd
--- /dev/null
+++ b/gateway/upstream_pool.cc
@@ -0,0 +1,276 @@
+#include "gateway/upstream_pool.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace jd {
+namespace {
+
+// Separates the ids of probes from those of attempts, which the dispatcher counts from 1.
+constexpr uint64_t kProbeBit = 1ULL << 63;
+
+std::optional<LoadReport> ReadReport(evhttp_request* response) {
+  const evkeyvalq* headers = evhttp_request_get_input_headers(response);
+  return ParseLoadReport(HeaderValue(headers, "x-load"),
+                         InstanceId(HeaderValue(headers, "x-instance-id")));
+}
+
+AttemptOutcome OutcomeOf(const HttpExchange& done) {
+  if (done.response == nullptr) {
+    return done.request_written ? AttemptOutcome::kConnectionLost : AttemptOutcome::kConnectFailed;
+  }
+  const evkeyvalq* headers = evhttp_request_get_input_headers(done.response.get());
+  return evhttp_request_get_response_code(done.response.get()) == 503 &&
+                 HeaderValue(headers, "x-refused") == "not-run"
+             ? AttemptOutcome::kRefused
+             : AttemptOutcome::kAnswered;
+}
+
+}  // namespace
+
+UpstreamPool::UpstreamPool(EventLoop* loop, const HttpConnection::Limits& limits)
+    : loop_(loop),
+      limits_(limits),
+      deadline_timer_(loop, [this] { CheckDeadlines(); }),
+      discard_timer_(loop, [this] { discarded_.clear(); }) {}
+
+void UpstreamPool::SetConfiguration(const ConfigurationPtr& configuration) {
+  std::map<EndpointId, Target> targets;
+  if (configuration != nullptr) {
+    for (const auto& [id, service] : configuration->services) {
+      for (const Endpoint& endpoint : service.endpoints) {
+        targets[endpoint.id] = {endpoint.address, endpoint.port, endpoint.max_connections,
+                                service.health_path};
+      }
+    }
+  }
+  for (auto& [id, peer] : peers_) {
+    const auto target = targets.find(id);
+    const bool gone = target == targets.end();
+    if (gone || target->second.address != peer.target.address ||
+        target->second.port != peer.target.port) {
+      for (LinkPtr& link : peer.idle) {
+        Discard(std::move(link));
+      }
+      peer.idle.clear();
+    }
+    peer.target = gone ? Target() : target->second;
+  }
+  for (const auto& [id, target] : targets) {
+    peers_[id].target = target;
+  }
+}
+
+UpstreamPool::LinkPtr UpstreamPool::TakeLink(const EndpointId& endpoint, bool* is_new) {
+  const auto found = peers_.find(endpoint);
+  if (found == peers_.end() || found->second.target.address.empty()) {
+    return nullptr;
+  }
+  Peer& peer = found->second;
+  *is_new = false;
+  while (!peer.idle.empty()) {
+    LinkPtr link = std::move(peer.idle.back());
+    peer.idle.pop_back();
+    if (link->http->usable() && !link->http->PeerClosed()) {
+      return link;
+    }
+    Discard(std::move(link));
+  }
+  if (peer.target.max_connections > 0 && peer.open >= peer.target.max_connections) {
+    return nullptr;
+  }
+  *is_new = true;
+  auto link = std::make_unique<Link>();
+  link->endpoint = endpoint;
+  link->target = peer.target;
+  link->opened = loop_->ReadClocks().mono;
+  link->http = std::make_unique<HttpConnection>(loop_->base(), peer.target.address,
+                                                peer.target.port, limits_);
+  ++peer.open;
+  ++connections_;
+  return link;
+}
+
+void UpstreamPool::Send(const SendAttempt& attempt, const UpstreamRequest& request) {
+  Start(attempt.attempt.value, attempt, request, false);
+}
+
+void UpstreamPool::Probe(const SendProbe& probe) {
+  const auto peer = peers_.find(probe.endpoint);
+  UpstreamRequest request;
+  request.target = peer == peers_.end() ? "/" : peer->second.target.health_path;
+  SendAttempt attempt;
+  attempt.endpoint = probe.endpoint;
+  attempt.timeout = probe.timeout;
+  Start(kProbeBit | ++next_probe_, attempt, request, true);
+}
+
+void UpstreamPool::Start(uint64_t id,
+                         const SendAttempt& attempt,
+                         const UpstreamRequest& request,
+                         bool probe) {
+  const MonoTime now = loop_->ReadClocks().mono;
+  Exchange exchange;
+  exchange.is_probe = probe;
+  exchange.sent = now;
+  exchange.deadline = now + attempt.timeout;
+  exchange.link = TakeLink(attempt.endpoint, &exchange.new_connection);
+  if (exchange.link == nullptr) {
+    exchange.link = std::make_unique<Link>();
+    exchange.link->endpoint = attempt.endpoint;
+    Report(id, exchange, {}, AttemptOutcome::kConnectFailed);
+    return;
+  }
+  HttpConnection* http = exchange.link->http.get();
+  deadlines_.emplace(exchange.deadline, id);
+  exchanges_.emplace(id, std::move(exchange));
+  ScheduleDeadline();
+  HttpHeaders headers = request.headers;
+  // The upstream is told whole milliseconds; rounding down keeps it within the caller's deadline.
+  headers.emplace_back(
+      "x-deadline-ms",
+      std::to_string(std::chrono::floor<std::chrono::milliseconds>(attempt.timeout).count()));
+  if (std::none_of(headers.begin(), headers.end(),
+                   [](const auto& header) { return header.first == "Host"; })) {
+    headers.emplace_back("Host", exchanges_.at(id).link->target.address);
+  }
+  BufferPtr body;
+  if (request.body != nullptr && evbuffer_get_length(request.body) > 0) {
+    body.reset(evbuffer_new());
+    evbuffer_add_buffer_reference(body.get(), request.body);
+  }
+  http->Send(request.method, request.target, headers, body.get(),
+             [this, id](HttpExchange done) { OnDone(id, std::move(done)); });
+}
+
+void UpstreamPool::OnDone(uint64_t id, HttpExchange done) {
+  auto node = exchanges_.extract(id);
+  assert(!node.empty());
+  Exchange exchange = std::move(node.mapped());
+  deadlines_.erase({exchange.deadline, id});
+  const AttemptOutcome outcome = OutcomeOf(done);
+  const EndpointId endpoint = exchange.link->endpoint;
+  LinkPtr link = std::move(exchange.link);
+  exchange.link = std::make_unique<Link>();
+  exchange.link->endpoint = endpoint;
+  exchange.link->opened = link->opened;
+  if (done.response != nullptr && link->http->usable()) {
+    ReturnLink(std::move(link));
+  } else {
+    Discard(std::move(link));
+  }
+  Report(id, exchange, std::move(done), outcome);
+}
+
+void UpstreamPool::ReturnLink(LinkPtr link) {
+  Peer& peer = peers_.at(link->endpoint);
+  if (link->target.address == peer.target.address && link->target.port == peer.target.port) {
+    peer.idle.push_back(std::move(link));
+  } else {
+    Discard(std::move(link));
+  }
+}
+
+void UpstreamPool::Discard(LinkPtr link) {
+  --peers_.at(link->endpoint).open;
+  --connections_;
+  link->http->Abandon();
+  discarded_.push_back(std::move(link));
+  discard_timer_.ScheduleNow();
+}
+
+void UpstreamPool::Abandon(uint64_t id, AttemptOutcome outcome) {
+  auto node = exchanges_.extract(id);
+  if (node.empty()) {
+    return;
+  }
+  Exchange exchange = std::move(node.mapped());
+  deadlines_.erase({exchange.deadline, id});
+  HttpExchange done = exchange.link->http->Abandon();
+  LinkPtr link = std::move(exchange.link);
+  exchange.link = std::make_unique<Link>();
+  exchange.link->endpoint = link->endpoint;
+  exchange.link->opened = link->opened;
+  Discard(std::move(link));
+  Report(id, exchange, std::move(done), outcome);
+}
+
+void UpstreamPool::Cancel(AttemptId attempt) {
+  Abandon(attempt.value, AttemptOutcome::kCancelled);
+}
+
+void UpstreamPool::Close(const CloseConnections& close) {
+  const auto found = peers_.find(close.endpoint);
+  if (found == peers_.end()) {
+    return;
+  }
+  std::vector<LinkPtr>& idle = found->second.idle;
+  const auto old = std::stable_partition(idle.begin(), idle.end(), [&](const LinkPtr& link) {
+    return link->opened >= close.opened_before;
+  });
+  for (auto link = old; link != idle.end(); ++link) {
+    Discard(std::move(*link));
+  }
+  idle.erase(old, idle.end());
+  std::vector<uint64_t> busy;
+  for (const auto& [id, exchange] : exchanges_) {
+    if (exchange.link->endpoint == close.endpoint && exchange.link->opened < close.opened_before) {
+      busy.push_back(id);
+    }
+  }
+  for (const uint64_t id : busy) {
+    const auto exchange = exchanges_.find(id);
+    if (exchange != exchanges_.end()) {
+      Abandon(id, exchange->second.link->http->request_written() ? AttemptOutcome::kConnectionLost
+                                                                 : AttemptOutcome::kConnectFailed);
+    }
+  }
+}
+
+void UpstreamPool::Report(uint64_t id,
+                          const Exchange& exchange,
+                          HttpExchange done,
+                          AttemptOutcome outcome) {
+  const Duration latency = loop_->ReadClocks().mono - exchange.sent;
+  const int status =
+      done.response == nullptr ? 0 : evhttp_request_get_response_code(done.response.get());
+  std::optional<LoadReport> report;
+  if (done.response != nullptr) {
+    report = ReadReport(done.response.get());
+  }
+  if (exchange.is_probe) {
+    probe_ended_.emit(
+        {exchange.link->endpoint, done.response != nullptr, status, latency, std::move(report)});
+    return;
+  }
+  AttemptResult result;
+  result.attempt = AttemptId(id);
+  result.outcome = outcome;
+  result.status = status;
+  result.latency = latency;
+  result.request_written = done.request_written;
+  result.response_started = done.response_started;
+  result.new_connection = exchange.new_connection;
+  result.connection_opened = exchange.link->opened;
+  result.report = std::move(report);
+  attempt_ended_.emit(result, done.response);
+}
+
+void UpstreamPool::CheckDeadlines() {
+  scheduled_.reset();
+  const MonoTime now = loop_->ReadClocks().mono;
+  while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
+    Abandon(deadlines_.begin()->second, AttemptOutcome::kTimedOut);
+  }
+  ScheduleDeadline();
+}
+
+void UpstreamPool::ScheduleDeadline() {
+  // A timer that fires too early costs one look; moving it for each call would cost more.
+  if (!deadlines_.empty() && (!scheduled_ || deadlines_.begin()->first < *scheduled_)) {
+    scheduled_ = deadlines_.begin()->first;
+    deadline_timer_.Schedule(*scheduled_ - loop_->ReadClocks().mono);
+  }
+}
+
+}  // namespace jd
--- /dev/null
+++ b/gateway/upstream_pool.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <sigc++/sigc++.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "cluster/node.h"
+#include "common/configuration.h"
+#include "gateway/event_loop.h"
+#include "platform/http_connection.h"
+#include "policy/attempt_result.h"
+#include "policy/call_action.h"
+
+namespace jd {
+
+/// A caller's request in the form in which it is sent to upstreams.
+struct UpstreamRequest {
+  evhttp_cmd_type method = EVHTTP_REQ_GET;
+  std::string target;
+  HttpHeaders headers;       ///< End to end, without x-deadline-ms.
+  evbuffer* body = nullptr;  ///< Shared, not consumed; may be null.
+};
+
+/// The upstream side: connections to endpoints, one attempt at a time on each.
+class UpstreamPool {
+ public:
+  UpstreamPool(EventLoop* loop, const HttpConnection::Limits& limits);
+
+  /// One per SendAttempt, also after CancelAttempt; the response is null unless one arrived whole.
+  /// May be emitted before Send or Cancel returns.
+  sigc::signal<void(const AttemptResult&, HttpRequestPtr&)>& attempt_ended() {
+    return attempt_ended_;
+  }
+  /// One per SendProbe.
+  sigc::signal<void(const ProbeResult&)>& probe_ended() { return probe_ended_; }
+
+  /// Takes the addresses of endpoints; connections to endpoints that moved are closed when idle.
+  void SetConfiguration(const ConfigurationPtr& configuration);
+  void Send(const SendAttempt& attempt, const UpstreamRequest& request);
+  void Cancel(AttemptId attempt);
+  void Close(const CloseConnections& close);
+  void Probe(const SendProbe& probe);
+
+  size_t connections() const { return connections_; }
+
+ private:
+  struct Target {
+    std::string address;
+    uint16_t port = 0;
+    int32_t max_connections = 0;
+    std::string health_path;
+    bool operator==(const Target&) const = default;
+  };
+  struct Link {
+    EndpointId endpoint;
+    Target target;
+    MonoTime opened;
+    std::unique_ptr<HttpConnection> http;
+  };
+  using LinkPtr = std::unique_ptr<Link>;
+  struct Peer {
+    Target target;
+    std::vector<LinkPtr> idle;  ///< Least recently used first.
+    int32_t open = 0;           ///< Idle or in use.
+  };
+  /// An attempt or a probe under way.
+  struct Exchange {
+    LinkPtr link;
+    bool is_probe = false;
+    bool new_connection = false;
+    MonoTime sent;
+    MonoTime deadline;
+  };
+
+  LinkPtr TakeLink(const EndpointId& endpoint, bool* is_new);
+  void Start(uint64_t id, const SendAttempt& attempt, const UpstreamRequest& request, bool probe);
+  void ReturnLink(LinkPtr link);
+  void Discard(LinkPtr link);
+  void OnDone(uint64_t id, HttpExchange done);
+  void Abandon(uint64_t id, AttemptOutcome outcome);
+  void Report(uint64_t id, const Exchange& exchange, HttpExchange done, AttemptOutcome outcome);
+  void CheckDeadlines();
+  void ScheduleDeadline();
+
+  EventLoop* loop_;
+  HttpConnection::Limits limits_;
+  std::map<EndpointId, Peer> peers_;
+  std::unordered_map<uint64_t, Exchange> exchanges_;  ///< By attempt, or probe with kProbeBit.
+  std::set<std::pair<MonoTime, uint64_t>> deadlines_;
+  std::vector<LinkPtr> discarded_;  ///< Destroyed outside their own callbacks.
+  uint64_t next_probe_ = 0;
+  size_t connections_ = 0;
+  Timer deadline_timer_;
+  std::optional<MonoTime> scheduled_;
+  Timer discard_timer_;
+  sigc::signal<void(const AttemptResult&, HttpRequestPtr&)> attempt_ended_;
+  sigc::signal<void(const ProbeResult&)> probe_ended_;
+};
+
+}  // namespace jd
