Add the endpoint directory

The node had no single place that says which endpoints may get new work. The directory derives it from the configuration, the zones that are out and the endpoints that are leaving, and reports only the services that changed.

Conclusion: zone decisions and departures take the same way to the routing policy.

--- /dev/null
+++ b/cluster/endpoint_directory.cc
@@ -0,0 +1,79 @@
+#include "cluster/endpoint_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jd {
+
+void EndpointDirectory::SetConfiguration(ConfigurationPtr configuration) {
+  configuration_ = std::move(configuration);
+  service_of_.clear();
+  for (const auto& [id, service] : configuration_->services) {
+    for (const Endpoint& endpoint : service.endpoints) {
+      service_of_[endpoint.id] = id;
+    }
+  }
+  std::erase_if(leaving_, [this](const EndpointId& id) { return !service_of_.contains(id); });
+}
+
+void EndpointDirectory::SetZonesOut(std::set<ZoneId> zones) {
+  zones_out_ = std::move(zones);
+}
+
+bool EndpointDirectory::SetLeaving(const EndpointId& endpoint, bool leaving) {
+  if (!service_of_.contains(endpoint)) {
+    return false;
+  }
+  return leaving ? leaving_.insert(endpoint).second : leaving_.erase(endpoint) > 0;
+}
+
+const Service* EndpointDirectory::ServiceOf(const EndpointId& endpoint) const {
+  const auto service = service_of_.find(endpoint);
+  return service == service_of_.end() ? nullptr : &configuration_->services.at(service->second);
+}
+
+const Endpoint* EndpointDirectory::Find(const EndpointId& endpoint) const {
+  const Service* service = ServiceOf(endpoint);
+  if (service == nullptr) {
+    return nullptr;
+  }
+  const auto found = std::find_if(service->endpoints.begin(), service->endpoints.end(),
+                                  [&](const Endpoint& one) { return one.id == endpoint; });
+  return found == service->endpoints.end() ? nullptr : &*found;
+}
+
+ServiceView EndpointDirectory::View(const Service& service) const {
+  ServiceView view;
+  view.id = service.id;
+  view.endpoints.reserve(service.endpoints.size());
+  for (const Endpoint& endpoint : service.endpoints) {
+    const bool usable = !zones_out_.contains(endpoint.zone) && !leaving_.contains(endpoint.id);
+    view.endpoints.push_back({endpoint.id, endpoint.zone, endpoint.slots, usable});
+  }
+  return view;
+}
+
+EndpointDirectory::Changes EndpointDirectory::TakeChanges() {
+  Changes changes;
+  if (configuration_ == nullptr) {
+    return changes;
+  }
+  std::map<ServiceId, ServiceView> current;
+  for (const auto& [id, service] : configuration_->services) {
+    ServiceView view = View(service);
+    const auto before = taken_.find(id);
+    if (before == taken_.end() || before->second.endpoints != view.endpoints) {
+      changes.services.push_back(view);
+    }
+    current.emplace(id, std::move(view));
+  }
+  for (const auto& [id, view] : taken_) {
+    if (!current.contains(id)) {
+      changes.removed.push_back(id);
+    }
+  }
+  taken_ = std::move(current);
+  return changes;
+}
+
+}  // namespace jd
--- a/policy/routing_policy.h
+++ b/policy/routing_policy.h
@@ -20,6 +20,7 @@
   int32_t slots = 1;
   /// New attempts are allowed; false while its zone is out, or it is draining or ejected.
   bool usable = true;
+  bool operator==(const EndpointView&) const = default;
 };
 
 /// The endpoints of one service, in the order of the configuration.
