--- /dev/null
+++ b/policy/silent_connections.cc
@@ -0,0 +1,48 @@
+#include "policy/silent_connections.h"
+
+#include <algorithm>
+
+namespace jd {
+namespace {
+
+/// Enough for one answer from each of an endpoint's connections in turn.
+constexpr size_t kMaxAnswers = 256;
+
+}  // namespace
+
+void SilentConnections::OnAnswered(MonoTime now,
+                                   const EndpointId& endpoint,
+                                   MonoTime connection_opened,
+                                   Duration latency) {
+  Answered& answered = answers_[endpoint];
+  auto& latest = answered.latest;
+  answered.latency = latest.empty() ? latency : (answered.latency * 7 + latency) / 8;
+  while (!latest.empty() && latest.back().opened >= connection_opened) {
+    latest.pop_back();
+  }
+  latest.push_back({now, connection_opened});
+  if (latest.size() > kMaxAnswers) {
+    latest.pop_front();
+  }
+}
+
+bool SilentConnections::OnSilent(MonoTime now, const SilentAttempt& attempt, CallActions* actions) {
+  const auto found = answers_.find(attempt.endpoint);
+  if (found == answers_.end()) {
+    return attempt.new_connection;
+  }
+  const auto& latest = found->second.latest;
+  if (now - attempt.sent < found->second.latency * kMinWaitFactor) {
+    return false;
+  }
+  // Openings rise with time, so the first answer since the attempt has the oldest connection.
+  const auto since = std::find_if(latest.begin(), latest.end(),
+                                  [&](const Answer& answer) { return answer.at >= attempt.sent; });
+  const MonoTime before = since == latest.end() ? latest.back().opened : since->opened;
+  if (attempt.connection_opened < before) {
+    actions->push_back(CloseConnections{attempt.endpoint, before});
+  }
+  return attempt.new_connection;
+}
+
+}  // namespace jd
--- /dev/null
+++ b/tests/silent_connections_test.cc
@@ -0,0 +1,51 @@
+#include "policy/silent_connections.h"
+
+#include <catch2/catch.hpp>
+
+namespace jd {
+namespace {
+
+const EndpointId kEndpoint("e");
+
+MonoTime At(int64_t ms) {
+  return MonoFromMicros(1000000 + ms * 1000);
+}
+
+TEST_CASE("a silent connection takes the older ones along, and a new one blames the endpoint",
+          "[silent_connections_test]") {
+  SilentConnections silent;
+  CallActions actions;
+  CHECK_FALSE(silent.OnSilent(At(500), {kEndpoint, At(0), At(-100), false}, &actions));
+  CHECK(actions.empty());
+  silent.OnAnswered(At(510), kEndpoint, At(50), 10ms);
+  CHECK_FALSE(silent.OnSilent(At(1100), {kEndpoint, At(600), At(-90), false}, &actions));
+  REQUIRE(actions.size() == 1);
+  CHECK(std::get<CloseConnections>(actions[0]).opened_before == At(50));
+  CHECK(silent.OnSilent(At(1700), {kEndpoint, At(1200), At(1200), true}, &actions));
+  CHECK(actions.size() == 1);
+}
+
+// Guards against interrupting calls on connections that work because one request is slow.
+TEST_CASE("a connection that answered during the wait is not closed", "[silent_connections_test]") {
+  SilentConnections silent;
+  CallActions actions;
+  silent.OnAnswered(At(110), kEndpoint, At(20), 10ms);
+  silent.OnAnswered(At(120), kEndpoint, At(90), 10ms);
+  silent.OnSilent(At(600), {kEndpoint, At(100), At(0), false}, &actions);
+  REQUIRE(actions.size() == 1);
+  CHECK(std::get<CloseConnections>(actions[0]).opened_before == At(20));
+  silent.OnSilent(At(600), {kEndpoint, At(100), At(30), false}, &actions);
+  CHECK(actions.size() == 1);
+}
+
+TEST_CASE("a wait as short as usual answers take is no silence", "[silent_connections_test]") {
+  SilentConnections silent;
+  CallActions actions;
+  silent.OnAnswered(At(110), kEndpoint, At(20), 10ms);
+  CHECK_FALSE(silent.OnSilent(At(220), {kEndpoint, At(200), At(200), true}, &actions));
+  CHECK_FALSE(silent.OnSilent(At(220), {kEndpoint, At(200), At(0), false}, &actions));
+  CHECK(actions.empty());
+}
+
+}  // namespace
+}  // namespace jd
