Complete the dispatcher's call handling

Cause: the first dispatcher had a fixed limit of three attempts, a queue without order or bound, no budget, no hedges, and read the profile through the configuration in use.

Change: CallBook holds the calls and every decision that needs no slot; AttemptBook holds the attempts and feeds CrashGuard and SilentConnections; Dispatcher adds the routing policy and stays a template. Limits are copied at arrival. Retries prefer another endpoint, one hedge is sent only while no call waits, a full queue refuses the workspace furthest above its share, and calls that cannot finish before their deadline are refused before they are sent. The policy sees an expired attempt as timed out, and as cancelled if only its connection is to blame. The public interface is unchanged; SetService, SetDegraded, AddCrashFromPeer and attempts() are new.

--- /dev/null
+++ b/policy/call.cc
@@ -0,0 +1,48 @@
+#include "policy/call.h"
+
+#include <algorithm>
+
+namespace jd {
+namespace {
+
+/// Keeps a share of zero from never being served.
+constexpr double kMinShare = 0.001;
+
+double ShareOf(const WorkspaceId& workspace,
+               const Service& service,
+               const Configuration& configuration) {
+  const auto own =
+      std::find_if(service.shares.begin(), service.shares.end(),
+                   [&](const WorkspaceShare& share) { return share.workspace == workspace; });
+  if (own != service.shares.end()) {
+    return std::max(own->share, kMinShare);
+  }
+  const auto common = configuration.workspaces.find(workspace);
+  return common == configuration.workspaces.end() ? 1.0 : std::max(common->second, kMinShare);
+}
+
+}  // namespace
+
+Call MakeCall(MonoTime now,
+              const CallRequest& request,
+              const Service& service,
+              const Profile& profile,
+              const Configuration& configuration,
+              uint64_t sequence) {
+  Call call;
+  call.request = request;
+  call.limits = {std::max(profile.max_attempts, 1),
+                 profile.hedge,
+                 profile.hedge_after,
+                 profile.retry_budget,
+                 profile.max_queue,
+                 profile.priority};
+  call.arrival = now;
+  call.deadline = now + std::min(profile.deadline, request.timeout.value_or(profile.deadline));
+  call.weight = ShareOf(request.workspace, service, configuration);
+  call.idempotent = IsIdempotent(profile, request.method, request.path);
+  call.sequence = sequence;
+  return call;
+}
+
+}  // namespace jd
--- /dev/null
+++ b/policy/call_book.cc
@@ -0,0 +1,422 @@
+#include "policy/call_book.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace jd {
+namespace {
+
+/// Callers of a service without a usable endpoint, or whose attempts failed, may try again then.
+constexpr Duration kRetryAfterFailure = 1s;
+
+void Record(EventKind kind,
+            const RequestId& request,
+            const EndpointId& endpoint,
+            std::string detail,
+            CallActions* actions) {
+  Event event;
+  event.kind = kind;
+  event.request = request;
+  event.endpoint = endpoint;
+  event.detail = std::move(detail);
+  actions->push_back(RecordEvent{std::move(event)});
+}
+
+std::vector<EndpointId> UsableOf(const Service& service, const Configuration& configuration) {
+  std::vector<EndpointId> usable;
+  for (const Endpoint& endpoint : service.endpoints) {
+    const auto zone = configuration.zones.find(endpoint.zone);
+    if (zone == configuration.zones.end() || zone->second.state != ZoneState::kOut) {
+      usable.push_back(endpoint.id);
+    }
+  }
+  return usable;
+}
+
+}  // namespace
+
+void CallBook::SetConfiguration(MonoTime now, ConfigurationPtr configuration) {
+  configuration_ = std::move(configuration);
+  if (configuration_ == nullptr) {
+    return;
+  }
+  for (auto state = services_.begin(); state != services_.end();) {
+    if (configuration_->services.contains(state->first)) {
+      ++state;
+    } else if (state->second.calls == 0) {
+      queue_changed_.erase(state->first);
+      state = services_.erase(state);
+    } else {
+      state->second.SetUsable(now, {});
+      state->second.viewed = false;
+      ++state;
+    }
+  }
+  for (const auto& [id, service] : configuration_->services) {
+    ServiceState& state = services_[id];
+    if (!state.viewed) {
+      state.SetUsable(now, UsableOf(service, *configuration_));
+    }
+  }
+}
+
+void CallBook::SetService(MonoTime now, const ServiceView& view) {
+  const auto state = services_.find(view.id);
+  if (state == services_.end()) {
+    return;
+  }
+  std::vector<EndpointId> usable;
+  for (const EndpointView& endpoint : view.endpoints) {
+    if (endpoint.usable) {
+      usable.push_back(endpoint.id);
+    }
+  }
+  state->second.viewed = true;
+  state->second.SetUsable(now, std::move(usable));
+}
+
+void CallBook::SetDegraded(const ServiceId& service, bool degraded) {
+  const auto state = services_.find(service);
+  if (state != services_.end()) {
+    state->second.queue.SetDegraded(degraded);
+  }
+}
+
+Call* CallBook::Admit(MonoTime now, const CallRequest& request, CallActions* actions) {
+  if (stopping_) {
+    RefuseNew(request, RefusalReason::kShuttingDown, kRetryAfterFailure, "The gateway is stopping.",
+              actions);
+    return nullptr;
+  }
+  if (configuration_ == nullptr) {
+    RefuseNew(request, RefusalReason::kNotReady, kRetryAfterFailure,
+              "The gateway has no configuration yet.", actions);
+    return nullptr;
+  }
+  const auto service = configuration_->services.find(request.service);
+  const auto profile = service == configuration_->services.end()
+                           ? configuration_->profiles.end()
+                           : configuration_->profiles.find(service->second.profile);
+  if (profile == configuration_->profiles.end()) {
+    RefuseNew(request, RefusalReason::kUnknownService, Duration(0), "No such service.", actions);
+    return nullptr;
+  }
+  const auto [entry, added] = calls_.emplace(
+      request.id,
+      MakeCall(now, request, service->second, profile->second, *configuration_, next_sequence_++));
+  assert(added);
+  Call* call = &entry->second;
+  ServiceState& state = StateOf(*call);
+  ++state.calls;
+  timers_.emplace(call->deadline, request.id, TimerKind::kDeadline);
+  Record(EventKind::kCallStarted, request.request, {}, request.service.value, actions);
+  if (!MaySend(now, call, actions)) {
+    return nullptr;
+  }
+  state.budget.OnCall(now, call->limits.retry_budget);
+  return call;
+}
+
+void CallBook::Enqueue(MonoTime now, Call* call, CallActions* actions) {
+  ServiceState& state = StateOf(*call);
+  const QueuedCall queued = call->ToQueued();
+  const auto wait = state.load.EstimateWait(now, state.queue.CallsAhead(queued) + 1);
+  if (wait && *wait > call->deadline - now) {
+    Refuse(call, RefusalReason::kOverload, state.RetryAfter(now),
+           "The queue cannot be served before the deadline.", actions);
+    return;
+  }
+  if (static_cast<int64_t>(state.queue.size()) >= call->limits.max_queue) {
+    const CallId refused = state.queue.ChooseRefused(queued);
+    Refuse(Find(refused), RefusalReason::kOverload, state.RetryAfter(now),
+           "The queue is full and the workspace is furthest above its share.", actions);
+    if (refused == queued.id) {
+      return;
+    }
+  }
+  Push(call);
+}
+
+void CallBook::Requeue(Call* call) {
+  Push(call);
+}
+
+void CallBook::Push(Call* call) {
+  call->queued = true;
+  StateOf(*call).queue.Push(call->ToQueued());
+  queue_changed_.insert(call->request.service);
+}
+
+void CallBook::Dequeue(Call* call) {
+  if (!call->queued) {
+    return;
+  }
+  call->queued = false;
+  ServiceState& state = StateOf(*call);
+  state.queue.Remove(call->ToQueued());
+  if (state.queue.empty()) {
+    state.load.OnQueueEmpty();
+  }
+  queue_changed_.insert(call->request.service);
+}
+
+Call* CallBook::NextWaiting(const ServiceId& service, const std::vector<CallId>& skipped) {
+  const auto state = services_.find(service);
+  if (state == services_.end() || state->second.queue.empty()) {
+    return nullptr;
+  }
+  const std::optional<CallId> next = state->second.queue.Next(skipped);
+  return next ? Find(*next) : nullptr;
+}
+
+bool CallBook::HasWaiting(const ServiceId& service) const {
+  const auto state = services_.find(service);
+  return state != services_.end() && !state->second.queue.empty();
+}
+
+std::vector<ServiceId> CallBook::ServicesWaiting() const {
+  std::vector<ServiceId> waiting;
+  for (const auto& [id, state] : services_) {
+    if (!state.queue.empty()) {
+      waiting.push_back(id);
+    }
+  }
+  return waiting;
+}
+
+bool CallBook::MaySend(MonoTime now, Call* call, CallActions* actions) {
+  if (call->deadline <= now) {
+    Expire(call, actions);
+    return false;
+  }
+  if (attempts_.guard().Blocks(now, call->request.fingerprint)) {
+    Refuse(call, RefusalReason::kCrashesUpstreams, Duration(0),
+           "The same request has crashed upstreams and is not sent to another one.", actions);
+    return false;
+  }
+  const auto fast = StateOf(*call).load.FastLatency(now);
+  if (fast && *fast > call->deadline - now) {
+    Refuse(call, RefusalReason::kDeadline, Duration(0),
+           "The deadline is nearer than the service's fastest tenth of answers.", actions);
+    return false;
+  }
+  return true;
+}
+
+std::vector<EndpointId> CallBook::Excluded(const Call& call) const {
+  return StateOf(call).Excluded(call);
+}
+
+void CallBook::Send(MonoTime now, Call* call, const EndpointId& endpoint, CallActions* actions) {
+  assert(call->attempts < call->limits.max_attempts);
+  assert(call->idempotent || call->present_verdict() == Verdict::kNotRun);
+  ServiceState& state = StateOf(*call);
+  if (call->queued) {
+    state.load.OnDequeued(now);
+    Dequeue(call);
+  }
+  state.queue.Charge(call->request.workspace, call->weight);
+  const AttemptId attempt =
+      attempts_.Start(now, {call->request.id, call->request.request, call->request.service,
+                            endpoint, call->request.fingerprint, call->idempotent});
+  call->running.push_back(attempt);
+  call->tried.push_back(endpoint);
+  ++call->attempts;
+  ScheduleHedge(now, call);
+  Record(EventKind::kAttemptStarted, call->request.request, endpoint, {}, actions);
+  actions->push_back(SendAttempt{call->request.id, attempt, endpoint, call->deadline - now});
+}
+
+std::optional<EndedAttempt> CallBook::EndAttempt(MonoTime now,
+                                                 const AttemptResult& result,
+                                                 CallActions* actions) {
+  std::optional<EndedAttempt> ended = attempts_.End(now, result, actions);
+  if (!ended) {
+    return std::nullopt;
+  }
+  const AttemptOrigin& origin = ended->attempt.origin();
+  const auto state = services_.find(origin.service);
+  if (state != services_.end() && result.outcome == AttemptOutcome::kAnswered) {
+    state->second.load.OnAnswered(now, result.latency);
+  }
+  Record(EventKind::kAttemptEnded, origin.request, origin.endpoint,
+         std::string(VerdictName(ended->verdict)), actions);
+  return ended;
+}
+
+Call* CallBook::Resolve(MonoTime now, const EndedAttempt& ended, CallActions* actions) {
+  const AttemptId id = ended.result.attempt;
+  Call* call = Find(ended.attempt.origin().call);
+  if (call == nullptr) {
+    return nullptr;
+  }
+  std::erase(call->running, id);
+  ClearHedge(call);
+  call->verdict = Combine(call->verdict, ended.verdict);
+  if (ended.result.outcome == AttemptOutcome::kAnswered) {
+    CancelRunning(call, false, actions);
+    Record(EventKind::kCallFinished, call->request.request, ended.attempt.origin().endpoint, {},
+           actions);
+    actions->push_back(AnswerCall{call->request.id, id});
+    Forget(call);
+    return nullptr;
+  }
+  if (!call->running.empty()) {
+    return nullptr;  // The other attempt may still win.
+  }
+  const char* text = nullptr;
+  if (call->deadline <= now) {
+    Expire(call, actions);
+    return nullptr;
+  }
+  if (!call->idempotent && call->verdict != Verdict::kNotRun) {
+    text = "The attempt failed after it may have run, and the request must not run twice.";
+  } else if (call->attempts >= call->limits.max_attempts) {
+    text = "Every attempt failed.";
+  } else if (!StateOf(*call).budget.TryTake(now)) {
+    text = "The attempt failed and the retry budget of the service is used up.";
+  }
+  if (text != nullptr) {
+    Refuse(call, RefusalReason::kUpstreamFailed, kRetryAfterFailure, text, actions);
+    return nullptr;
+  }
+  return call;
+}
+
+void CallBook::CallerGone(CallId id, CallActions* actions) {
+  Call* call = Find(id);
+  if (call == nullptr) {
+    return;
+  }
+  CancelRunning(call, false, actions);
+  Record(EventKind::kCallFinished, call->request.request, {}, "caller gone", actions);
+  Forget(call);
+}
+
+Call* CallBook::TakeDue(MonoTime now, CallActions* actions) {
+  attempts_.Announce(now, actions);
+  while (!timers_.empty() && std::get<MonoTime>(*timers_.begin()) <= now) {
+    const auto [due, id, kind] = *timers_.begin();
+    Call* call = Find(id);
+    if (kind == TimerKind::kDeadline) {
+      Expire(call, actions);
+      continue;
+    }
+    ClearHedge(call);
+    if (MayHedge(now, call)) {
+      return call;
+    }
+  }
+  return nullptr;
+}
+
+void CallBook::ScheduleHedge(MonoTime now, Call* call) {
+  ClearHedge(call);
+  const MonoTime at = now + call->limits.hedge_after;
+  if (!call->limits.hedge || !call->idempotent || call->hedged || at >= call->deadline ||
+      call->attempts >= call->limits.max_attempts) {
+    return;
+  }
+  call->hedge_at = at;
+  timers_.emplace(at, call->request.id, TimerKind::kHedge);
+}
+
+void CallBook::ClearHedge(Call* call) {
+  if (call->hedge_at) {
+    timers_.erase(Timer(*call->hedge_at, call->request.id, TimerKind::kHedge));
+    call->hedge_at.reset();
+  }
+}
+
+bool CallBook::MayHedge(MonoTime now, Call* call) {
+  ServiceState& state = StateOf(*call);
+  // A hedge must not take the slot that a waiting call needs, nor repeat a request that crashes.
+  if (call->deadline <= now || !state.queue.empty() ||
+      attempts_.guard().Blocks(now, call->request.fingerprint) || !state.budget.TryTake(now)) {
+    return false;
+  }
+  call->hedged = true;
+  return true;
+}
+
+void CallBook::AbandonHedge(Call* call) {
+  StateOf(*call).budget.Return();
+}
+
+std::optional<MonoTime> CallBook::next_timer() const {
+  std::optional<MonoTime> next = attempts_.guard().next_timer();
+  if (!timers_.empty()) {
+    const MonoTime first = std::get<MonoTime>(*timers_.begin());
+    next = std::min(next.value_or(first), first);
+  }
+  return next;
+}
+
+std::vector<std::pair<ServiceId, int32_t>> CallBook::TakeWaitingChanges() {
+  std::vector<std::pair<ServiceId, int32_t>> changes;
+  for (const ServiceId& id : queue_changed_) {
+    ServiceState& state = services_.at(id);
+    const auto waiting = static_cast<int32_t>(state.queue.size());
+    if (waiting != std::exchange(state.told_waiting, waiting)) {
+      changes.emplace_back(id, waiting);
+    }
+  }
+  queue_changed_.clear();
+  return changes;
+}
+
+Call* CallBook::Find(CallId id) {
+  const auto call = calls_.find(id);
+  return call == calls_.end() ? nullptr : &call->second;
+}
+
+void CallBook::Expire(Call* call, CallActions* actions) {
+  CancelRunning(call, true, actions);
+  const bool no_endpoint = call->attempts == 0 && !StateOf(*call).UsableSince(call->arrival);
+  Refuse(call, no_endpoint ? RefusalReason::kNoEndpoint : RefusalReason::kDeadline,
+         no_endpoint ? kRetryAfterFailure : Duration(0),
+         no_endpoint ? "The service had no usable endpoint." : "The deadline passed.", actions);
+}
+
+void CallBook::RefuseNew(const CallRequest& request,
+                         RefusalReason reason,
+                         Duration retry_after,
+                         std::string text,
+                         CallActions* actions) {
+  Record(EventKind::kCallRefused, request.request, {}, std::string(RefusalReasonName(reason)),
+         actions);
+  actions->push_back(
+      RefuseCall{request.id, Refusal{reason, Verdict::kNotRun, retry_after, std::move(text)}});
+}
+
+void CallBook::Refuse(Call* call,
+                      RefusalReason reason,
+                      Duration retry_after,
+                      std::string text,
+                      CallActions* actions) {
+  const Verdict verdict = call->present_verdict();
+  CancelRunning(call, false, actions);
+  Record(EventKind::kCallRefused, call->request.request, {}, std::string(RefusalReasonName(reason)),
+         actions);
+  actions->push_back(
+      RefuseCall{call->request.id, Refusal{reason, verdict, retry_after, std::move(text)}});
+  Forget(call);
+}
+
+void CallBook::CancelRunning(Call* call, bool expired, CallActions* actions) {
+  for (const AttemptId attempt : call->running) {
+    attempts_.Cancel(attempt, expired, actions);
+    call->verdict = Combine(call->verdict, Verdict::kMayHaveRun);
+  }
+  call->running.clear();
+}
+
+void CallBook::Forget(Call* call) {
+  Dequeue(call);
+  ClearHedge(call);
+  timers_.erase(Timer(call->deadline, call->request.id, TimerKind::kDeadline));
+  --StateOf(*call).calls;
+  calls_.erase(call->request.id);
+}
+
+}  // namespace jd
--- a/policy/dispatcher.h
+++ b/policy/dispatcher.h
@@ -1,10 +1,7 @@
 #pragma once
 
-#include <algorithm>
-#include <deque>
-#include <map>
+#include <cstdint>
 #include <optional>
-#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -12,6 +9,7 @@
 #include "common/random.h"
 #include "policy/attempt_result.h"
 #include "policy/call_action.h"
+#include "policy/call_book.h"
 #include "policy/call_request.h"
 #include "policy/routing_policy.h"
 
@@ -26,7 +24,22 @@
   Dispatcher(ZoneId zone, Policy* policy, uint64_t seed)
       : zone_(std::move(zone)), policy_(policy), random_(seed) {}
 
-  void SetConfiguration(MonoTime now, ConfigurationPtr configuration);
+  /// Applies to calls that arrive from now on; the limits of calls under way do not change.
+  void SetConfiguration(MonoTime now, ConfigurationPtr configuration) {
+    book_.SetConfiguration(now, std::move(configuration));
+  }
+  /// Tells which endpoints of a configured service are usable. Without it they are those of the
+  /// configuration whose zone is not out. The policy is told separately.
+  void SetService(MonoTime now, const ServiceView& view) { book_.SetService(now, view); }
+  /// While a service is degraded, its idempotent calls wait behind all others.
+  void SetDegraded(const ServiceId& service, bool degraded) {
+    book_.SetDegraded(service, degraded);
+  }
+  /// A peer found a request that crashes upstreams.
+  void AddCrashFromPeer(MonoTime now, Fingerprint fingerprint) {
+    book_.guard().AddFromPeer(now, fingerprint);
+  }
+
   /// Takes a new call; it ends by exactly one AnswerCall or RefuseCall, unless the caller leaves.
   void OnCall(MonoTime now, const CallRequest& request, CallActions* actions);
   /// The caller closed its connection; the call's attempts are cancelled.
@@ -37,217 +50,137 @@
   /// Handles deadlines and hedges that are due.
   void OnTimer(MonoTime now, CallActions* actions);
   /// Refuses new calls from now on; calls in flight go on.
-  void Stop() { stopping_ = true; }
+  void Stop() { book_.Stop(); }
 
   /// Returns when OnTimer is due next, or nothing.
-  std::optional<MonoTime> next_timer() const;
-  size_t calls() const { return calls_.size(); }
+  std::optional<MonoTime> next_timer() const { return book_.next_timer(); }
+  size_t calls() const { return book_.calls(); }
+  /// Returns the attempts whose result is still to come, including those of calls that have ended.
+  size_t attempts() const { return book_.attempts(); }
 
  private:
-  struct Call {
-    CallRequest request;
-    const Profile* profile = nullptr;
-    MonoTime deadline;
-    bool idempotent = false;
-    int32_t attempts = 0;
-    Verdict verdict = Verdict::kNotRun;
-    std::vector<EndpointId> tried;
-    std::vector<AttemptId> running;
-  };
-  struct Attempt {
-    CallId call;
-    EndpointId endpoint;
-  };
-
-  void Refuse(CallId call,
-              RefusalReason reason,
-              Verdict verdict,
-              std::string text,
-              CallActions* actions);
-  bool TrySend(MonoTime now, Call* call, CallActions* actions);
-  void Enqueue(MonoTime now, const Call& call);
-  void Dequeue(MonoTime now, const Call& call);
-  void EndCall(MonoTime now, CallId id);
+  enum class SendOutcome : uint8_t { kSent, kNoSlot, kCallEnded };
+  /// Calls that are sent again may find only endpoints that they must avoid; this many are passed
+  /// over in favour of calls behind them.
+  static constexpr size_t kMaxSkipped = 8;
+
+  SendOutcome TrySend(MonoTime now, Call* call, CallActions* actions);
+  void Hedge(MonoTime now, Call* call, CallActions* actions);
+  void Serve(MonoTime now, const ServiceId& service, CallActions* actions);
+  /// Tells the policy about queues that changed.
+  void TellWaiting(MonoTime now);
 
   ZoneId zone_;
   Policy* policy_;
   RandomEngine random_;
-  ConfigurationPtr configuration_;
-  bool stopping_ = false;
-  uint64_t next_attempt_ = 1;
-  std::unordered_map<CallId, Call> calls_;
-  std::unordered_map<AttemptId, Attempt> attempts_;
-  std::map<ServiceId, std::deque<CallId>> queues_;
-  std::map<std::pair<MonoTime, CallId>, bool> deadlines_;
+  CallBook book_;
 };
 
-template <RoutingPolicy Policy>
-void Dispatcher<Policy>::SetConfiguration(MonoTime, ConfigurationPtr configuration) {
-  configuration_ = std::move(configuration);
-}
-
 template <RoutingPolicy Policy>
 void Dispatcher<Policy>::OnCall(MonoTime now, const CallRequest& request, CallActions* actions) {
-  if (stopping_) {
-    Refuse(request.id, RefusalReason::kShuttingDown, Verdict::kNotRun, "The gateway is stopping.",
-           actions);
-    return;
-  }
-  if (configuration_ == nullptr) {
-    Refuse(request.id, RefusalReason::kNotReady, Verdict::kNotRun,
-           "The gateway has no configuration yet.", actions);
+  Call* call = book_.Admit(now, request, actions);
+  if (call == nullptr) {
     return;
   }
-  const auto service = configuration_->services.find(request.service);
-  if (service == configuration_->services.end() ||
-      !configuration_->profiles.contains(service->second.profile)) {
-    Refuse(request.id, RefusalReason::kUnknownService, Verdict::kNotRun, "No such service.",
-           actions);
-    return;
+  // A new call never overtakes waiting ones, but it may be the next in order among them.
+  const bool waiting = book_.HasWaiting(request.service);
+  if (waiting || TrySend(now, call, actions) == SendOutcome::kNoSlot) {
+    book_.Enqueue(now, call, actions);
   }
-  Call call;
-  call.request = request;
-  // The profile is copied, because a configuration change must not alter a call under way.
-  const Profile& profile = configuration_->profiles.at(service->second.profile);
-  call.deadline = now + std::min(profile.deadline, request.timeout.value_or(profile.deadline));
-  call.idempotent = IsIdempotent(profile, request.method, request.path);
-  Call& stored = calls_.emplace(request.id, std::move(call)).first->second;
-  deadlines_.emplace(std::pair(stored.deadline, request.id), true);
-  if (!TrySend(now, &stored, actions)) {
-    Enqueue(now, stored);
+  if (waiting) {
+    Serve(now, request.service, actions);
   }
+  TellWaiting(now);
 }
 
 template <RoutingPolicy Policy>
-bool Dispatcher<Policy>::TrySend(MonoTime now, Call* call, CallActions* actions) {
-  const AcquireRequest request{call->request.service, zone_, call->deadline, call->tried};
-  const std::optional<EndpointId> endpoint = policy_->Acquire(now, request, random_);
-  if (!endpoint) {
-    return false;
-  }
-  const AttemptId attempt(next_attempt_++);
-  attempts_[attempt] = {call->request.id, *endpoint};
-  call->running.push_back(attempt);
-  call->tried.push_back(*endpoint);
-  ++call->attempts;
-  actions->push_back(SendAttempt{call->request.id, attempt, *endpoint, call->deadline - now});
-  return true;
+void Dispatcher<Policy>::OnCallerGone(MonoTime now, CallId call, CallActions* actions) {
+  book_.CallerGone(call, actions);
+  TellWaiting(now);
 }
 
 template <RoutingPolicy Policy>
 void Dispatcher<Policy>::OnAttemptResult(MonoTime now,
                                          const AttemptResult& result,
                                          CallActions* actions) {
-  const auto found = attempts_.find(result.attempt);
-  if (found == attempts_.end()) {
+  const std::optional<EndedAttempt> ended = book_.EndAttempt(now, result, actions);
+  if (!ended) {
     return;
   }
-  const Attempt attempt = found->second;
-  attempts_.erase(found);
-  policy_->Release(now, attempt.endpoint, result);
+  const AttemptOrigin& origin = ended->attempt.origin();
+  policy_->Release(now, origin.endpoint, ended->result);
   if (result.report) {
-    policy_->OnLoadReport(now, attempt.endpoint, *result.report);
-  }
-  const auto in_calls = calls_.find(attempt.call);
-  if (in_calls != calls_.end()) {
-    Call& call = in_calls->second;
-    std::erase(call.running, result.attempt);
-    call.verdict = Combine(call.verdict, VerdictOf(result));
-    if (result.outcome == AttemptOutcome::kAnswered) {
-      actions->push_back(AnswerCall{attempt.call, result.attempt});
-      EndCall(now, attempt.call);
-    } else if (call.attempts < 3 && (call.idempotent || call.verdict == Verdict::kNotRun)) {
-      if (!TrySend(now, &call, actions)) {
-        Enqueue(now, call);
-      }
-    } else {
-      const Verdict verdict = call.verdict;
-      EndCall(now, attempt.call);
-      Refuse(attempt.call, RefusalReason::kUpstreamFailed, verdict, "Every attempt failed.",
-             actions);
-    }
-  }
-  OnCapacity(now, actions);
-}
-
-template <RoutingPolicy Policy>
-void Dispatcher<Policy>::OnCallerGone(MonoTime now, CallId id, CallActions* actions) {
-  const auto call = calls_.find(id);
-  if (call == calls_.end()) {
-    return;
+    policy_->OnLoadReport(now, origin.endpoint, *result.report);
   }
-  for (const AttemptId attempt : call->second.running) {
-    actions->push_back(CancelAttempt{attempt});
+  Call* again = book_.Resolve(now, *ended, actions);
+  if (again != nullptr) {
+    // It keeps its order of arrival, so it is served ahead of calls that came later.
+    book_.Requeue(again);
   }
-  EndCall(now, id);
+  Serve(now, origin.service, actions);
+  TellWaiting(now);
 }
 
 template <RoutingPolicy Policy>
 void Dispatcher<Policy>::OnCapacity(MonoTime now, CallActions* actions) {
-  for (auto& [service, queue] : queues_) {
-    while (!queue.empty() && TrySend(now, &calls_.at(queue.front()), actions)) {
-      queue.pop_front();
-      policy_->SetWaiting(now, service, static_cast<int32_t>(queue.size()));
-    }
+  for (const ServiceId& service : book_.ServicesWaiting()) {
+    Serve(now, service, actions);
   }
+  TellWaiting(now);
 }
 
 template <RoutingPolicy Policy>
 void Dispatcher<Policy>::OnTimer(MonoTime now, CallActions* actions) {
-  while (!deadlines_.empty() && deadlines_.begin()->first.first <= now) {
-    const CallId id = deadlines_.begin()->first.second;
-    const Call& call = calls_.at(id);
-    const Verdict verdict = call.running.empty() ? call.verdict : Verdict::kMayHaveRun;
-    for (const AttemptId attempt : call.running) {
-      actions->push_back(CancelAttempt{attempt});
-    }
-    EndCall(now, id);
-    Refuse(id, RefusalReason::kDeadline, verdict, "The deadline passed.", actions);
+  while (Call* call = book_.TakeDue(now, actions)) {
+    Hedge(now, call, actions);
   }
+  TellWaiting(now);
 }
 
 template <RoutingPolicy Policy>
-std::optional<MonoTime> Dispatcher<Policy>::next_timer() const {
-  if (deadlines_.empty()) {
-    return std::nullopt;
+auto Dispatcher<Policy>::TrySend(MonoTime now, Call* call, CallActions* actions) -> SendOutcome {
+  if (!book_.MaySend(now, call, actions)) {
+    return SendOutcome::kCallEnded;
   }
-  return deadlines_.begin()->first.first;
-}
-
-template <RoutingPolicy Policy>
-void Dispatcher<Policy>::Refuse(CallId call,
-                                RefusalReason reason,
-                                Verdict verdict,
-                                std::string text,
-                                CallActions* actions) {
-  Refusal refusal;
-  refusal.reason = reason;
-  refusal.verdict = verdict;
-  refusal.text = std::move(text);
-  actions->push_back(RefuseCall{call, std::move(refusal)});
+  const AcquireRequest request{call->request.service, zone_, call->deadline, book_.Excluded(*call)};
+  const std::optional<EndpointId> endpoint = policy_->Acquire(now, request, random_);
+  if (!endpoint) {
+    return SendOutcome::kNoSlot;
+  }
+  book_.Send(now, call, *endpoint, actions);
+  return SendOutcome::kSent;
 }
 
 template <RoutingPolicy Policy>
-void Dispatcher<Policy>::Enqueue(MonoTime now, const Call& call) {
-  auto& queue = queues_[call.request.service];
-  queue.push_back(call.request.id);
-  policy_->SetWaiting(now, call.request.service, static_cast<int32_t>(queue.size()));
+void Dispatcher<Policy>::Hedge(MonoTime now, Call* call, CallActions* actions) {
+  const AcquireRequest request{call->request.service, zone_, call->deadline, call->tried};
+  const std::optional<EndpointId> endpoint = policy_->Acquire(now, request, random_);
+  if (!endpoint) {
+    book_.AbandonHedge(call);
+    return;
+  }
+  book_.Send(now, call, *endpoint, actions);
 }
 
 template <RoutingPolicy Policy>
-void Dispatcher<Policy>::Dequeue(MonoTime now, const Call& call) {
-  auto& queue = queues_[call.request.service];
-  if (std::erase(queue, call.request.id) > 0) {
-    policy_->SetWaiting(now, call.request.service, static_cast<int32_t>(queue.size()));
+void Dispatcher<Policy>::Serve(MonoTime now, const ServiceId& service, CallActions* actions) {
+  std::vector<CallId> skipped;
+  while (Call* call = book_.NextWaiting(service, skipped)) {
+    if (TrySend(now, call, actions) != SendOutcome::kNoSlot) {
+      continue;
+    }
+    if (call->tried.empty() || skipped.size() >= kMaxSkipped) {
+      return;
+    }
+    skipped.push_back(call->request.id);
   }
 }
 
 template <RoutingPolicy Policy>
-void Dispatcher<Policy>::EndCall(MonoTime now, CallId id) {
-  const auto call = calls_.find(id);
-  Dequeue(now, call->second);
-  deadlines_.erase(std::pair(call->second.deadline, id));
-  calls_.erase(call);
+void Dispatcher<Policy>::TellWaiting(MonoTime now) {
+  for (const auto& [service, waiting] : book_.TakeWaitingChanges()) {
+    policy_->SetWaiting(now, service, waiting);
+  }
 }
 
 }  // namespace jd
