--- a/policy/policy_variant.h
+++ b/policy/policy_variant.h
@@ -10,13 +10,14 @@
 #include "policy/reported_load.h"
 #include "policy/round_robin.h"
 #include "policy/routing_policy.h"
+#include "policy/slot_holder.h"
 
 namespace jd {
 
 /// One of the routing policies, chosen at run time by name.
 class PolicyVariant {
  public:
-  using Alternatives = std::variant<LocalSlots, RoundRobin, LeastRequest, ReportedLoad>;
+  using Alternatives = std::variant<LocalSlots, RoundRobin, LeastRequest, ReportedLoad, SlotHolder>;
   static constexpr std::string_view kName = "variant";
 
   explicit PolicyVariant(Alternatives policy) : policy_(std::move(policy)) {}
--- a/rpc/convert.cc
+++ b/rpc/convert.cc
@@ -46,6 +46,7 @@
   out.sent = Micros(in.sent);
   out.echo = Micros(in.echo);
   out.echo_incarnation = Number(in.echo_incarnation.value);
+  out.can_own = in.can_own;
   return out;
 }
 
@@ -60,6 +61,7 @@
   out.sent = MonoFromMicros(in.sent);
   out.echo = MonoFromMicros(in.echo);
   out.echo_incarnation = Incarnation(Unsigned(in.echo_incarnation));
+  out.can_own = in.can_own;
   return out;
 }
 
@@ -69,11 +71,12 @@
   out.held = in.held;
   out.in_flight = in.in_flight;
   out.longest_left = in.longest_left.count();
+  out.bound = in.bound;
   return out;
 }
 
 HeldSlots FromWire(const wire::HeldSlots& in) {
-  return {EndpointId(in.endpoint), in.held, in.in_flight, Duration(in.longest_left)};
+  return {EndpointId(in.endpoint), in.held, in.in_flight, Duration(in.longest_left), in.bound};
 }
 
 wire::EndpointEvidence ToWire(const EndpointEvidence& in) {
@@ -163,6 +166,9 @@
   out.zone = in.zone.value;
   out.held = ToWireList(in.held);
   out.evidence = ToWireList(in.evidence);
+  out.wanted = in.wanted;
+  out.reserve_in = in.reserve_in.count();
+  out.handed_over = in.handed_over;
   return out;
 }
 
@@ -177,6 +183,9 @@
   out.zone = ZoneId(in.zone);
   out.held = FromWireList(in.held);
   out.evidence = FromWireList(in.evidence);
+  out.wanted = in.wanted;
+  out.reserve_in = Duration(in.reserve_in);
+  out.handed_over = in.handed_over;
   return out;
 }
 
@@ -190,6 +199,7 @@
   out.lifetime = in.lifetime.count();
   out.pressure = in.pressure;
   out.slots = ToWireList(in.slots);
+  out.handed_over = in.handed_over;
   return out;
 }
 
@@ -203,6 +213,7 @@
   out.lifetime = Duration(in.lifetime);
   out.pressure = in.pressure;
   out.slots = FromWireList(in.slots);
+  out.handed_over = in.handed_over;
   return out;
 }
 
--- a/rpc/gen-cpp/jackdawdeck_types.cpp
+++ b/rpc/gen-cpp/jackdawdeck_types.cpp
@@ -165,6 +165,10 @@
 void Heartbeat::__set_echo_incarnation(const int64_t val) {
   this->echo_incarnation = val;
 }
+
+void Heartbeat::__set_can_own(const bool val) {
+  this->can_own = val;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -265,6 +269,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->can_own);
+          this->__isset.can_own = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -318,6 +330,10 @@
   xfer += oprot->writeI64(this->echo_incarnation);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("can_own", ::apache::thrift::protocol::T_BOOL, 10);
+  xfer += oprot->writeBool(this->can_own);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -334,6 +350,7 @@
   swap(a.sent, b.sent);
   swap(a.echo, b.echo);
   swap(a.echo_incarnation, b.echo_incarnation);
+  swap(a.can_own, b.can_own);
   swap(a.__isset, b.__isset);
 }
 
@@ -347,6 +364,7 @@
   sent = other2.sent;
   echo = other2.echo;
   echo_incarnation = other2.echo_incarnation;
+  can_own = other2.can_own;
   __isset = other2.__isset;
 }
 Heartbeat& Heartbeat::operator=(const Heartbeat& other3) {
@@ -359,6 +377,7 @@
   sent = other3.sent;
   echo = other3.echo;
   echo_incarnation = other3.echo_incarnation;
+  can_own = other3.can_own;
   __isset = other3.__isset;
   return *this;
 }
@@ -374,6 +393,7 @@
   out << ", " << "sent=" << to_string(sent);
   out << ", " << "echo=" << to_string(echo);
   out << ", " << "echo_incarnation=" << to_string(echo_incarnation);
+  out << ", " << "can_own=" << to_string(can_own);
   out << ")";
 }
 
@@ -397,6 +417,10 @@
 void HeldSlots::__set_longest_left(const int64_t val) {
   this->longest_left = val;
 }
+
+void HeldSlots::__set_bound(const int32_t val) {
+  this->bound = val;
+}
 std::ostream& operator<<(std::ostream& out, const HeldSlots& obj)
 {
   obj.printTo(out);
@@ -457,6 +481,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->bound);
+          this->__isset.bound = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -490,6 +522,10 @@
   xfer += oprot->writeI64(this->longest_left);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("bound", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->bound);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -501,6 +537,7 @@
   swap(a.held, b.held);
   swap(a.in_flight, b.in_flight);
   swap(a.longest_left, b.longest_left);
+  swap(a.bound, b.bound);
   swap(a.__isset, b.__isset);
 }
 
@@ -509,6 +546,7 @@
   held = other4.held;
   in_flight = other4.in_flight;
   longest_left = other4.longest_left;
+  bound = other4.bound;
   __isset = other4.__isset;
 }
 HeldSlots& HeldSlots::operator=(const HeldSlots& other5) {
@@ -516,6 +554,7 @@
   held = other5.held;
   in_flight = other5.in_flight;
   longest_left = other5.longest_left;
+  bound = other5.bound;
   __isset = other5.__isset;
   return *this;
 }
@@ -526,6 +565,7 @@
   out << ", " << "held=" << to_string(held);
   out << ", " << "in_flight=" << to_string(in_flight);
   out << ", " << "longest_left=" << to_string(longest_left);
+  out << ", " << "bound=" << to_string(bound);
   out << ")";
 }
 
@@ -821,6 +861,18 @@
 void SlotRequest::__set_evidence(const std::vector<EndpointEvidence> & val) {
   this->evidence = val;
 }
+
+void SlotRequest::__set_wanted(const int32_t val) {
+  this->wanted = val;
+}
+
+void SlotRequest::__set_reserve_in(const int64_t val) {
+  this->reserve_in = val;
+}
+
+void SlotRequest::__set_handed_over(const bool val) {
+  this->handed_over = val;
+}
 std::ostream& operator<<(std::ostream& out, const SlotRequest& obj)
 {
   obj.printTo(out);
@@ -945,6 +997,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->wanted);
+          this->__isset.wanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->reserve_in);
+          this->__isset.reserve_in = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->handed_over);
+          this->__isset.handed_over = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1014,6 +1090,18 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_I32, 10);
+  xfer += oprot->writeI32(this->wanted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reserve_in", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->reserve_in);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("handed_over", ::apache::thrift::protocol::T_BOOL, 12);
+  xfer += oprot->writeBool(this->handed_over);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1030,6 +1118,9 @@
   swap(a.zone, b.zone);
   swap(a.held, b.held);
   swap(a.evidence, b.evidence);
+  swap(a.wanted, b.wanted);
+  swap(a.reserve_in, b.reserve_in);
+  swap(a.handed_over, b.handed_over);
   swap(a.__isset, b.__isset);
 }
 
@@ -1043,6 +1134,9 @@
   zone = other20.zone;
   held = other20.held;
   evidence = other20.evidence;
+  wanted = other20.wanted;
+  reserve_in = other20.reserve_in;
+  handed_over = other20.handed_over;
   __isset = other20.__isset;
 }
 SlotRequest& SlotRequest::operator=(const SlotRequest& other21) {
@@ -1055,6 +1149,9 @@
   zone = other21.zone;
   held = other21.held;
   evidence = other21.evidence;
+  wanted = other21.wanted;
+  reserve_in = other21.reserve_in;
+  handed_over = other21.handed_over;
   __isset = other21.__isset;
   return *this;
 }
@@ -1070,6 +1167,9 @@
   out << ", " << "zone=" << to_string(zone);
   out << ", " << "held=" << to_string(held);
   out << ", " << "evidence=" << to_string(evidence);
+  out << ", " << "wanted=" << to_string(wanted);
+  out << ", " << "reserve_in=" << to_string(reserve_in);
+  out << ", " << "handed_over=" << to_string(handed_over);
   out << ")";
 }
 
@@ -1261,6 +1361,10 @@
 void SlotGrant::__set_slots(const std::vector<GrantedSlots> & val) {
   this->slots = val;
 }
+
+void SlotGrant::__set_handed_over(const bool val) {
+  this->handed_over = val;
+}
 std::ostream& operator<<(std::ostream& out, const SlotGrant& obj)
 {
   obj.printTo(out);
@@ -1365,6 +1469,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->handed_over);
+          this->__isset.handed_over = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1422,6 +1534,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("handed_over", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->handed_over);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1437,6 +1553,7 @@
   swap(a.lifetime, b.lifetime);
   swap(a.pressure, b.pressure);
   swap(a.slots, b.slots);
+  swap(a.handed_over, b.handed_over);
   swap(a.__isset, b.__isset);
 }
 
@@ -1449,6 +1566,7 @@
   lifetime = other30.lifetime;
   pressure = other30.pressure;
   slots = other30.slots;
+  handed_over = other30.handed_over;
   __isset = other30.__isset;
 }
 SlotGrant& SlotGrant::operator=(const SlotGrant& other31) {
@@ -1460,6 +1578,7 @@
   lifetime = other31.lifetime;
   pressure = other31.pressure;
   slots = other31.slots;
+  handed_over = other31.handed_over;
   __isset = other31.__isset;
   return *this;
 }
@@ -1474,6 +1593,7 @@
   out << ", " << "lifetime=" << to_string(lifetime);
   out << ", " << "pressure=" << to_string(pressure);
   out << ", " << "slots=" << to_string(slots);
+  out << ", " << "handed_over=" << to_string(handed_over);
   out << ")";
 }
 
--- a/rpc/gen-cpp/jackdawdeck_types.h
+++ b/rpc/gen-cpp/jackdawdeck_types.h
@@ -106,7 +106,7 @@
 std::ostream& operator<<(std::ostream& out, const HybridStamp& obj);
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : zone(false), address(false), peer_port(false), version(false), ready(false), leaving(false), sent(false), echo(false), echo_incarnation(false) {}
+  _Heartbeat__isset() : zone(false), address(false), peer_port(false), version(false), ready(false), leaving(false), sent(false), echo(false), echo_incarnation(false), can_own(false) {}
   bool zone :1;
   bool address :1;
   bool peer_port :1;
@@ -116,6 +116,7 @@
   bool sent :1;
   bool echo :1;
   bool echo_incarnation :1;
+  bool can_own :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
@@ -132,7 +133,8 @@
               leaving(0),
               sent(0),
               echo(0),
-              echo_incarnation(0) {
+              echo_incarnation(0),
+              can_own(0) {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -145,6 +147,7 @@
   int64_t sent;
   int64_t echo;
   int64_t echo_incarnation;
+  bool can_own;
 
   _Heartbeat__isset __isset;
 
@@ -166,6 +169,8 @@
 
   void __set_echo_incarnation(const int64_t val);
 
+  void __set_can_own(const bool val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(zone == rhs.zone))
@@ -186,6 +191,8 @@
       return false;
     if (!(echo_incarnation == rhs.echo_incarnation))
       return false;
+    if (!(can_own == rhs.can_own))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
@@ -205,11 +212,12 @@
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
 typedef struct _HeldSlots__isset {
-  _HeldSlots__isset() : endpoint(false), held(false), in_flight(false), longest_left(false) {}
+  _HeldSlots__isset() : endpoint(false), held(false), in_flight(false), longest_left(false), bound(false) {}
   bool endpoint :1;
   bool held :1;
   bool in_flight :1;
   bool longest_left :1;
+  bool bound :1;
 } _HeldSlots__isset;
 
 class HeldSlots : public virtual ::apache::thrift::TBase {
@@ -221,7 +229,8 @@
             : endpoint(),
               held(0),
               in_flight(0),
-              longest_left(0) {
+              longest_left(0),
+              bound(0) {
   }
 
   virtual ~HeldSlots() noexcept;
@@ -229,6 +238,7 @@
   int32_t held;
   int32_t in_flight;
   int64_t longest_left;
+  int32_t bound;
 
   _HeldSlots__isset __isset;
 
@@ -240,6 +250,8 @@
 
   void __set_longest_left(const int64_t val);
 
+  void __set_bound(const int32_t val);
+
   bool operator == (const HeldSlots & rhs) const
   {
     if (!(endpoint == rhs.endpoint))
@@ -250,6 +262,8 @@
       return false;
     if (!(longest_left == rhs.longest_left))
       return false;
+    if (!(bound == rhs.bound))
+      return false;
     return true;
   }
   bool operator != (const HeldSlots &rhs) const {
@@ -368,7 +382,7 @@
 std::ostream& operator<<(std::ostream& out, const EndpointEvidence& obj);
 
 typedef struct _SlotRequest__isset {
-  _SlotRequest__isset() : pool(false), owner(false), sequence(false), last_grant(false), sent(false), demand(false), zone(false), held(false), evidence(false) {}
+  _SlotRequest__isset() : pool(false), owner(false), sequence(false), last_grant(false), sent(false), demand(false), zone(false), held(false), evidence(false), wanted(false), reserve_in(false), handed_over(false) {}
   bool pool :1;
   bool owner :1;
   bool sequence :1;
@@ -378,6 +392,9 @@
   bool zone :1;
   bool held :1;
   bool evidence :1;
+  bool wanted :1;
+  bool reserve_in :1;
+  bool handed_over :1;
 } _SlotRequest__isset;
 
 class SlotRequest : public virtual ::apache::thrift::TBase {
@@ -392,7 +409,10 @@
                 last_grant(0),
                 sent(0),
                 demand(0),
-                zone() {
+                zone(),
+                wanted(0),
+                reserve_in(0),
+                handed_over(0) {
   }
 
   virtual ~SlotRequest() noexcept;
@@ -405,6 +425,9 @@
   std::string zone;
   std::vector<HeldSlots>  held;
   std::vector<EndpointEvidence>  evidence;
+  int32_t wanted;
+  int64_t reserve_in;
+  bool handed_over;
 
   _SlotRequest__isset __isset;
 
@@ -426,6 +449,12 @@
 
   void __set_evidence(const std::vector<EndpointEvidence> & val);
 
+  void __set_wanted(const int32_t val);
+
+  void __set_reserve_in(const int64_t val);
+
+  void __set_handed_over(const bool val);
+
   bool operator == (const SlotRequest & rhs) const
   {
     if (!(pool == rhs.pool))
@@ -446,6 +475,12 @@
       return false;
     if (!(evidence == rhs.evidence))
       return false;
+    if (!(wanted == rhs.wanted))
+      return false;
+    if (!(reserve_in == rhs.reserve_in))
+      return false;
+    if (!(handed_over == rhs.handed_over))
+      return false;
     return true;
   }
   bool operator != (const SlotRequest &rhs) const {
@@ -529,7 +564,7 @@
 std::ostream& operator<<(std::ostream& out, const GrantedSlots& obj);
 
 typedef struct _SlotGrant__isset {
-  _SlotGrant__isset() : pool(false), owner(false), sequence(false), request(false), request_sent(false), lifetime(false), pressure(false), slots(false) {}
+  _SlotGrant__isset() : pool(false), owner(false), sequence(false), request(false), request_sent(false), lifetime(false), pressure(false), slots(false), handed_over(false) {}
   bool pool :1;
   bool owner :1;
   bool sequence :1;
@@ -538,6 +573,7 @@
   bool lifetime :1;
   bool pressure :1;
   bool slots :1;
+  bool handed_over :1;
 } _SlotGrant__isset;
 
 class SlotGrant : public virtual ::apache::thrift::TBase {
@@ -552,7 +588,8 @@
               request(0),
               request_sent(0),
               lifetime(0),
-              pressure(0) {
+              pressure(0),
+              handed_over(0) {
   }
 
   virtual ~SlotGrant() noexcept;
@@ -564,6 +601,7 @@
   int64_t lifetime;
   bool pressure;
   std::vector<GrantedSlots>  slots;
+  bool handed_over;
 
   _SlotGrant__isset __isset;
 
@@ -583,6 +621,8 @@
 
   void __set_slots(const std::vector<GrantedSlots> & val);
 
+  void __set_handed_over(const bool val);
+
   bool operator == (const SlotGrant & rhs) const
   {
     if (!(pool == rhs.pool))
@@ -601,6 +641,8 @@
       return false;
     if (!(slots == rhs.slots))
       return false;
+    if (!(handed_over == rhs.handed_over))
+      return false;
     return true;
   }
   bool operator != (const SlotGrant &rhs) const {
--- a/rpc/jackdawdeck.thrift
+++ b/rpc/jackdawdeck.thrift
@@ -19,6 +19,7 @@
   7: i64 sent
   8: i64 echo
   9: i64 echo_incarnation
+  10: bool can_own
 }
 
 struct HeldSlots {
@@ -26,6 +27,7 @@
   2: i32 held
   3: i32 in_flight
   4: i64 longest_left
+  5: i32 bound
 }
 
 struct EndpointEvidence {
@@ -50,6 +52,9 @@
   7: string zone
   8: list<HeldSlots> held
   9: list<EndpointEvidence> evidence
+  10: i32 wanted
+  11: i64 reserve_in
+  12: bool handed_over
 }
 
 struct GrantedSlots {
@@ -68,6 +73,7 @@
   6: i64 lifetime
   7: bool pressure
   8: list<GrantedSlots> slots
+  9: bool handed_over
 }
 
 struct EndpointNotice {
--- a/tests/rpc_test.cc
+++ b/tests/rpc_test.cc
@@ -20,7 +20,10 @@
   request.sent = MonoFromMicros(123456);
   request.demand = 2;
   request.zone = ZoneId("gasabo");
-  request.held = {{EndpointId("records/1"), 3, 2, 40ms}};
+  request.wanted = 6;
+  request.reserve_in = 7ms;
+  request.handed_over = true;
+  request.held = {{EndpointId("records/1"), 3, 2, 40ms, 4}};
   EndpointEvidence evidence;
   evidence.endpoint = EndpointId("records/1");
   evidence.instance = InstanceId("i-1");
