--- a/cluster/owned_pool.cc
+++ b/cluster/owned_pool.cc
@@ -405,6 +405,7 @@
   SlotGrant grant;
   grant.pool = view_.id;
   grant.owner = incarnation_;
+  grant.holder = holder.incarnation;
   grant.sequence = ++*sequence;
   grant.request = holder.sequence;
   grant.request_sent = holder.request_sent;
--- a/policy/slot_holder.cc
+++ b/policy/slot_holder.cc
@@ -285,6 +285,9 @@
 
 bool SlotHolder::OnGrant(MonoTime now, const GatewayId& from, const SlotGrant& grant) {
   const auto found = pools_.find(grant.pool);
+  if (grant.holder != incarnation_) {
+    return false;
+  }
   if (found != pools_.end() && grant.handed_over && found->second.former == from &&
       found->second.former_incarnation == grant.owner && found->second.last_grant == 0 &&
       grant.sequence > found->second.former_last_grant) {
--- a/policy/slot_holder.h
+++ b/policy/slot_holder.h
@@ -24,7 +24,8 @@
  public:
   static constexpr std::string_view kName = "slots";
 
-  SlotHolder(GatewayId self, ZoneId zone) : self_(std::move(self)), zone_(std::move(zone)) {}
+  SlotHolder(GatewayId self, ZoneId zone, Incarnation incarnation)
+      : self_(std::move(self)), zone_(std::move(zone)), incarnation_(incarnation) {}
 
   std::optional<EndpointId> Acquire(MonoTime now,
                                     const AcquireRequest& request,
@@ -110,6 +111,7 @@
 
   GatewayId self_;
   ZoneId zone_;
+  Incarnation incarnation_;
   std::vector<GatewayId> roster_;
   std::map<PoolId, Pool> pools_;
   std::map<ServiceId, std::vector<PoolId>> services_;
--- a/policy/slot_message.h
+++ b/policy/slot_message.h
@@ -85,11 +85,12 @@
 struct SlotGrant {
   PoolId pool;
   Incarnation owner;
-  uint64_t sequence = 0;     ///< Rises with each grant of the owner.
-  uint64_t request = 0;      ///< Latest request taken in.
-  MonoTime request_sent;     ///< Echo of that request's `sent`.
-  Duration lifetime{0};      ///< Loans expire at request_sent + lifetime on the holder's clock.
-  bool pressure = false;     ///< Demand is unmet: idle slots are to be returned at once.
+  Incarnation holder;     ///< A grant to a former run of the gateway must not reach the next one.
+  uint64_t sequence = 0;  ///< Rises with each grant of the owner.
+  uint64_t request = 0;   ///< Latest request taken in.
+  MonoTime request_sent;  ///< Echo of that request's `sent`.
+  Duration lifetime{0};   ///< Loans expire at request_sent + lifetime on the holder's clock.
+  bool pressure = false;  ///< Demand is unmet: idle slots are to be returned at once.
   bool handed_over = false;  ///< The sender stopped being owner and lends nothing more.
   std::vector<GrantedSlots> slots;
   bool operator==(const SlotGrant&) const = default;
--- a/tests/slot_network.h
+++ b/tests/slot_network.h
@@ -65,7 +65,7 @@
     node.incarnation = Incarnation(node.incarnation.value + 1);
     node.calls.clear();
     node.waiting = 0;
-    node.holder.emplace(node.id, node.zone);
+    node.holder.emplace(node.id, node.zone, node.incarnation);
     node.owner.emplace(node.incarnation);
     node.owner->SetRoster(Local(i), roster);
     node.holder->SetRoster(Local(i), roster);
