--- /dev/null
+++ b/tests/endpoint_health_test.cc
@@ -0,0 +1,96 @@
+#include "cluster/endpoint_health.h"
+
+#include <catch2/catch.hpp>
+
+namespace jd {
+namespace {
+
+const MonoTime kStart(1000s);
+
+EndpointEvidence Answers(int32_t count, Duration latency, const char* instance = "a") {
+  EndpointEvidence evidence;
+  evidence.instance = InstanceId(instance);
+  evidence.reported = true;
+  evidence.successes = count;
+  evidence.latency_sum = count * latency;
+  return evidence;
+}
+
+EndpointEvidence Failures(int32_t count) {
+  EndpointEvidence evidence;
+  evidence.failures = count;
+  return evidence;
+}
+
+// Guards against a cold upstream getting more work than it can handle (P2).
+TEST_CASE("a cold endpoint earns its slots by successes", "[endpoint_health_test]") {
+  EndpointHealth health(4, true);
+  CHECK(health.bound(kStart) == 1);
+  health.OnEvidence(kStart, Answers(1, 10ms), 10ms);
+  CHECK(health.bound(kStart) == 1);
+  health.OnEvidence(kStart, Answers(1, 10ms), 10ms);
+  CHECK(health.bound(kStart) == 2);
+  health.OnEvidence(kStart, Answers(4, 31ms), 10ms);
+  CHECK(health.bound(kStart) < 4);
+  health.OnEvidence(kStart + 1s, Answers(100, 10ms), 10ms);
+  CHECK(health.bound(kStart + 1s) == 4);
+  health.OnEvidence(kStart + 1s, Answers(8, 10ms), 10ms);
+  SECTION("a new instance is cold") {
+    health.OnEvidence(kStart + 2s, Answers(1, 10ms, "b"), 10ms);
+    CHECK(health.bound(kStart + 2s) == 1);
+  }
+  SECTION("an endpoint that says so is cold however it answers") {
+    EndpointEvidence cold = Answers(100, 10ms);
+    cold.state = EndpointState::kCold;
+    health.OnEvidence(kStart + 2s, cold, 10ms);
+    CHECK(health.bound(kStart + 2s) == 1);
+  }
+  SECTION("a latency jump without any report means cold") {
+    health.OnEvidence(kStart + 2s, Answers(8, 31ms), 10ms);
+    CHECK(health.bound(kStart + 2s) == 1);
+  }
+  SECTION("a slow-down of the whole pool does not") {
+    health.OnEvidence(kStart + 2s, Answers(8, 31ms), 31ms);
+    CHECK(health.bound(kStart + 2s) == 4);
+  }
+}
+
+// Guards against an endpoint that fails fast drawing calls because it seems idle.
+TEST_CASE("an endpoint that fails is ejected longer each time", "[endpoint_health_test]") {
+  EndpointHealth health(4, false);
+  health.OnEvidence(kStart, Failures(2), 10ms);
+  CHECK_FALSE(health.EjectIfDue(kStart));
+  health.OnEvidence(kStart, Failures(1), 10ms);
+  REQUIRE(health.EjectIfDue(kStart));
+  CHECK(health.bound(kStart + 999ms) == 0);
+  CHECK(health.bound(kStart + 1s) == 1);
+  health.OnEvidence(kStart + 1s, Failures(3), 10ms);
+  REQUIRE(health.EjectIfDue(kStart + 1s));
+  CHECK(health.bound(kStart + 2999ms) == 0);
+  CHECK(health.bound(kStart + 3s) == 1);
+}
+
+// Guards against an endpoint with less capacity than configured being kept overloaded.
+TEST_CASE("refusals halve the limit and successes restore it", "[endpoint_health_test]") {
+  EndpointHealth health(4, false);
+  EndpointEvidence refused = Answers(1, 10ms);
+  refused.refusals = 1;
+  health.OnEvidence(kStart, refused, 10ms);
+  health.OnEvidence(kStart, refused, 10ms);
+  CHECK(health.bound(kStart) == 2);
+  health.OnEvidence(kStart, Answers(20, 10ms), 10ms);
+  CHECK(health.bound(kStart) == 3);
+}
+
+// Guards against trusting a page that shows fewer calls than are known to run.
+TEST_CASE("a report below the known calls is discounted", "[endpoint_health_test]") {
+  EndpointHealth health(4, false);
+  health.OnReport(kStart, LoadReport{2, 4, EndpointState::kWarm, InstanceId("a")}, 2);
+  CHECK_FALSE(health.misleading(kStart));
+  health.OnReport(kStart, LoadReport{1, 4, EndpointState::kWarm, InstanceId("a")}, 2);
+  CHECK(health.misleading(kStart + 9999ms));
+  CHECK_FALSE(health.misleading(kStart + 10s));
+}
+
+}  // namespace
+}  // namespace jd
--- /dev/null
+++ b/tests/probe_scheduler_test.cc
@@ -0,0 +1,45 @@
+#include "cluster/probe_scheduler.h"
+
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+namespace jd {
+namespace {
+
+const EndpointId kEndpoint("bench/1");
+const ProbeSettings kSettings{6, 0.005, 6ms, 1ms};
+
+// Guards against an owner change refilling the budget.
+TEST_CASE("probes stay within their budget across owner changes", "[probe_scheduler_test]") {
+  CHECK(rc::check([](const std::vector<std::pair<uint8_t, bool>>& steps) {
+    MonoTime now(1000s);
+    const MonoTime start = now;
+    ProbeScheduler scheduler;
+    scheduler.SetEndpoint(now, kEndpoint, kSettings);
+    Duration spent{0};
+    for (const auto& [wait, change] : steps) {
+      now += wait * 20ms;
+      if (change) {
+        scheduler = ProbeScheduler();
+        scheduler.SetEndpoint(now, kEndpoint, kSettings);
+      }
+      spent += scheduler.TakeProbes(now).size() * 7ms;
+      RC_ASSERT(spent <= Scale(now - start, 6 * 0.005));
+    }
+  }));
+}
+
+// Guards against paying for what responses tell for nothing, and against never probing.
+TEST_CASE("only an endpoint without a free signal is probed", "[probe_scheduler_test]") {
+  const MonoTime start(1000s);
+  ProbeScheduler scheduler;
+  scheduler.SetEndpoint(start, kEndpoint, kSettings);
+  scheduler.OnFreeSignal(start + 9500ms, kEndpoint);
+  CHECK(scheduler.TakeProbes(start + 10s).empty());
+  CHECK(scheduler.next_timer() == start + 10500ms);
+  CHECK(scheduler.TakeProbes(start + 10500ms) == std::vector{kEndpoint});
+  CHECK(scheduler.TakeProbes(start + 10500ms).empty());
+}
+
+}  // namespace
+}  // namespace jd
