Lower the margin of slots held ahead of demand

Twice the root of the mean left the owner without free slots at 70% load, so that demand had to call slots back from other gateways. The margin is the root now.

--- a/cluster/owned_pool.cc
+++ b/cluster/owned_pool.cc
@@ -10,22 +10,6 @@
 
 }  // namespace
 
-int32_t OwnedPool::Loan::total() const {
-  int32_t sum = claimed + pending;
-  for (const auto& [sequence, added] : sent) {
-    sum += added;
-  }
-  return sum;
-}
-
-int32_t OwnedPool::Holder::total() const {
-  int32_t sum = 0;
-  for (const auto& [endpoint, loan] : loans) {
-    sum += loan.total();
-  }
-  return sum;
-}
-
 void OwnedPool::SetView(MonoTime now,
                         const PoolView& view,
                         const std::map<ZoneId, double>& zone_shares,
@@ -511,9 +495,4 @@
   Update(now);
 }
 
-void OwnedPool::OnEndpointLeaving(MonoTime now, const EndpointId& endpoint) {
-  endpoints_.at(endpoint).health.OnDraining();
-  Update(now);
-}
-
 }  // namespace jd
--- a/cluster/owned_pool.h
+++ b/cluster/owned_pool.h
@@ -42,7 +42,10 @@
   /// Ends a gateway's demand; with `left` its loans too.
   void OnHolderGone(MonoTime now, const GatewayId& gateway, bool left);
   void OnProbeReport(MonoTime now, const EndpointId& endpoint, const LoadReport& report);
-  void OnEndpointLeaving(MonoTime now, const EndpointId& endpoint);
+  void OnEndpointLeaving(MonoTime now, const EndpointId& endpoint) {
+    endpoints_.at(endpoint).health.OnDraining();
+    Update(now);
+  }
   /// Appends the grants due now. @param sequence of the latest grant of the process; it never
   /// falls, also if a pool is taken again.
   void TakeGrants(MonoTime now, uint64_t* sequence, std::vector<OutgoingSlotGrant>* grants);
@@ -62,7 +65,13 @@
     std::vector<std::pair<uint64_t, int32_t>> sent;  ///< Grants not yet acknowledged.
     int32_t pending = 0;                             ///< Lent with the next grant.
     int32_t limit = kNoSlotLimit;                    ///< As in the latest grant.
-    int32_t total() const;
+    int32_t total() const {
+      int32_t sum = claimed + pending;
+      for (const auto& [sequence, added] : sent) {
+        sum += added;
+      }
+      return sum;
+    }
     /// Slots that the holder may still use for new calls.
     int32_t effective() const { return std::min(total(), limit); }
   };
@@ -85,7 +94,13 @@
     bool grant_due = false;
     std::map<EndpointId, Loan> loans;
     std::map<EndpointId, int32_t> told_bounds;
-    int32_t total() const;
+    int32_t total() const {
+      int32_t sum = 0;
+      for (const auto& [endpoint, loan] : loans) {
+        sum += loan.total();
+      }
+      return sum;
+    }
   };
   struct Lendable {
     EndpointView view;
--- a/policy/slot_holder.cc
+++ b/policy/slot_holder.cc
@@ -372,7 +372,7 @@
 
 int32_t SlotHolder::Wanted(const Pool& pool) {
   // By Little's law the mean of calls in flight is rate times latency; arrivals vary with its root.
-  return static_cast<int32_t>(std::ceil(pool.busy_mean + 2 * std::sqrt(pool.busy_mean)));
+  return static_cast<int32_t>(std::ceil(pool.busy_mean + std::sqrt(pool.busy_mean)));
 }
 
 bool SlotHolder::ReturnIdle(MonoTime now, Pool* pool) {
--- a/tests/slot_lending_test.cc
+++ b/tests/slot_lending_test.cc
@@ -88,5 +88,36 @@
   CHECK(passed);
 }
 
+// Guards against a cold endpoint getting more than one call at a time over all gateways, and
+// against new calls to one that is leaving (P2, P7).
+TEST_CASE("a cold or draining endpoint loses its slots at every gateway", "[slot_lending_test]") {
+  SlotNetwork network(5, 4, 3, 1);
+  for (SlotNetwork::Gateway& node : network.nodes) {
+    node.load = 0.2;
+  }
+  Run(&network, 4s);
+  REQUIRE(network.UsableInPool() == 12);
+  LoadReport report;
+  report.instance = InstanceId("a");
+  SECTION("cold") {
+    report.state = EndpointState::kCold;
+    network.report = report;
+    Run(&network, 300ms);
+    for (const MonoTime end = network.now + 3s; network.now < end;) {
+      network.Step(5ms);
+      for (const EndpointView& endpoint : network.view.endpoints) {
+        REQUIRE(network.Usable(endpoint.id) <= 1);
+      }
+    }
+    CHECK(network.UsableInPool() > 0);
+  }
+  SECTION("draining") {
+    report.state = EndpointState::kDraining;
+    network.report = report;
+    Run(&network, 300ms);
+    CHECK(network.UsableInPool() == 0);
+  }
+}
+
 }  // namespace
 }  // namespace jd
