--- a/cluster/owned_pool.cc
+++ b/cluster/owned_pool.cc
@@ -10,22 +10,6 @@
 
 }  // namespace
 
-int32_t OwnedPool::Loan::total() const {
-  int32_t sum = claimed + pending;
-  for (const auto& [sequence, added] : sent) {
-    sum += added;
-  }
-  return sum;
-}
-
-int32_t OwnedPool::Holder::total() const {
-  int32_t sum = 0;
-  for (const auto& [endpoint, loan] : loans) {
-    sum += loan.total();
-  }
-  return sum;
-}
-
 void OwnedPool::SetView(MonoTime now,
                         const PoolView& view,
                         const std::map<ZoneId, double>& zone_shares,
@@ -405,6 +389,7 @@
   SlotGrant grant;
   grant.pool = view_.id;
   grant.owner = incarnation_;
+  grant.holder = holder.incarnation;
   grant.sequence = ++*sequence;
   grant.request = holder.sequence;
   grant.request_sent = holder.request_sent;
@@ -510,9 +495,4 @@
   Update(now);
 }
 
-void OwnedPool::OnEndpointLeaving(MonoTime now, const EndpointId& endpoint) {
-  endpoints_.at(endpoint).health.OnDraining();
-  Update(now);
-}
-
 }  // namespace jd
--- a/policy/slot_holder.cc
+++ b/policy/slot_holder.cc
@@ -285,6 +285,9 @@
 
 bool SlotHolder::OnGrant(MonoTime now, const GatewayId& from, const SlotGrant& grant) {
   const auto found = pools_.find(grant.pool);
+  if (grant.holder != incarnation_) {
+    return false;
+  }
   if (found != pools_.end() && grant.handed_over && found->second.former == from &&
       found->second.former_incarnation == grant.owner && found->second.last_grant == 0 &&
       grant.sequence > found->second.former_last_grant) {
@@ -369,7 +372,7 @@
 
 int32_t SlotHolder::Wanted(const Pool& pool) {
   // By Little's law the mean of calls in flight is rate times latency; arrivals vary with its root.
-  return static_cast<int32_t>(std::ceil(pool.busy_mean + 2 * std::sqrt(pool.busy_mean)));
+  return static_cast<int32_t>(std::ceil(pool.busy_mean + std::sqrt(pool.busy_mean)));
 }
 
 bool SlotHolder::ReturnIdle(MonoTime now, Pool* pool) {
