--- a/common/config_entry.cc
+++ b/common/config_entry.cc
@@ -109,6 +109,14 @@
   return errors->size() > before ? std::nullopt : std::optional(std::move(entry));
 }
 
+ConfigVersion BaseOfLogRow(std::string_view text) {
+  ConfigErrors errors;
+  const json value = ParseJson(text, &errors);
+  const bool valid =
+      value.is_object() && value.contains("base") && value["base"].is_number_unsigned();
+  return valid ? ConfigVersion(value["base"].get<uint64_t>()) : ConfigVersion();
+}
+
 std::vector<std::string> Diff(const Configuration& from, const Configuration& to) {
   const Lines old_lines = Flatten(from);
   const Lines new_lines = Flatten(to);
--- a/common/config_entry.h
+++ b/common/config_entry.h
@@ -41,6 +41,9 @@
                                            std::string_view text,
                                            ConfigErrors* errors);
 
+/// Returns the base in the value of an entry's row, 0 if the row is malformed.
+ConfigVersion BaseOfLogRow(std::string_view text);
+
 /// Returns the differences as lines such as "~ profile/fast deadline_ms: 2000.0 -> 500.0", with
 /// '+' for what was added and '-' for what was removed; empty if only versions differ.
 std::vector<std::string> Diff(const Configuration& from, const Configuration& to);
