--- /dev/null
+++ b/cluster/lease.cc
@@ -0,0 +1,103 @@
+#include "cluster/lease.h"
+
+#include <utility>
+
+#include "common/json_fields.h"
+
+namespace jd {
+namespace {
+
+struct LeaseRow {
+  std::string holder;
+  uint64_t fencing = 0;
+  std::string nonce;
+};
+
+LeaseRow Parse(const std::string& value) {
+  ConfigErrors errors;
+  const nlohmann::json json = ParseJson(value, &errors);
+  JsonReader reader(json, "", &errors);
+  LeaseRow row;
+  reader.Text("holder", row.holder, Need::kRequired);
+  reader.Whole("fencing", row.fencing, 0, INT64_MAX, Need::kRequired);
+  reader.Text("nonce", row.nonce, Need::kRequired);
+  return row;
+}
+
+}  // namespace
+
+Lease::Lease(std::string name, GatewayId self, uint64_t first_token)
+    : key_("lease/" + std::move(name)), self_(std::move(self)), next_token_(first_token) {}
+
+void Lease::OnTimer(MonoTime now, TableCalls* calls) {
+  if (now < next_timer_) {
+    return;
+  }
+  next_timer_ = now + kRenewEvery;
+  // An answer that is still missing after a whole period belongs to an abandoned attempt.
+  Call(Step::kRead, TableGet{key_}, calls);
+}
+
+void Lease::OnTableReply(MonoTime now, uint64_t token, const TableReply& reply, TableCalls* calls) {
+  if (token != token_ || step_ == Step::kIdle) {
+    return;
+  }
+  const Step step = std::exchange(step_, Step::kIdle);
+  if (step == Step::kRead) {
+    OnRow(now, reply, calls);
+  } else if (step == Step::kConfirm) {
+    OnConfirm(reply);
+  } else if (reply.status == TableStatus::kDone || reply.status == TableStatus::kUnknown) {
+    // The row's new version is needed for check(), and tells whether a lost write took effect.
+    Call(Step::kConfirm, TableGet{key_}, calls);
+  }
+}
+
+void Lease::OnRow(MonoTime now, const TableReply& reply, TableCalls* calls) {
+  if (reply.status != TableStatus::kDone) {
+    return;
+  }
+  const uint64_t version = reply.rows.empty() ? 0 : reply.rows[0].version;
+  const LeaseRow row = reply.rows.empty() ? LeaseRow() : Parse(reply.rows[0].value);
+  if (held(now) && version == row_) {
+    Write(now, version, fencing_, calls);
+    return;
+  }
+  held_until_.reset();
+  if (version != seen_row_) {
+    seen_row_ = version;
+    seen_since_ = now;
+  }
+  if (version == 0 || now - seen_since_ >= Scale(kLasts, 1.0 + kMargin)) {
+    Write(now, version, row.fencing + 1, calls);
+  }
+}
+
+void Lease::OnConfirm(const TableReply& reply) {
+  if (reply.status != TableStatus::kDone || reply.rows.empty() ||
+      Parse(reply.rows[0].value).nonce != nonce_) {
+    return;
+  }
+  row_ = reply.rows[0].version;
+  fencing_ = wanted_fencing_;
+  held_until_ = sent_ + Scale(kLasts, 1.0 - kMargin);
+}
+
+void Lease::Write(MonoTime now, uint64_t row, uint64_t fencing, TableCalls* calls) {
+  sent_ = now;
+  wanted_fencing_ = fencing;
+  nonce_ = self_.value + "/" + std::to_string(Micros(now)) + "/" + std::to_string(++writes_);
+  const nlohmann::json value = {{"holder", self_.value}, {"fencing", fencing}, {"nonce", nonce_}};
+  TableTransaction transaction;
+  transaction.checks.push_back({key_, row});
+  transaction.puts.push_back({key_, value.dump()});
+  Call(Step::kWrite, std::move(transaction), calls);
+}
+
+void Lease::Call(Step step, TableRequest request, TableCalls* calls) {
+  step_ = step;
+  token_ = next_token_++;
+  calls->push_back({token_, std::move(request), kRenewEvery});
+}
+
+}  // namespace jd
