--- /dev/null
+++ b/tests/request_claims_test.cc
@@ -0,0 +1,154 @@
+#include "cluster/request_claims.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <memory>
+
+#include "tests/table_link.h"
+
+namespace jd {
+namespace {
+
+const std::string kKey = RequestClaims::KeyOf(ServiceId("s"), WorkspaceId("w"), "k");
+
+Now At(int64_t millis) {
+  return {MonoTime(std::chrono::milliseconds(millis)), WallTime(std::chrono::milliseconds(millis))};
+}
+
+/// Runs the claim's table calls at once, and returns the answers.
+std::vector<ClaimAnswer> Settle(RequestClaims* claims, FakeTable* table, ClaimOutput output) {
+  while (!output.calls.empty()) {
+    for (const TableCall& call : std::exchange(output.calls, {})) {
+      claims->OnTableReply(At(1), call.token, table->Do(call.request), &output);
+    }
+  }
+  return output.answers;
+}
+
+ClaimDecision Ask(RequestClaims* claims, FakeTable* table, uint64_t call, uint64_t fingerprint) {
+  ClaimOutput output;
+  claims->Claim(At(0), CallId(call), kKey, Fingerprint(fingerprint), At(10000).mono, &output);
+  return Settle(claims, table, output).at(0).decision;
+}
+
+TEST_CASE("a resend gets the stored response, 409, or may run after not run",
+          "[request_claims_test]") {
+  FakeTable table;
+  RequestClaims a(GatewayId("a"), Incarnation(1));
+  RequestClaims b(GatewayId("b"), Incarnation(1));
+  CHECK(Ask(&a, &table, 1, 7) == ClaimDecision::kRun);
+  CHECK(Ask(&b, &table, 1, 7) == ClaimDecision::kUnresolved);
+  CHECK(Ask(&b, &table, 2, 8) == ClaimDecision::kOtherRequest);
+  ClaimOutput output;
+  a.Finish(At(1), CallId(1), {Verdict::kNotRun, 0, "", ""}, &output);
+  Settle(&a, &table, output);
+  CHECK(table.rows.empty());
+  CHECK(Ask(&b, &table, 3, 7) == ClaimDecision::kRun);
+  output = {};
+  const std::string body("\x00\xff{}", 4);
+  b.Finish(At(1), CallId(3), {Verdict::kRan, 201, "application/json", body}, &output);
+  Settle(&b, &table, output);
+  output = {};
+  a.Claim(At(0), CallId(9), kKey, Fingerprint(7), At(10000).mono, &output);
+  const std::vector<ClaimAnswer> answers = Settle(&a, &table, output);
+  REQUIRE(answers.at(0).decision == ClaimDecision::kReplay);
+  CHECK(answers[0].stored.body == body);
+  CHECK(answers[0].stored.status == 201);
+  CHECK(Ask(&a, &table, 10, 8) == ClaimDecision::kOtherRequest);
+}
+
+// Guards against a slow store that holds callers, and a late answer that starts a refused call.
+TEST_CASE("a claim that takes too long is refused and taken back", "[request_claims_test]") {
+  FakeTable table;
+  RequestClaims claims(GatewayId("a"), Incarnation(1));
+  ClaimOutput output;
+  claims.Claim(At(0), CallId(1), kKey, Fingerprint(7), At(400).mono, &output);
+  REQUIRE(claims.next_timer() == At(200).mono);
+  const TableCall insert = output.calls.at(0);
+  claims.OnTimer(At(200), &output);
+  REQUIRE(output.answers.size() == 1);
+  CHECK(output.answers[0].decision == ClaimDecision::kStoreDown);
+  const TableReply late = table.Do(insert.request);
+  claims.OnTableReply(At(250), insert.token, late, &output);
+  CHECK(output.answers.size() == 1);
+  claims.OnTableReply(At(260), output.calls.back().token, table.Do(output.calls.back().request),
+                      &output);
+  claims.OnTableReply(At(270), output.calls.back().token, table.Do(output.calls.back().request),
+                      &output);
+  CHECK(table.rows.empty());
+  CHECK(claims.pending() == 0);
+}
+
+// Guards against a keyed request that runs twice, or that ran although it was refused.
+TEST_CASE("a keyed request runs at most once over resends, losses and crashes",
+          "[request_claims_test]") {
+  uint64_t ran = 0;
+  uint64_t replayed = 0;
+  CHECK(rc::check([&] {
+    TableLink link(*rc::gen::arbitrary<uint64_t>());
+    link.losses = *rc::gen::inRange<uint64_t>(0, 4);
+    std::vector<std::unique_ptr<RequestClaims>> gateways(3);
+    std::vector<int> runs(3, 0);
+    int64_t now = 0;
+    uint64_t executions = 0;
+    uint64_t next_call = 1;
+    std::vector<std::pair<size_t, CallId>> running;
+    std::function<void(size_t, const ClaimOutput&)> take = [&](size_t g,
+                                                               const ClaimOutput& output) {
+      for (const ClaimAnswer& answer : output.answers) {
+        if (answer.decision == ClaimDecision::kRun) {
+          running.emplace_back(g, answer.call);
+        }
+        replayed += answer.decision == ClaimDecision::kReplay ? 1 : 0;
+      }
+      for (const TableCall& call : output.calls) {
+        link.Send(call, [&, g, run = runs[g], token = call.token](const TableReply& reply) {
+          ClaimOutput next;
+          if (run == runs[g]) {
+            gateways[g]->OnTableReply(At(now), token, reply, &next);
+            take(g, next);
+          }
+        });
+      }
+    };
+    for (int step = 0; step < 400; ++step) {
+      now += static_cast<int64_t>(link.random() % 40);
+      const size_t g = link.random() % 3;
+      ClaimOutput output;
+      const uint64_t dice = link.random() % 20;
+      if (!gateways[g] || dice == 0) {
+        // A crash loses the gateway's calls; an attempt that was sent may still run.
+        gateways[g] = std::make_unique<RequestClaims>(
+            GatewayId(std::to_string(g)), Incarnation(static_cast<uint64_t>(++runs[g])));
+        std::erase_if(running, [&](const auto& call) { return call.first == g; });
+      } else if (dice < 6) {
+        gateways[g]->Claim(At(now), CallId(next_call++), kKey, Fingerprint(7), At(now + 5000).mono,
+                           &output);
+      } else if (dice < 9 && !running.empty()) {
+        const auto [holder, call] = running.back();
+        running.pop_back();
+        const bool not_run = link.random() % 2 == 0;
+        executions += not_run ? 0 : 1;
+        const Verdict verdict = not_run                  ? Verdict::kNotRun
+                                : link.random() % 2 == 0 ? Verdict::kRan
+                                                         : Verdict::kMayHaveRun;
+        ClaimOutput finished;
+        gateways[holder]->Finish(At(now), call, {verdict, 200, "", "x"}, &finished);
+        take(holder, finished);
+      } else {
+        gateways[g]->OnTimer(At(now), &output);
+      }
+      link.table.down = link.random() % 15 == 0;
+      take(g, output);
+      link.Step();
+      RC_ASSERT(executions <= 1U);
+    }
+    ran += executions;
+  }));
+  CHECK(ran > 20);
+  CHECK(replayed > 20);
+}
+
+}  // namespace
+}  // namespace jd
