Keep connections that the gateway closed out of the evidence

Cause: calls that fail because silent connections were closed were reported to the policy as connection losses of the endpoint.

Change: SilentConnections remembers which connections it closed; their losses reach the policy as cancelled and do not reach CrashGuard. Endpoints that left the configuration are forgotten.

Conclusion: closing silent connections neither ejects an endpoint nor blocks a request.

--- a/policy/attempt_book.cc
+++ b/policy/attempt_book.cc
@@ -41,10 +41,13 @@
     silent_.OnAnswered(now, origin.endpoint, seen.connection_opened, seen.latency);
     return;
   }
-  if (seen.outcome == AttemptOutcome::kConnectionLost && seen.request_written &&
-      !attempt.cancelled()) {
-    guard_.OnConnectionLost(now, {origin.fingerprint, origin.call, origin.service, origin.endpoint,
-                                  attempt.sent(), origin.idempotent});
+  if (seen.outcome == AttemptOutcome::kConnectionLost && !attempt.cancelled()) {
+    if (silent_.ClosedHere(now, origin.endpoint, seen.connection_opened)) {
+      told->outcome = AttemptOutcome::kCancelled;
+    } else if (seen.request_written) {
+      guard_.OnConnectionLost(now, {origin.fingerprint, origin.call, origin.service,
+                                    origin.endpoint, attempt.sent(), origin.idempotent});
+    }
     return;
   }
   if (seen.outcome == AttemptOutcome::kCancelled && attempt.expired()) {
@@ -53,15 +56,11 @@
   if (!attempt.IsSilent(seen)) {
     return;
   }
-  const size_t before = actions->size();
-  if (!silent_.OnSilent(
-          now, {origin.endpoint, attempt.sent(), seen.connection_opened, seen.new_connection},
-          actions)) {
+  const SilentAttempt silent{origin.endpoint, attempt.sent(), seen.connection_opened,
+                             seen.new_connection};
+  if (!silent_.OnSilent(now, silent, actions)) {
     told->outcome = AttemptOutcome::kCancelled;
   }
-  if (actions->size() > before) {
-    guard_.OnConnectionsClosed(now, origin.endpoint);
-  }
 }
 
 void AttemptBook::Announce(MonoTime now, CallActions* actions) {
--- a/policy/attempt_book.h
+++ b/policy/attempt_book.h
@@ -16,7 +16,8 @@
   Attempt attempt;
   Verdict verdict = Verdict::kMayHaveRun;
   /// The result as the routing policy is to see it: an attempt that ran out of time counts as timed
-  /// out, also if the gateway cancelled it, unless only its connection is to blame.
+  /// out, also if the gateway cancelled it. It counts as cancelled if only its connection is to
+  /// blame, or if the gateway closed that connection.
   AttemptResult result;
 };
 
@@ -31,6 +32,9 @@
   /// Announces the requests found to crash upstreams.
   void Announce(MonoTime now, CallActions* actions);
 
+  /// Forgets an endpoint that has left the configuration.
+  void RemoveEndpoint(const EndpointId& endpoint) { silent_.RemoveEndpoint(endpoint); }
+
   CrashGuard& guard() { return guard_; }
   const CrashGuard& guard() const { return guard_; }
   size_t size() const { return attempts_.size(); }
--- a/policy/call_book.cc
+++ b/policy/call_book.cc
@@ -36,10 +36,13 @@
 }  // namespace
 
 void CallBook::SetConfiguration(MonoTime now, ConfigurationPtr configuration) {
-  configuration_ = std::move(configuration);
+  const ConfigurationPtr previous = std::exchange(configuration_, std::move(configuration));
   if (configuration_ == nullptr) {
     return;
   }
+  if (previous != nullptr) {
+    ForgetEndpoints(*previous);
+  }
   for (auto state = services_.begin(); state != services_.end();) {
     if (configuration_->services.contains(state->first)) {
       ++state;
@@ -60,6 +63,26 @@
   }
 }
 
+void CallBook::ForgetEndpoints(const Configuration& previous) {
+  for (const auto& [id, service] : previous.services) {
+    const auto present = configuration_->services.find(id);
+    const auto stays = [&](const Endpoint& endpoint) {
+      return present != configuration_->services.end() &&
+             std::any_of(present->second.endpoints.begin(), present->second.endpoints.end(),
+                         [&](const Endpoint& other) { return other.id == endpoint.id; });
+    };
+    if (present != configuration_->services.end() &&
+        present->second.endpoints == service.endpoints) {
+      continue;
+    }
+    for (const Endpoint& endpoint : service.endpoints) {
+      if (!stays(endpoint)) {
+        attempts_.RemoveEndpoint(endpoint.id);
+      }
+    }
+  }
+}
+
 void CallBook::SetService(MonoTime now, const ServiceView& view) {
   const auto state = services_.find(view.id);
   if (state == services_.end()) {
--- a/policy/call_book.h
+++ b/policy/call_book.h
@@ -70,6 +70,8 @@
   enum class TimerKind : uint8_t { kDeadline, kHedge };
   using Timer = std::tuple<MonoTime, CallId, TimerKind>;
 
+  /// Drops what is known of endpoints that the present configuration no longer has.
+  void ForgetEndpoints(const Configuration& previous);
   Call* Find(CallId id);
   ServiceState& StateOf(const Call& call) { return services_.at(call.request.service); }
   const ServiceState& StateOf(const Call& call) const { return services_.at(call.request.service); }
--- a/policy/crash_guard.cc
+++ b/policy/crash_guard.cc
@@ -49,13 +49,6 @@
 }
 
 void CrashGuard::OnConnectionLost(MonoTime now, const ConnectionLoss& loss) {
-  const auto closed = closed_.find(loss.endpoint);
-  if (closed != closed_.end()) {
-    if (now - closed->second <= kWindow) {
-      return;
-    }
-    closed_.erase(closed);
-  }
   auto suspect = suspects_.find(loss.fingerprint);
   if (suspect != suspects_.end() && now - suspect->second.lost >= kLifetime) {
     suspects_.erase(suspect);
@@ -75,12 +68,6 @@
   }
 }
 
-void CrashGuard::OnConnectionsClosed(MonoTime now, const EndpointId& endpoint) {
-  MakeRoom(
-      now, kWindow, kMaxEntries, [](const auto& entry) { return entry.second; }, &closed_);
-  closed_[endpoint] = now;
-}
-
 void CrashGuard::AddFromPeer(MonoTime now, Fingerprint fingerprint) {
   // A notice that is relayed again must not extend the time for which the request is blocked.
   if (Blocks(now, fingerprint)) {
--- a/policy/crash_guard.h
+++ b/policy/crash_guard.h
@@ -41,8 +41,6 @@
   void OnConnectionLost(MonoTime now, const ConnectionLoss& loss);
   /// An upstream answered the request completely.
   void OnAnswered(Fingerprint fingerprint) { suspects_.erase(fingerprint); }
-  /// The gateway closes connections to the endpoint itself; their losses are no evidence.
-  void OnConnectionsClosed(MonoTime now, const EndpointId& endpoint);
   void AddFromPeer(MonoTime now, Fingerprint fingerprint);
   /// Takes the decisions that are due. @return fingerprints blocked since the last call, which the
   /// peers must be told about.
@@ -85,7 +83,6 @@
   std::deque<RecentLoss> recent_;
   std::deque<Candidate> candidates_;
   std::vector<Fingerprint> found_;
-  std::unordered_map<EndpointId, MonoTime> closed_;
 };
 
 }  // namespace jd
--- a/policy/silent_connections.cc
+++ b/policy/silent_connections.cc
@@ -8,6 +8,9 @@
 /// Enough for one answer from each of an endpoint's connections in turn.
 constexpr size_t kMaxAnswers = 256;
 
+/// The event loop reports the calls of a closed connection within this time.
+constexpr Duration kCloseReported = 1s;
+
 }  // namespace
 
 void SilentConnections::OnAnswered(MonoTime now,
@@ -41,8 +44,18 @@
   const MonoTime before = since == latest.end() ? latest.back().opened : since->opened;
   if (attempt.connection_opened < before) {
     actions->push_back(CloseConnections{attempt.endpoint, before});
+    found->second.closed_at = now;
+    found->second.closed_before = before;
   }
   return attempt.new_connection;
 }
 
+bool SilentConnections::ClosedHere(MonoTime now,
+                                   const EndpointId& endpoint,
+                                   MonoTime connection_opened) const {
+  const auto found = answers_.find(endpoint);
+  return found != answers_.end() && connection_opened < found->second.closed_before &&
+         now - found->second.closed_at <= kCloseReported;
+}
+
 }  // namespace jd
--- a/policy/silent_connections.h
+++ b/policy/silent_connections.h
@@ -34,6 +34,9 @@
   /// that answered. A connection that has answered since the attempt was sent is known to work.
   /// @return whether the endpoint itself is to blame, because a new connection was silent too.
   bool OnSilent(MonoTime now, const SilentAttempt& attempt, CallActions* actions);
+  /// Returns whether OnSilent closed the connection lately, so that its loss says nothing about the
+  /// endpoint or the request.
+  bool ClosedHere(MonoTime now, const EndpointId& endpoint, MonoTime connection_opened) const;
   /// Forgets an endpoint that has left the configuration.
   void RemoveEndpoint(const EndpointId& endpoint) { answers_.erase(endpoint); }
 
@@ -46,7 +49,9 @@
     /// An entry with an earlier answer and a later opening than the next never decides and is
     /// dropped, so that openings rise with time.
     std::deque<Answer> latest;
-    Duration latency{0};  ///< Smoothed.
+    Duration latency{0};     ///< Smoothed.
+    MonoTime closed_at;      ///< When connections were last closed.
+    MonoTime closed_before;  ///< Those opened before this time; the epoch if none were.
   };
   std::unordered_map<EndpointId, Answered> answers_;
 };
--- a/tests/call_world.h
+++ b/tests/call_world.h
@@ -24,6 +24,7 @@
   std::map<EndpointId, int> used;
   int32_t waiting = 0;
   bool over_released = false;
+  AttemptOutcome last = AttemptOutcome::kAnswered;  ///< As the policy saw it.
 };
 
 /// A dispatcher with one service and a model of its event loop; every action is checked against
@@ -68,6 +69,8 @@
   std::vector<Fingerprint> announced;
   std::vector<CloseConnections> closed;
   int sends = 0;
+  MonoTime opened = MonoFromMicros(0);  ///< Connection of the next result.
+  bool new_connection = false;
   std::string fault;
 
  private:
@@ -98,6 +101,7 @@
 inline void CountedSlots::Release(MonoTime now,
                                   const EndpointId& endpoint,
                                   const AttemptResult& result) {
+  last = result.outcome;
   if (--used[endpoint] < 0) {
     over_released = true;
     return;
@@ -185,7 +189,8 @@
   result.outcome = outcome;
   result.request_written = written;
   result.latency = now - sent[ended->first];
-  result.connection_opened = now - 1s;
+  result.connection_opened = opened;
+  result.new_connection = new_connection;
   CallModel& call = calls.at(ended->second.call);
   call.running.erase(ended->first);
   call.may_have_run |= VerdictOf(result) != Verdict::kNotRun;
--- a/tests/crash_guard_test.cc
+++ b/tests/crash_guard_test.cc
@@ -87,14 +87,6 @@
   CHECK(Blocks(guard, 200, 1));
 }
 
-TEST_CASE("connections that the gateway closed itself are no evidence", "[crash_guard_test]") {
-  CrashGuard guard;
-  guard.OnConnectionsClosed(At(0), EndpointId("b"));
-  guard.OnConnectionLost(At(1), Loss(1, 1, "a", 0));
-  guard.OnConnectionLost(At(9), Loss(1, 1, "b", 2));
-  CHECK_FALSE(Blocks(guard, 10, 1));
-}
-
 TEST_CASE("memory stays bounded and the latest finds are kept", "[crash_guard_test]") {
   CrashGuard guard;
   for (uint64_t i = 0; i < 3 * CrashGuard::kMaxEntries; ++i) {
--- a/tests/dispatcher_test.cc
+++ b/tests/dispatcher_test.cc
@@ -213,6 +213,50 @@
   }
 }
 
+// Guards against ejecting an endpoint, or blocking a request, over connections that went silent.
+TEST_CASE("the policy sees a time-out only if the endpoint is to blame", "[dispatcher_test]") {
+  CallWorld world(1);
+  world.Arrive("POST", 0, 1000, 1);
+  world.Advance(10ms);
+  world.opened = MonoFromMicros(500);
+  world.Finish(0, AttemptOutcome::kAnswered, true);
+  world.opened = MonoFromMicros(400);
+  world.Arrive("POST", 0, 500, 2);
+  world.Advance(600ms);
+  world.Finish(0, AttemptOutcome::kCancelled, true);
+  CHECK(world.policy.last == AttemptOutcome::kCancelled);
+  REQUIRE(world.closed.size() == 1);
+  CHECK(world.closed[0].opened_before == MonoFromMicros(500));
+  for (int i = 0; i < 3; ++i) {
+    world.Arrive("POST", 0, 500, 3);
+    world.Finish(0, AttemptOutcome::kConnectionLost, true);
+    CHECK(world.policy.last == AttemptOutcome::kCancelled);
+  }
+  CHECK(world.announced.empty());
+  world.opened = world.now;
+  world.new_connection = true;
+  world.Arrive("POST", 0, 500, 4);
+  world.Advance(600ms);
+  world.Finish(0, AttemptOutcome::kCancelled, true);
+  CHECK(world.policy.last == AttemptOutcome::kTimedOut);
+}
+
+TEST_CASE("no hedge takes the slot that a waiting call needs", "[dispatcher_test]") {
+  CallWorld world(2);
+  world.profile.hedge = true;
+  world.profile.hedge_after = 20ms;
+  world.Apply();
+  for (int i = 0; i < 3; ++i) {
+    world.Arrive("GET", 0, 1000, i);
+  }
+  world.Advance(30ms);
+  world.Finish(1, AttemptOutcome::kAnswered, true);
+  CHECK(world.sends == 3);
+  world.Finish(1, AttemptOutcome::kAnswered, true);
+  world.Advance(500ms);
+  CHECK(world.sends == 3);
+}
+
 TEST_CASE("a crashing request is refused after two upstreams and announced", "[dispatcher_test]") {
   CallWorld world;
   world.Arrive("GET", 0, 1000, 7);
--- a/tests/silent_connections_test.cc
+++ b/tests/silent_connections_test.cc
@@ -21,6 +21,9 @@
   CHECK_FALSE(silent.OnSilent(At(1100), {kEndpoint, At(600), At(-90), false}, &actions));
   REQUIRE(actions.size() == 1);
   CHECK(std::get<CloseConnections>(actions[0]).opened_before == At(50));
+  CHECK(silent.ClosedHere(At(1101), kEndpoint, At(49)));
+  CHECK_FALSE(silent.ClosedHere(At(1101), kEndpoint, At(50)));
+  CHECK_FALSE(silent.ClosedHere(At(2101), kEndpoint, At(49)));
   CHECK(silent.OnSilent(At(1700), {kEndpoint, At(1200), At(1200), true}, &actions));
   CHECK(actions.size() == 1);
 }
