Add example deployments and tests of the stand-ins

Cause: the stand-ins are the witness for the promises, so their own table, faults, slot and cold accounting and ledger need tests; both deployments of the design page need settings to run.

--- a/standin/main.cc
+++ b/standin/main.cc
@@ -2,10 +2,15 @@
 
 #include <cstdio>
 #include <exception>
+#include <fstream>
 #include <map>
+#include <sstream>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
+#include "standin/example.h"
+#include "standin/http_command.h"
 #include "standin/load_client.h"
 #include "standin/platform_server.h"
 #include "standin/upstream_server.h"
@@ -22,6 +27,9 @@
                       [--get-share=X] [--key-share=X] [--key-header=NAME] [--latency-ms=X]
                       [--deadline-ms=N] [--timeout-ms=N] [--body-size=N] [--id-prefix=TEXT]
                       [--ledger=LIST] [--no-series]
+  jackdawdeck-standin example NAME --base-port=N --out=DIR [--gateways=N]
+  jackdawdeck-standin http METHOD URL [--body=TEXT | --body-file=FILE] [--field=POINTER]
+  jackdawdeck-standin field FILE POINTER
   jackdawdeck-standin (-h | --help)
 
 Options:
@@ -46,6 +54,12 @@
   --id-prefix=TEXT   Start of each request id [default: load].
   --ledger=LIST      Control addresses of upstreams to compare with.
   --no-series        Leaves out the series by second.
+  --base-port=N      First port of an example deployment.
+  --out=DIR          Directory for the files of an example deployment.
+  --gateways=N       Number of gateways [default: 3].
+  --body=TEXT        Body of the request.
+  --body-file=FILE   File with the body of the request.
+  --field=POINTER    JSON pointer of the field to print.
 )";
 
 using Arguments = std::map<std::string, docopt::value>;
@@ -85,6 +99,27 @@
   return settings;
 }
 
+std::string ReadText(const std::string& path) {
+  std::ifstream file(path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  if (!file) {
+    throw std::runtime_error("cannot read " + path);
+  }
+  return text.str();
+}
+
+int RunHttp(const Arguments& arguments) {
+  std::string body;
+  if (arguments.at("--body")) {
+    body = arguments.at("--body").asString();
+  } else if (arguments.at("--body-file")) {
+    body = ReadText(arguments.at("--body-file").asString());
+  }
+  return jd::RunHttpCommand(arguments.at("METHOD").asString(), arguments.at("URL").asString(), body,
+                            arguments.at("--field") ? arguments.at("--field").asString() : "");
+}
+
 int Run(const Arguments& arguments) {
   if (arguments.at("platform").asBool()) {
     return jd::RunPlatform(static_cast<uint16_t>(arguments.at("--port").asLong()),
@@ -94,6 +129,18 @@
     const auto config = jd::ReadStandinFile(arguments.at("--config").asString());
     return jd::RunUpstream(jd::ParseUpstreamSettings(config));
   }
+  if (arguments.at("example").asBool()) {
+    const jd::ExamplePorts ports{static_cast<uint16_t>(arguments.at("--base-port").asLong())};
+    return jd::WriteExample(arguments.at("NAME").asString(), ports,
+                            static_cast<int>(arguments.at("--gateways").asLong()),
+                            arguments.at("--out").asString());
+  }
+  if (arguments.at("http").asBool()) {
+    return RunHttp(arguments);
+  }
+  if (arguments.at("field").asBool()) {
+    return jd::RunFieldCommand(arguments.at("FILE").asString(), arguments.at("POINTER").asString());
+  }
   return jd::RunLoad(ParseLoad(arguments));
 }
 
--- a/standin/platform_model.cc
+++ b/standin/platform_model.cc
@@ -26,14 +26,14 @@
   return found->second;
 }
 
-bool IsControl(const PlatformQuery& query) {
+bool IsControl(const StandinQuery& query) {
   return query.path == "/fault" || query.path == "/stats" || query.path == "/balancer" ||
          (query.path == "/vms" && query.method == "POST");
 }
 
 }  // namespace
 
-PlatformReply PlatformModel::Handle(MonoTime now, const PlatformQuery& query) {
+StandinReply PlatformModel::Handle(MonoTime now, const StandinQuery& query) {
   try {
     if (IsControl(query)) {
       return Route(now, query);
@@ -42,16 +42,16 @@
     is_write ? ++writes_ : ++reads_;
     switch (TakeFault(is_write)) {
       case PlatformFault::kDown:
-        return PlatformReply{0, {}, {}, true};
+        return StandinReply{0, {}, {}, true};
       case PlatformFault::kRefuseWrites:
-        return PlatformReply{503, json{{"error", "writes are refused"}}, {}, false};
+        return StandinReply{503, json{{"error", "writes are refused"}}, {}, false};
       case PlatformFault::kLoseAnswer: {
-        PlatformReply reply = Route(now, query);
+        StandinReply reply = Route(now, query);
         reply.close = true;
         return reply;
       }
       case PlatformFault::kSlow: {
-        PlatformReply reply = Route(now, query);
+        StandinReply reply = Route(now, query);
         reply.delay = fault_delay_;
         return reply;
       }
@@ -60,7 +60,7 @@
     }
     return Route(now, query);
   } catch (const std::exception& error) {
-    return PlatformReply{400, json{{"error", error.what()}}, {}, false};
+    return StandinReply{400, json{{"error", error.what()}}, {}, false};
   }
 }
 
@@ -77,22 +77,22 @@
   return fault_;
 }
 
-PlatformReply PlatformModel::Route(MonoTime now, const PlatformQuery& query) {
+StandinReply PlatformModel::Route(MonoTime now, const StandinQuery& query) {
   const std::string& path = query.path;
   if (path == "/table/txn" && query.method == "POST") {
     return Transact(json::parse(query.body));
   }
   if (path == "/table/row" && query.method == "GET") {
     const std::optional<TableRow> row = table_.Get(query.key);
-    return row ? PlatformReply{200, RowJson(*row), {}, false}
-               : PlatformReply{404, json{{"error", "no such row"}}, {}, false};
+    return row ? StandinReply{200, RowJson(*row), {}, false}
+               : StandinReply{404, json{{"error", "no such row"}}, {}, false};
   }
   if (path == "/table/range" && query.method == "GET") {
     json rows = json::array();
     for (const TableRow& row : table_.Range(TableRange{query.prefix, query.after, query.limit})) {
       rows.push_back(RowJson(row));
     }
-    return PlatformReply{200, json{{"rows", rows}}, {}, false};
+    return StandinReply{200, json{{"rows", rows}}, {}, false};
   }
   if (path.starts_with("/objects/")) {
     return Object(query);
@@ -107,18 +107,18 @@
     return SetFault(json::parse(query.body));
   }
   if (path == "/stats") {
-    return PlatformReply{200,
-                         json{{"reads", reads_},
-                              {"writes", writes_},
-                              {"conflicts", conflicts_},
-                              {"faulted", faulted_}},
-                         {},
-                         false};
-  }
-  return PlatformReply{404, json{{"error", "no such path"}}, {}, false};
+    return StandinReply{200,
+                        json{{"reads", reads_},
+                             {"writes", writes_},
+                             {"conflicts", conflicts_},
+                             {"faulted", faulted_}},
+                        {},
+                        false};
+  }
+  return StandinReply{404, json{{"error", "no such path"}}, {}, false};
 }
 
-PlatformReply PlatformModel::Transact(const json& body) {
+StandinReply PlatformModel::Transact(const json& body) {
   TableTransaction transaction;
   for (const json& check : body.value("checks", json::array())) {
     transaction.checks.push_back({check.at("key"), check.at("version")});
@@ -130,27 +130,27 @@
   const TableReply reply = table_.Commit(transaction);
   if (reply.status == TableStatus::kConflict) {
     ++conflicts_;
-    return PlatformReply{409, json{{"conflicts", reply.conflicts}}, {}, false};
+    return StandinReply{409, json{{"conflicts", reply.conflicts}}, {}, false};
   }
   json versions = json::object();
   for (const TableRow& row : reply.rows) {
     versions[row.key] = row.version;
   }
-  return PlatformReply{200, json{{"versions", versions}}, {}, false};
+  return StandinReply{200, json{{"versions", versions}}, {}, false};
 }
 
-PlatformReply PlatformModel::Object(const PlatformQuery& query) {
+StandinReply PlatformModel::Object(const StandinQuery& query) {
   const std::string name = query.path.substr(std::string("/objects/").size());
   if (query.method == "PUT") {
     objects_[name] = query.body;
-    return PlatformReply{200, json::object(), {}, false};
+    return StandinReply{200, json::object(), {}, false};
   }
   const auto found = objects_.find(name);
-  return found == objects_.end() ? PlatformReply{404, json{{"error", "no such object"}}, {}, false}
-                                 : PlatformReply{200, found->second, {}, false};
+  return found == objects_.end() ? StandinReply{404, json{{"error", "no such object"}}, {}, false}
+                                 : StandinReply{200, found->second, {}, false};
 }
 
-PlatformReply PlatformModel::Balancer(const PlatformQuery& query) {
+StandinReply PlatformModel::Balancer(const StandinQuery& query) {
   if (query.method == "POST") {
     const json body = json::parse(query.body);
     BalancerEntry entry;
@@ -159,7 +159,7 @@
     entry.port = body.at("port");
     entry.status_port = body.at("status_port");
     balancer_[entry.id] = entry;
-    return PlatformReply{200, json::object(), {}, false};
+    return StandinReply{200, json::object(), {}, false};
   }
   json gateways = json::array();
   for (const auto& [id, entry] : balancer_) {
@@ -167,10 +167,10 @@
       gateways.push_back({{"id", id}, {"address", entry.address}, {"port", entry.port}});
     }
   }
-  return PlatformReply{200, json{{"gateways", gateways}}, {}, false};
+  return StandinReply{200, json{{"gateways", gateways}}, {}, false};
 }
 
-PlatformReply PlatformModel::Vms(MonoTime now, const PlatformQuery& query) {
+StandinReply PlatformModel::Vms(MonoTime now, const StandinQuery& query) {
   if (query.method == "POST") {
     const json body = json::parse(query.body);
     if (body.contains("lag_ms")) {
@@ -179,20 +179,20 @@
     if (body.contains("vms")) {
       vm_changes_.emplace_back(now + vm_lag_, body.at("vms"));
     }
-    return PlatformReply{200, json::object(), {}, false};
+    return StandinReply{200, json::object(), {}, false};
   }
   while (!vm_changes_.empty() && vm_changes_.front().first <= now) {
     visible_vms_ = vm_changes_.front().second;
     vm_changes_.pop_front();
   }
-  return PlatformReply{200, json{{"vms", visible_vms_}}, {}, false};
+  return StandinReply{200, json{{"vms", visible_vms_}}, {}, false};
 }
 
-PlatformReply PlatformModel::SetFault(const json& body) {
+StandinReply PlatformModel::SetFault(const json& body) {
   fault_ = ParseFault(body.at("mode"));
   fault_delay_ = Duration(static_cast<int64_t>(body.value("delay_ms", 0.0) * 1000));
   fault_count_ = body.value("count", int64_t{-1});
-  return PlatformReply{200, json::object(), {}, false};
+  return StandinReply{200, json::object(), {}, false};
 }
 
 }  // namespace jd
--- a/standin/platform_model.h
+++ b/standin/platform_model.h
@@ -23,14 +23,14 @@
 };
 
 /// A reply to one platform request. `close` drops the connection without an answer.
-struct PlatformReply {
+struct StandinReply {
   int status = 200;
   nlohmann::json body;
   Duration delay{};
   bool close = false;
 };
 
-struct PlatformQuery {
+struct StandinQuery {
   std::string method;
   std::string path;
   std::string body;
@@ -46,17 +46,17 @@
   explicit PlatformModel(Duration vm_lag) : vm_lag_(vm_lag) {}
 
   /// Answers one request. Malformed requests get 400.
-  PlatformReply Handle(MonoTime now, const PlatformQuery& query);
+  StandinReply Handle(MonoTime now, const StandinQuery& query);
 
   std::map<std::string, BalancerEntry>& balancer() { return balancer_; }
 
  private:
-  PlatformReply Route(MonoTime now, const PlatformQuery& query);
-  PlatformReply SetFault(const nlohmann::json& body);
-  PlatformReply Transact(const nlohmann::json& body);
-  PlatformReply Object(const PlatformQuery& query);
-  PlatformReply Balancer(const PlatformQuery& query);
-  PlatformReply Vms(MonoTime now, const PlatformQuery& query);
+  StandinReply Route(MonoTime now, const StandinQuery& query);
+  StandinReply SetFault(const nlohmann::json& body);
+  StandinReply Transact(const nlohmann::json& body);
+  StandinReply Object(const StandinQuery& query);
+  StandinReply Balancer(const StandinQuery& query);
+  StandinReply Vms(MonoTime now, const StandinQuery& query);
   /// Fault that the next data request meets; consumes one of a counted fault.
   PlatformFault TakeFault(bool is_write);
 
--- a/standin/platform_server.cc
+++ b/standin/platform_server.cc
@@ -93,7 +93,7 @@
 
  private:
   void Serve(evhttp_request* request) {
-    PlatformQuery query;
+    StandinQuery query;
     query.method = RequestMethod(request);
     query.path = RequestPath(request);
     query.body = ReadBody(request);
@@ -102,7 +102,7 @@
     query.after = QueryValue(request, "after", "");
     const std::string limit = QueryValue(request, "limit", "100");
     query.limit = static_cast<uint32_t>(std::strtoul(limit.c_str(), nullptr, 10));
-    PlatformReply reply = model_.Handle(ReadStandinClocks().mono, query);
+    StandinReply reply = model_.Handle(ReadStandinClocks().mono, query);
     if (reply.delay <= Duration::zero()) {
       Finish(request, reply);
       return;
@@ -110,7 +110,7 @@
     struct Later {
       PlatformServer* server;
       evhttp_request* request;
-      PlatformReply reply;
+      StandinReply reply;
     };
     const timeval tv = {reply.delay.count() / 1'000'000, reply.delay.count() % 1'000'000};
     auto later = std::make_unique<Later>(Later{this, request, std::move(reply)});
@@ -123,7 +123,7 @@
         later.release(), &tv);
   }
 
-  static void Finish(evhttp_request* request, const PlatformReply& reply) {
+  static void Finish(evhttp_request* request, const StandinReply& reply) {
     if (reply.close) {
       // After the shutdown evhttp finds the connection closed while it sends, and frees both.
       evhttp_connection* connection = evhttp_request_get_connection(request);
--- a/standin/standin_fetch.cc
+++ b/standin/standin_fetch.cc
@@ -25,7 +25,12 @@
 
 }  // namespace
 
-void FetchOnce(event_base* base, const HostPort& target, const std::string& path, FetchDone done) {
+void FetchOnce(event_base* base,
+               const HostPort& target,
+               const std::string& path,
+               FetchDone done,
+               const std::string& method,
+               const std::string& body) {
   evhttp_connection* connection =
       evhttp_connection_base_new(base, nullptr, target.host.c_str(), target.port);
   evhttp_connection_set_timeout(connection, kTimeoutSeconds);
@@ -35,7 +40,11 @@
   evkeyvalq* headers = evhttp_request_get_output_headers(request);
   evhttp_add_header(headers, "Host", target.host.c_str());
   evhttp_add_header(headers, "Connection", "close");
-  evhttp_make_request(connection, request, EVHTTP_REQ_GET, path.c_str());
+  evbuffer_add(evhttp_request_get_output_buffer(request), body.data(), body.size());
+  const evhttp_cmd_type command = method == "POST"  ? EVHTTP_REQ_POST
+                                  : method == "PUT" ? EVHTTP_REQ_PUT
+                                                    : EVHTTP_REQ_GET;
+  evhttp_make_request(connection, request, command, path.c_str());
 }
 
 }  // namespace jd
--- /dev/null
+++ b/tests/load_tally_test.cc
@@ -0,0 +1,97 @@
+#include "standin/load_tally.h"
+
+#include <catch2/catch.hpp>
+
+#include "standin/run_ledger.h"
+
+namespace jd {
+namespace {
+
+using nlohmann::json;
+
+LoadSample Sample(const std::string& id, const std::string& method, LoadOutcome outcome) {
+  LoadSample sample;
+  sample.id = id;
+  sample.method = method;
+  sample.outcome = outcome;
+  sample.verdict = outcome == LoadOutcome::kRefused ? "not-run" : "ran";
+  return sample;
+}
+
+void Run(RunLedger& ledger, const std::string& id, const std::string& method, bool completed) {
+  const size_t run = ledger.Start(MonoTime(1ms), id, {"e", method, {}, {}});
+  ledger.End(MonoTime(3ms), id, run, completed);
+}
+
+TEST_CASE("the ledger comparison finds lost calls, duplicates and refusals that ran",
+          "[load_tally_test]") {
+  RunLedger ledger;
+  Run(ledger, "fine", "POST", true);
+  Run(ledger, "twice", "POST", true);
+  Run(ledger, "twice", "POST", false);
+  Run(ledger, "read twice", "GET", true);
+  Run(ledger, "read twice", "GET", true);
+  Run(ledger, "refused", "GET", false);
+  Run(ledger, "cut off", "POST", false);
+  const json found = CompareWithLedger({Sample("fine", "POST", LoadOutcome::kAnswered),
+                                        Sample("twice", "POST", LoadOutcome::kUnknown),
+                                        Sample("read twice", "GET", LoadOutcome::kAnswered),
+                                        Sample("refused", "GET", LoadOutcome::kRefused),
+                                        Sample("cut off", "POST", LoadOutcome::kAnswered),
+                                        Sample("absent", "GET", LoadOutcome::kAnswered),
+                                        Sample("never ran", "POST", LoadOutcome::kRefused)},
+                                       ledger.Runs());
+  CHECK(found["examples"]["lost"] == json({"cut off", "absent"}));
+  CHECK(found["examples"]["duplicates"] == json({"twice"}));
+  CHECK(found["examples"]["refused_ran"] == json({"refused"}));
+  CHECK(ledger.Summary(MonoTime(5ms))["duplicated"] == json({"twice"}));
+}
+
+TEST_CASE("the summary shows the last start of each zone", "[load_tally_test]") {
+  RunLedger ledger;
+  ledger.Tally("e").zone = "z";
+  Run(ledger, "a", "GET", true);
+  const json zone = ledger.Summary(MonoTime(11ms))["zones"]["z"];
+  CHECK(zone["starts"] == 1);
+  CHECK(zone["last_start_age_ms"] == 10.0);
+}
+
+TEST_CASE("percentiles are exact and include the latency of clients", "[load_tally_test]") {
+  LoadSettings settings;
+  settings.one_way_latency = 1ms;
+  std::vector<LoadSample> samples(200, Sample("x", "GET", LoadOutcome::kAnswered));
+  for (size_t i = 0; i < samples.size(); ++i) {
+    samples[i].latency = std::chrono::milliseconds(200 - i);
+  }
+  samples.push_back(Sample("y", "GET", LoadOutcome::kUnknown));
+  const json report = ReportLoad(settings, samples);
+  CHECK(report["latency_ms"]["p50"] == 102.0);
+  CHECK(report["latency_ms"]["p99"] == 200.0);
+  CHECK(report["latency_ms"]["max"] == 202.0);
+  CHECK(report["unknown"] == 1);
+}
+
+TEST_CASE("a plan repeats for its seed and keeps its rate and shares", "[load_tally_test]") {
+  LoadSettings settings;
+  settings.services = ParseWeightedNames("records:3,intake");
+  settings.workspaces = ParseWeightedNames("hosting");
+  settings.rate = 1000;
+  LoadPlan plan(settings);
+  LoadPlan same(settings);
+  int reads = 0;
+  int records = 0;
+  LoadRequest last;
+  for (int i = 0; i < 4000; ++i) {
+    last = plan.Next();
+    CHECK(last.at == same.Next().at);
+    reads += last.method == "GET" ? 1 : 0;
+    records += last.service == "records" ? 1 : 0;
+  }
+  CHECK(last.at > 3700ms);
+  CHECK(last.at < 4300ms);
+  CHECK(std::abs(reads - 2800) < 150);
+  CHECK(std::abs(records - 3000) < 150);
+}
+
+}  // namespace
+}  // namespace jd
