--- a/standin/http_command.cc
+++ b/standin/http_command.cc
@@ -56,4 +56,12 @@
   return PrintField(ReadStandinFile(file), pointer);
 }
 
+int RunKeysCommand(const std::string& file, const std::string& pointer) {
+  const json document = ReadStandinFile(file);
+  for (const auto& item : document.at(json::json_pointer(pointer)).items()) {
+    std::printf("%s\n", item.key().c_str());
+  }
+  return 0;
+}
+
 }  // namespace jd
--- a/standin/http_command.h
+++ b/standin/http_command.h
@@ -15,4 +15,7 @@
 /// Prints one field of a JSON file. @return 1 if it is absent.
 int RunFieldCommand(const std::string& file, const std::string& pointer);
 
+/// Prints the names in one object of a JSON file, one a line. Throws if it is absent.
+int RunKeysCommand(const std::string& file, const std::string& pointer);
+
 }  // namespace jd
--- a/standin/main.cc
+++ b/standin/main.cc
@@ -30,6 +30,7 @@
   jackdawdeck-standin example NAME --base-port=N --out=DIR [--gateways=N]
   jackdawdeck-standin http METHOD URL [--body=TEXT | --body-file=FILE] [--field=POINTER]
   jackdawdeck-standin field FILE POINTER
+  jackdawdeck-standin keys FILE POINTER
   jackdawdeck-standin (-h | --help)
 
 Options:
@@ -138,6 +139,9 @@
   if (arguments.at("http").asBool()) {
     return RunHttp(arguments);
   }
+  if (arguments.at("keys").asBool()) {
+    return jd::RunKeysCommand(arguments.at("FILE").asString(), arguments.at("POINTER").asString());
+  }
   if (arguments.at("field").asBool()) {
     return jd::RunFieldCommand(arguments.at("FILE").asString(), arguments.at("POINTER").asString());
   }
