--- a/control/check_command.cc
+++ b/control/check_command.cc
@@ -1,19 +1,23 @@
 #include "control/check_command.h"
 
+#include <docopt/docopt.h>
+
 #include <iostream>
 
+#include "control/command.h"
 #include "gateway/settings.h"
 
 namespace jd {
 
-ExitCode RunCheckCommand(const CommandArguments& arguments) {
+int RunCheckCommand(const std::vector<std::string>& arguments) {
+  const auto options = docopt::docopt_parse(kCheckUsage, arguments, true, false);
   try {
-    LoadSettings(arguments.at("FILE").asString());
+    LoadSettings(options.at("FILE").asString());
   } catch (const SettingsError& error) {
     std::cerr << error.what() << "\n";
-    return ExitCode::kUsage;
+    return kCommandUsage;
   }
-  return ExitCode::kDone;
+  return kCommandDone;
 }
 
 }  // namespace jd
--- a/control/check_command.h
+++ b/control/check_command.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "control/command.h"
+#include <string>
+#include <vector>
 
 namespace jd {
 
@@ -12,6 +13,6 @@
 Exit code: 0 the file is accepted, 2 it is not.
 )";
 
-ExitCode RunCheckCommand(const CommandArguments& arguments);
+int RunCheckCommand(const std::vector<std::string>& arguments);
 
 }  // namespace jd
--- a/control/command.cc
+++ b/control/command.cc
@@ -1,5 +1,7 @@
 #include "control/command.h"
 
+#include <docopt/docopt.h>
+
 #include <iostream>
 
 #include "control/check_command.h"
@@ -27,30 +29,30 @@
   return commands;
 }
 
-ExitCode RunCommandLine(const std::vector<std::string>& arguments) {
+int RunCommandLine(const std::vector<std::string>& arguments) {
   if (!arguments.empty() && (arguments[0] == "--help" || arguments[0] == "-h")) {
     PrintUsage(std::cout);
-    return ExitCode::kDone;
+    return kCommandDone;
   }
   for (const Command& command : AllCommands()) {
     if (arguments.empty() || arguments[0] != command.name) {
       continue;
     }
     try {
-      return command.run(docopt::docopt_parse(command.usage, arguments, true, false));
+      return command.run(arguments);
     } catch (const docopt::DocoptExitHelp&) {
       std::cout << command.usage;
-      return ExitCode::kDone;
+      return kCommandDone;
     } catch (const docopt::DocoptArgumentError& error) {
       std::cerr << "jackdawdeck: " << error.what() << "\n" << command.usage;
-      return ExitCode::kUsage;
+      return kCommandUsage;
     }
   }
   std::cerr << "jackdawdeck: "
             << (arguments.empty() ? "no command given" : "unknown command '" + arguments[0] + "'")
             << "\n";
   PrintUsage(std::cerr);
-  return ExitCode::kUsage;
+  return kCommandUsage;
 }
 
 }  // namespace jd
--- a/control/command.h
+++ b/control/command.h
@@ -1,30 +1,29 @@
 #pragma once
 
-#include <docopt/docopt.h>
-
-#include <map>
 #include <string>
 #include <vector>
 
 namespace jd {
 
-/// Exit codes of every command.
-enum class ExitCode : int { kDone = 0, kFailed = 1, kUsage = 2, kUnknown = 3 };
-
-using CommandArguments = std::map<std::string, docopt::value>;
+/// Exit codes of the commands that run on this VM.
+inline constexpr int kCommandDone = 0;
+inline constexpr int kCommandFailed = 1;
+inline constexpr int kCommandUsage = 2;
 
-/// A subcommand: its usage text in docopt form, and what runs it.
+/// A subcommand, chosen by its first word.
 struct Command {
   const char* name;
-  const char* usage;
-  ExitCode (*run)(const CommandArguments& arguments);
+  const char* usage;  ///< Read by docopt: the text is the grammar of the command line.
+  /// Runs the whole command line, without the program's name, and returns the exit code.
+  /// Throws docopt's exceptions if the line does not follow the usage.
+  int (*run)(const std::vector<std::string>& arguments);
 };
 
 /// Returns every subcommand.
 const std::vector<Command>& AllCommands();
 
 /// Parses a command line and runs its subcommand; usage errors are printed.
-/// @param arguments without the program's name.
-ExitCode RunCommandLine(const std::vector<std::string>& arguments);
+/// @param arguments without the program's name. @return the exit code.
+int RunCommandLine(const std::vector<std::string>& arguments);
 
 }  // namespace jd
--- a/control/gateway_command.cc
+++ b/control/gateway_command.cc
@@ -1,27 +1,32 @@
 #include "control/gateway_command.h"
 
+#include <docopt/docopt.h>
 #include <csignal>
+
 #include <iostream>
 
-#include "gateway/event_loop.h"
+#include "control/command.h"
 #include "gateway/gateway.h"
+#include "gateway/log.h"
 #include "gateway/settings.h"
+#include "platform/event_loop.h"
 
 namespace jd {
 
-ExitCode RunGatewayCommand(const CommandArguments& arguments) {
+int RunGatewayCommand(const std::vector<std::string>& arguments) {
+  const auto options = docopt::docopt_parse(kGatewayUsage, arguments, true, false);
   Settings settings;
   try {
-    settings = LoadSettings(arguments.at("--config").asString());
+    settings = LoadSettings(options.at("--config").asString());
   } catch (const SettingsError& error) {
     std::cerr << error.what() << "\n";
-    return ExitCode::kUsage;
+    return kCommandUsage;
   }
-  // A peer that closes its connection while it is written to must not end the process.
-  std::signal(SIGPIPE, SIG_IGN);
   try {
     EventLoop loop;
-    Gateway gateway(&loop, settings);
+    SetUpLog(settings.log_level);
+    // The links to peers and operators are made here and connected to the gateway's signals.
+    Gateway gateway(&loop, settings, settings.peers.port);
     const SignalWatch terminate(&loop, SIGTERM, [&gateway] { gateway.Stop(); });
     const SignalWatch interrupt(&loop, SIGINT, [&gateway] { gateway.Stop(); });
     gateway.stopped().connect([&loop] { loop.Stop(); });
@@ -29,9 +34,9 @@
     loop.Run();
   } catch (const std::exception& error) {
     std::cerr << "jackdawdeck: " << error.what() << "\n";
-    return ExitCode::kFailed;
+    return kCommandFailed;
   }
-  return ExitCode::kDone;
+  return kCommandDone;
 }
 
 }  // namespace jd
--- a/control/gateway_command.h
+++ b/control/gateway_command.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "control/command.h"
+#include <string>
+#include <vector>
 
 namespace jd {
 
@@ -15,6 +16,6 @@
 Exit code: 0 stopped without cutting off a call, 1 a port cannot be opened, 2 wrong settings.
 )";
 
-ExitCode RunGatewayCommand(const CommandArguments& arguments);
+int RunGatewayCommand(const std::vector<std::string>& arguments);
 
 }  // namespace jd
--- a/control/main.cc
+++ b/control/main.cc
@@ -1,5 +1,5 @@
 #include "control/command.h"
 
 int main(int argc, char** argv) {
-  return static_cast<int>(jd::RunCommandLine({argv + 1, argv + argc}));
+  return jd::RunCommandLine({argv + 1, argv + argc});
 }
--- a/gateway/caller_connection.h
+++ b/gateway/caller_connection.h
@@ -5,6 +5,7 @@
 #include <event2/http.h>
 
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 #include "common/ids.h"
@@ -28,13 +29,21 @@
   bufferevent* stream = nullptr;
   evhttp_connection* http = nullptr;
   CallerState state = CallerState::kIdle;
-  MonoTime since;  ///< When the state was entered.
-  CallId call;     ///< In state kInCall.
-  /// Line ends seen in a row; two end the header.
-  int line_ends = 0;
-
+  MonoTime since;      ///< When the state was entered.
+  CallId call;         ///< In state kInCall.
+  int line_ends = 0;   ///< Seen in a row; two end the header.
+  std::string method;  ///< As far as it has arrived.
+  bool method_known = false;
+  /// The connection must be closed: its next bytes cannot be told from a request.
+  bool broken = false;
+
+  /// Begins to wait for the next request.
+  void Reset(MonoTime now);
   /// Follows the bytes of a request; evhttp reports only whole requests.
   void OnBytes(std::string_view bytes, MonoTime now);
+
+ private:
+  void OnMethodByte(char c);
 };
 
 }  // namespace jd
--- a/gateway/caller_server.cc
+++ b/gateway/caller_server.cc
@@ -54,7 +54,8 @@
       random_(seed),
       http_(NewHttpServer(loop, settings.callers, &port_)),
       adopt_(loop, [this] { AdoptConnections(); }),
-      sweep_(loop, [this] { Sweep(); }) {
+      sweep_(loop, [this] { Sweep(); }),
+      close_broken_(loop, [this] { CloseBroken(); }) {
   evhttp_set_max_headers_size(http_.get(), limits_.header_bytes);
   evhttp_set_max_body_size(http_.get(), limits_.body_bytes);
   const timeval idle = ToTimeval(limits_.idle_timeout);
@@ -103,19 +104,41 @@
   }
 }
 
-void CallerServer::OnInput(evbuffer* buffer, const evbuffer_cb_info* info, void* argument) {
+void CallerServer::OnInput(evbuffer*, const evbuffer_cb_info* info, void* argument) {
   auto* connection = static_cast<CallerConnection*>(argument);
-  if (info->n_added == 0 ||
-      (connection->state != CallerState::kIdle && connection->state != CallerState::kHeader)) {
-    return;
+  if (info->n_added > 0 &&
+      (connection->state == CallerState::kIdle || connection->state == CallerState::kHeader)) {
+    connection->server->Follow(connection, info->orig_size);
   }
-  const MonoTime now = connection->server->loop_->ReadClocks().mono;
+}
+
+void CallerServer::Follow(CallerConnection* connection, size_t offset) {
+  evbuffer* buffer = bufferevent_get_input(connection->stream);
   evbuffer_ptr start;
-  evbuffer_ptr_set(buffer, &start, info->orig_size, EVBUFFER_PTR_SET);
-  std::array<evbuffer_iovec, 8> parts;
-  const int count = evbuffer_peek(buffer, -1, &start, parts.data(), parts.size());
-  for (int i = 0; i < std::min<int>(count, parts.size()); ++i) {
-    connection->OnBytes({static_cast<const char*>(parts[i].iov_base), parts[i].iov_len}, now);
+  evbuffer_ptr_set(buffer, &start, offset, EVBUFFER_PTR_SET);
+  std::vector<evbuffer_iovec> parts(
+      static_cast<size_t>(evbuffer_peek(buffer, -1, &start, nullptr, 0)));
+  evbuffer_peek(buffer, -1, &start, parts.data(), static_cast<int>(parts.size()));
+  const MonoTime now = loop_->ReadClocks().mono;
+  for (const evbuffer_iovec& part : parts) {
+    connection->OnBytes({static_cast<const char*>(part.iov_base), part.iov_len}, now);
+  }
+  if (connection->broken) {
+    // evhttp is in the middle of reading from this connection.
+    close_broken_.ScheduleNow();
+  }
+}
+
+void CallerServer::CloseBroken() {
+  std::vector<CallerConnection*> broken;
+  for (const auto& [http, connection] : connections_) {
+    if (connection->broken) {
+      broken.push_back(connection.get());
+    }
+  }
+  for (const CallerConnection* connection : broken) {
+    rejected_.emit(kBadRequest);
+    bufferevent_trigger_event(connection->stream, BEV_EVENT_TIMEOUT | BEV_EVENT_READING, 0);
   }
 }
 
@@ -131,7 +154,12 @@
   const char* target = evhttp_request_get_uri(request);
   evhttp_request_set_on_complete_cb(request, &OnAnswered, connection);
   SetState(connection, CallerState::kInCall);
+  const evhttp_cmd_type method = evhttp_request_get_command(request);
   std::string fault = FindRequestFault(headers, target);
+  if (fault.empty() && method == EVHTTP_REQ_HEAD && AnnouncesBody(headers)) {
+    // evhttp takes the body of this method for the next request.
+    fault = "A HEAD request cannot have a body.";
+  }
   CallRequest call;
   const std::string deadline = HeaderValue(headers, "x-deadline-ms");
   call.timeout = ParseDeadline(deadline);
@@ -161,7 +189,7 @@
   }
   call.workspace = WorkspaceId(HeaderValue(headers, "x-workspace"));
   call.service = ServiceId(HeaderValue(headers, "x-service"));
-  call.method = MethodName(evhttp_request_get_command(request));
+  call.method = MethodName(method);
   call.path = target;
   call.fingerprint = HashRequest(call.method, call.path, evhttp_request_get_input_buffer(request));
   calls_[call.id] = request;
@@ -264,11 +292,13 @@
 
 void CallerServer::OnAnswered(evhttp_request*, void* argument) {
   auto* connection = static_cast<CallerConnection*>(argument);
-  evbuffer* input = bufferevent_get_input(connection->stream);
-  connection->line_ends = 0;
+  CallerServer* self = connection->server;
+  connection->Reset(self->loop_->ReadClocks().mono);
   // A request that was sent ahead is already here and is not announced again.
-  connection->server->SetState(
-      connection, evbuffer_get_length(input) > 0 ? CallerState::kHeader : CallerState::kIdle);
+  self->Follow(connection, 0);
+  if (self->closing_ && self->quiet()) {
+    self->became_quiet_.emit();
+  }
 }
 
 void CallerServer::OnClose(evhttp_connection* http, void* argument) {
@@ -291,9 +321,6 @@
 void CallerServer::SetState(CallerConnection* connection, CallerState state) {
   connection->state = state;
   connection->since = loop_->ReadClocks().mono;
-  if (state == CallerState::kIdle && closing_ && quiet()) {
-    became_quiet_.emit();
-  }
 }
 
 size_t CallerServer::busy() const {
--- a/gateway/caller_server.h
+++ b/gateway/caller_server.h
@@ -10,9 +10,9 @@
 
 #include "common/random.h"
 #include "gateway/caller_connection.h"
-#include "gateway/event_loop.h"
 #include "gateway/http_server.h"
 #include "gateway/settings.h"
+#include "platform/event_loop.h"
 #include "platform/http_connection.h"
 #include "policy/call_request.h"
 #include "policy/refusal.h"
@@ -60,6 +60,8 @@
   static void OnAnswered(evhttp_request* request, void* argument);
 
   void AdoptConnections();
+  void Follow(CallerConnection* connection, size_t offset);
+  void CloseBroken();
   void Receive(CallerConnection* connection, evhttp_request* request);
   void Reject(CallerConnection* connection, evhttp_request* request, const std::string& fault);
   void Reply(evhttp_request* request, int status, evbuffer* body);
@@ -71,8 +73,8 @@
   EventLoop* loop_;
   Limits limits_;
   RandomEngine random_;
-  HttpServerPtr http_;
   uint16_t port_ = 0;
+  HttpServerPtr http_;
   uint64_t next_call_ = 1;
   bool closing_ = false;
   std::unordered_map<evhttp_connection*, std::unique_ptr<CallerConnection>> connections_;
@@ -80,6 +82,7 @@
   std::vector<bufferevent*> fresh_;  ///< Accepted, but not yet known by their evhttp connection.
   Timer adopt_;
   Timer sweep_;
+  Timer close_broken_;
   sigc::signal<void(const CallRequest&)> call_arrived_;
   sigc::signal<void(CallId)> caller_gone_;
   sigc::signal<void()> became_quiet_;
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -4,21 +4,25 @@
 #include <cassert>
 
 #include "gateway/header_rules.h"
+#include "gateway/log.h"
 
 namespace jd {
 namespace {
 
+// The list lags by more than this anyway; a later answer is superseded by the next request.
+constexpr Duration kVmListTimeout = 2s;
+
 uint64_t SeedOf(const Settings& settings) {
   return settings.seed != 0 ? static_cast<uint64_t>(settings.seed) : std::random_device()();
 }
 
-NodeSettings ToNodeSettings(const Settings& settings, const EventLoop& loop) {
+NodeSettings ToNodeSettings(const Settings& settings, uint16_t peer_port, const EventLoop& loop) {
   NodeSettings node;
   node.id = settings.id;
   node.zone = settings.zone;
   node.incarnation = Incarnation(static_cast<uint64_t>(Micros(loop.ReadClocks().wall)));
   node.address = settings.peers.address;
-  node.peer_port = settings.peers.port;
+  node.peer_port = peer_port;
   node.seeds = settings.seeds;
   node.policy = settings.policy;
   node.has_platform = !settings.platform.address.empty();
@@ -39,21 +43,28 @@
 
 }  // namespace
 
-Gateway::Gateway(EventLoop* loop, const Settings& settings)
+Gateway::Gateway(EventLoop* loop, const Settings& settings, uint16_t peer_port)
     : loop_(loop),
       settings_(settings),
-      node_(ToNodeSettings(settings, *loop)),
+      node_(ToNodeSettings(settings, peer_port, *loop)),
       callers_(loop, settings, SeedOf(settings)),
       upstreams_(loop, {settings.limits.header_bytes, settings.limits.response_bytes}),
+      status_(
+          loop,
+          settings.status,
+          [this] { return ready(); },
+          [this] { return metrics_.Serialize(levels()); }),
       node_timer_(loop,
                   [this] {
                     scheduled_.reset();
                     Drive([this](Now now, NodeActions* out) { node_.OnTimer(now, out); });
                   }),
-      grace_timer_(loop, [this] {
-        refusing_ = true;
-        Drive([this](Now now, NodeActions* out) { node_.OnStop(now, out); });
-      }) {
+      grace_timer_(loop, [this] { BeginRefusing(); }) {
+  if (!settings.platform.address.empty()) {
+    platform_ =
+        std::make_unique<PlatformClient>(loop, settings.platform.address, settings.platform.port);
+  }
+  callers_.rejected().connect([this](int) { metrics_.CountCall(CallEnd::kRejected); });
   callers_.call_arrived().connect(sigc::mem_fun(*this, &Gateway::OnCall));
   callers_.caller_gone().connect(sigc::mem_fun(*this, &Gateway::OnCallerGone));
   callers_.became_quiet().connect(sigc::mem_fun(*this, &Gateway::FinishIfDrained));
@@ -64,6 +75,9 @@
 }
 
 void Gateway::Start() {
+  LogInfo(LogPart::kGateway, "Gateway " + settings_.id.value + " in zone " + settings_.zone.value +
+                                 " serves callers on port " + std::to_string(callers_.port()) +
+                                 ", status on port " + std::to_string(status_.port()) + ".");
   Drive([this](Now now, NodeActions* out) { node_.Start(now, settings_.configuration, out); });
 }
 
@@ -72,13 +86,23 @@
     return;
   }
   stopping_ = true;
+  LogInfo(LogPart::kGateway, "Stopping: not ready, serving for the grace time.");
   callers_.AnnounceClose();
   grace_timer_.Schedule(settings_.grace);
 }
 
+void Gateway::BeginRefusing() {
+  LogInfo(LogPart::kGateway,
+          "Grace time over: refusing new calls, " + std::to_string(calls_.size()) + " in flight.");
+  refusing_ = true;
+  callers_.CloseIdle();
+  Drive([this](Now now, NodeActions* out) { node_.OnStop(now, out); });
+}
+
 void Gateway::FinishIfDrained() {
-  if (refusing_ && node_.drained() && callers_.quiet()) {
+  if (refusing_ && !executing_ && node_.drained() && callers_.quiet()) {
     refusing_ = false;
+    LogInfo(LogPart::kGateway, "Drained.");
     stopped_.emit();
   }
 }
@@ -96,6 +120,10 @@
     if (node_.configuration() != configuration_) {
       configuration_ = node_.configuration();
       upstreams_.SetConfiguration(configuration_);
+      if (configuration_ != nullptr) {
+        LogInfo(LogPart::kConfig,
+                "Version " + std::to_string(configuration_->version.value) + " is in use.");
+      }
     }
     if (pending_.empty()) {
       break;
@@ -118,8 +146,25 @@
   }
 }
 
+std::string Gateway::RequestKey(const CallRequest& request) const {
+  if (configuration_ == nullptr) {
+    return {};
+  }
+  const auto service = configuration_->services.find(request.service);
+  if (service == configuration_->services.end()) {
+    return {};
+  }
+  const auto profile = configuration_->profiles.find(service->second.profile);
+  if (profile == configuration_->profiles.end() || profile->second.request_key_header.empty()) {
+    return {};
+  }
+  return HeaderValue(evhttp_request_get_input_headers(callers_.request(request.id)),
+                     profile->second.request_key_header.c_str());
+}
+
 void Gateway::OnCall(const CallRequest& arrived) {
   CallRequest request = arrived;
+  request.request_key = RequestKey(arrived);
   evhttp_request* http = callers_.request(request.id);
   Call call;
   call.request = request.request;
@@ -128,37 +173,58 @@
   call.upstream.target = request.path;
   call.upstream.headers = UpstreamHeaders(http, request.request);
   call.upstream.body = evhttp_request_get_input_buffer(http);
-  if (configuration_ != nullptr) {
-    const auto service = configuration_->services.find(request.service);
-    if (service != configuration_->services.end()) {
-      const auto profile = configuration_->profiles.find(service->second.profile);
-      if (profile != configuration_->profiles.end() &&
-          !profile->second.request_key_header.empty()) {
-        request.request_key = HeaderValue(evhttp_request_get_input_headers(http),
-                                          profile->second.request_key_header.c_str());
-      }
-    }
-  }
   calls_.emplace(request.id, std::move(call));
   Drive([&](Now now, NodeActions* out) { node_.OnCall(now, request, out); });
 }
 
 void Gateway::OnCallerGone(CallId call) {
-  calls_.erase(call);
+  TakeCall(call, CallEnd::kCallerGone);
   Drive([call, this](Now now, NodeActions* out) { node_.OnCallerGone(now, call, out); });
 }
 
 void Gateway::OnAttemptEnded(const AttemptResult& result, HttpRequestPtr& response) {
+  metrics_.CountAttempt(result.outcome);
   const auto attempt = attempts_.extract(result.attempt);
-  if (response != nullptr && !attempt.empty()) {
-    const auto call = calls_.find(attempt.mapped());
-    if (call != calls_.end()) {
+  const auto call = attempt.empty() ? calls_.end() : calls_.find(attempt.mapped());
+  if (call != calls_.end()) {
+    if (--call->second.running == 0) {
+      call->second.upstream_time += loop_->ReadClocks().mono - call->second.running_since;
+    }
+    if (response != nullptr) {
       call->second.responses.emplace_back(result.attempt, std::move(response));
     }
   }
   Drive([&](Now now, NodeActions* out) { node_.OnAttemptResult(now, result, out); });
 }
 
+void Gateway::OnPeerMessage(const PeerMessage& message) {
+  Drive([&](Now now, NodeActions* out) { node_.OnPeerMessage(now, message, out); });
+}
+
+void Gateway::OnOperatorRequest(const OperatorRequest& request) {
+  Drive([&](Now now, NodeActions* out) { node_.OnOperatorRequest(now, request, out); });
+}
+
+std::optional<Gateway::Call> Gateway::TakeCall(CallId id, CallEnd end) {
+  auto call = calls_.extract(id);
+  if (call.empty()) {
+    return std::nullopt;
+  }
+  metrics_.CountCall(end);
+  return std::move(call.mapped());
+}
+
+GatewayLevels Gateway::levels() const {
+  GatewayLevels levels;
+  levels.calls = calls_.size();
+  levels.waiting = static_cast<size_t>(std::count_if(
+      calls_.begin(), calls_.end(), [](const auto& call) { return call.second.running == 0; }));
+  levels.caller_connections = callers_.connections();
+  levels.upstream_connections = upstreams_.connections();
+  levels.ready = ready();
+  return levels;
+}
+
 void Gateway::Do(const SendAttempt& action) {
   const auto call = calls_.find(action.call);
   if (call == calls_.end()) {
@@ -169,6 +235,9 @@
     return;
   }
   attempts_.emplace(action.attempt, action.call);
+  if (call->second.running++ == 0) {
+    call->second.running_since = loop_->ReadClocks().mono;
+  }
   upstreams_.Send(action, call->second.upstream);
 }
 
@@ -177,27 +246,29 @@
 }
 
 void Gateway::Do(const AnswerCall& action) {
-  const auto call = calls_.extract(action.call);
-  if (call.empty()) {
+  const std::optional<Call> call = TakeCall(action.call, CallEnd::kAnswered);
+  if (!call) {
     return;
   }
-  auto& responses = call.mapped().responses;
-  const auto response = std::find_if(responses.begin(), responses.end(), [&](const auto& entry) {
-    return entry.first == action.attempt;
-  });
-  assert(response != responses.end());
-  callers_.Answer(action.call, call.mapped().request, response->second.get());
+  const auto response =
+      std::find_if(call->responses.begin(), call->responses.end(),
+                   [&](const auto& entry) { return entry.first == action.attempt; });
+  assert(response != call->responses.end());
+  callers_.Answer(action.call, call->request, response->second.get());
+  metrics_.ObserveAdded(loop_->ReadClocks().mono - call->arrived - call->upstream_time);
 }
 
 void Gateway::Do(const RefuseCall& action) {
-  const auto call = calls_.extract(action.call);
-  if (!call.empty()) {
-    callers_.Refuse(action.call, call.mapped().request, action.refusal);
+  if (const std::optional<Call> call = TakeCall(action.call, CallEnd::kRefused)) {
+    metrics_.CountRefusal(action.refusal.reason);
+    LogDebug(LogPart::kCalls, "Call " + call->request.value + " is refused: " +
+                                  std::string(RefusalReasonName(action.refusal.reason)) + ".");
+    callers_.Refuse(action.call, call->request, action.refusal);
   }
 }
 
 void Gateway::Do(const ReplayCall& action) {
-  if (!calls_.extract(action.call).empty()) {
+  if (TakeCall(action.call, CallEnd::kReplayed)) {
     callers_.Replay(action.call, action.status, action.content_type, action.body);
   }
 }
@@ -210,10 +281,35 @@
   upstreams_.Probe(action);
 }
 
-void Gateway::Do(const SendPeer&) {}
-void Gateway::Do(const SetPeerAddress&) {}
-void Gateway::Do(const SendOperatorReply&) {}
-void Gateway::Do(const CallTable&) {}
-void Gateway::Do(const FetchVmList&) {}
+void Gateway::Do(const SendPeer& action) {
+  send_peer_.emit(action);
+}
+
+void Gateway::Do(const SetPeerAddress& action) {
+  set_peer_address_.emit(action);
+}
+
+void Gateway::Do(const SendOperatorReply& action) {
+  operator_reply_.emit(action.reply);
+}
+
+void Gateway::Do(const CallTable& action) {
+  const auto answer = [this, id = action.id](const TableReply& reply) {
+    Drive([&](Now now, NodeActions* out) { node_.OnTableReply(now, id, reply, out); });
+  };
+  if (platform_ == nullptr) {
+    answer(TableReply());
+    return;
+  }
+  platform_->Call(action.request, action.timeout, answer);
+}
+
+void Gateway::Do(const FetchVmList&) {
+  if (platform_ != nullptr) {
+    platform_->FetchVms(kVmListTimeout, [this](const VmList& vms) {
+      Drive([&](Now now, NodeActions* out) { node_.OnVmList(now, vms, out); });
+    });
+  }
+}
 
 }  // namespace jd
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -13,9 +13,12 @@
 
 #include "cluster/node.h"
 #include "gateway/caller_server.h"
-#include "gateway/event_loop.h"
+#include "gateway/metrics.h"
 #include "gateway/settings.h"
+#include "gateway/status_server.h"
 #include "gateway/upstream_pool.h"
+#include "platform/event_loop.h"
+#include "platform/platform_client.h"
 
 namespace jd {
 
@@ -23,8 +26,10 @@
 /// node's actions.
 class Gateway : public sigc::trackable {
  public:
-  /// Opens all ports. @throws std::runtime_error if one cannot be opened.
-  Gateway(EventLoop* loop, const Settings& settings);
+  /// Opens the ports for callers and status.
+  /// @param peer_port the port that peers are told; the links to peers are a part of their own.
+  /// @throws std::runtime_error if a port cannot be opened.
+  Gateway(EventLoop* loop, const Settings& settings, uint16_t peer_port);
   Gateway(const Gateway&) = delete;
   Gateway& operator=(const Gateway&) = delete;
 
@@ -34,13 +39,26 @@
   /// The graceful stop is complete and the process may exit.
   sigc::signal<void()>& stopped() { return stopped_; }
 
+  // The links to peers and operators are connected to these.
+  sigc::signal<void(const SendPeer&)>& send_peer() { return send_peer_; }
+  sigc::signal<void(const SetPeerAddress&)>& set_peer_address() { return set_peer_address_; }
+  sigc::signal<void(const OperatorReply&)>& operator_reply() { return operator_reply_; }
+  void OnPeerMessage(const PeerMessage& message);
+  void OnOperatorRequest(const OperatorRequest& request);
+
   uint16_t caller_port() const { return callers_.port(); }
+  uint16_t status_port() const { return status_.port(); }
+  /// The balancer may send calls here.
+  bool ready() const { return node_.ready() && !stopping_; }
 
  private:
   /// What the loop keeps of a call until it ends.
   struct Call {
     RequestId request;
     MonoTime arrived;
+    int running = 0;            ///< Attempts under way.
+    MonoTime running_since;     ///< When the first of them started.
+    Duration upstream_time{0};  ///< Time in which an attempt ran.
     UpstreamRequest upstream;
     std::vector<std::pair<AttemptId, HttpRequestPtr>> responses;
   };
@@ -60,6 +78,11 @@
   void OnAttemptEnded(const AttemptResult& result, HttpRequestPtr& response);
   void ScheduleTimer();
   void FinishIfDrained();
+  void BeginRefusing();
+  /// Ends a call. @return nothing if its caller has left.
+  std::optional<Call> TakeCall(CallId call, CallEnd end);
+  std::string RequestKey(const CallRequest& request) const;
+  GatewayLevels levels() const;
 
   void Do(const SendAttempt& action);
   void Do(const CancelAttempt& action);
@@ -77,8 +100,11 @@
   EventLoop* loop_;
   Settings settings_;
   Node node_;
+  Metrics metrics_;
   CallerServer callers_;
   UpstreamPool upstreams_;
+  StatusServer status_;
+  std::unique_ptr<PlatformClient> platform_;  ///< Null without a platform.
   ConfigurationPtr configuration_;
   std::unordered_map<CallId, Call> calls_;
   std::unordered_map<AttemptId, CallId> attempts_;
@@ -90,6 +116,9 @@
   std::optional<MonoTime> scheduled_;
   Timer grace_timer_;
   sigc::signal<void()> stopped_;
+  sigc::signal<void(const SendPeer&)> send_peer_;
+  sigc::signal<void(const SetPeerAddress&)> set_peer_address_;
+  sigc::signal<void(const OperatorReply&)> operator_reply_;
 };
 
 }  // namespace jd
--- a/gateway/header_rules.cc
+++ b/gateway/header_rules.cc
@@ -140,6 +140,12 @@
   return {};
 }
 
+bool AnnouncesBody(const evkeyvalq* headers) {
+  const std::string length = HeaderValue(headers, "Content-Length");
+  return length.find_first_not_of('0') != std::string::npos ||
+         evhttp_find_header(headers, "Transfer-Encoding") != nullptr;
+}
+
 std::optional<Duration> ParseDeadline(std::string_view text) {
   int64_t milliseconds = 0;
   const char* end = text.data() + text.size();
--- a/gateway/header_rules.h
+++ b/gateway/header_rules.h
@@ -19,6 +19,9 @@
 /// that two servers could read differently are refused, so that no request hides within another.
 std::string FindRequestFault(const evkeyvalq* headers, std::string_view target);
 
+/// Returns whether headers without faults announce a body that is not empty.
+bool AnnouncesBody(const evkeyvalq* headers);
+
 /// Parses `x-deadline-ms`. @return nothing unless the text is a whole number up to one day.
 std::optional<Duration> ParseDeadline(std::string_view text);
 
--- a/gateway/http_server.h
+++ b/gateway/http_server.h
@@ -7,8 +7,8 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
-#include "gateway/event_loop.h"
 #include "gateway/settings.h"
+#include "platform/event_loop.h"
 
 namespace jd {
 
--- a/gateway/setting_table.cc
+++ b/gateway/setting_table.cc
@@ -43,7 +43,7 @@
     {{"address", SettingKind::kAddress, "", 0, 0, "", "\"127.0.0.1\"",
       "IP number to listen on for callers."},
      [](ListenAddress& object, const SettingValue& value) { object.address = value.text; }},
-    {{"port", SettingKind::kInteger, "", 0, 65535, "", "8080",
+    {{"port", SettingKind::kInteger, "", 0, 65535, "", "7001",
       "Port to listen on; 0 lets the system choose."},
      [](ListenAddress& object, const SettingValue& value) {
        object.port = static_cast<uint16_t>(value.integer);
@@ -54,7 +54,7 @@
     {{"address", SettingKind::kAddress, "", 0, 0, "", "\"127.0.0.1\"",
       "IP number to listen on for /ready, /live and /metrics."},
      [](ListenAddress& object, const SettingValue& value) { object.address = value.text; }},
-    {{"port", SettingKind::kInteger, "", 0, 65535, "", "8081",
+    {{"port", SettingKind::kInteger, "", 0, 65535, "", "7002",
       "Port to listen on; 0 lets the system choose."},
      [](ListenAddress& object, const SettingValue& value) {
        object.port = static_cast<uint16_t>(value.integer);
@@ -65,7 +65,7 @@
     {{"address", SettingKind::kAddress, "", 0, 0, "", "\"127.0.0.1\"",
       "IP number to listen on for other gateways and operators, and that they are told."},
      [](Settings& object, const SettingValue& value) { object.peers.address = value.text; }},
-    {{"port", SettingKind::kInteger, "", 0, 65535, "", "8082",
+    {{"port", SettingKind::kInteger, "", 0, 65535, "", "7003",
       "Port to listen on; 0 lets the system choose."},
      [](Settings& object, const SettingValue& value) {
        object.peers.port = static_cast<uint16_t>(value.integer);
--- /dev/null
+++ b/gateway/status_server.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "gateway/http_server.h"
+#include "gateway/settings.h"
+#include "platform/event_loop.h"
+
+namespace jd {
+
+/// The status port: /ready, /live and /metrics, read only.
+class StatusServer {
+ public:
+  /// @param ready tells whether the balancer may send calls. @param metrics returns their text.
+  /// @throws std::runtime_error if the port cannot be opened.
+  StatusServer(EventLoop* loop,
+               const ListenAddress& address,
+               std::function<bool()> ready,
+               std::function<std::string()> metrics);
+  StatusServer(const StatusServer&) = delete;
+  StatusServer& operator=(const StatusServer&) = delete;
+
+  uint16_t port() const { return port_; }
+
+ private:
+  static void OnRequest(evhttp_request* request, void* argument);
+
+  uint16_t port_ = 0;
+  std::function<bool()> ready_;
+  std::function<std::string()> metrics_;
+  HttpServerPtr http_;
+};
+
+}  // namespace jd
--- a/gateway/upstream_pool.h
+++ b/gateway/upstream_pool.h
@@ -14,7 +14,7 @@
 
 #include "cluster/node.h"
 #include "common/configuration.h"
-#include "gateway/event_loop.h"
+#include "platform/event_loop.h"
 #include "platform/http_connection.h"
 #include "policy/attempt_result.h"
 #include "policy/call_action.h"
--- /dev/null
+++ b/tests/callers_test.cc
@@ -0,0 +1,241 @@
+#include <catch2/catch.hpp>
+
+#include "tests/gateway_harness.h"
+
+namespace jd {
+namespace {
+
+// The gateway still serves a well-behaved caller.
+void CheckServes(GatewayFixture* f) {
+  f->AnswerAll();
+  const auto other = f->Connect();
+  other->Send(kGet);
+  CHECK(f->WaitFor(*other, "done"));
+}
+
+TEST_CASE("a connection carries several calls, also when they are sent ahead", "[callers_test]") {
+  GatewayFixture f;
+  f.AnswerAll();
+  const auto caller = f.Connect();
+  caller->Send(kGet);
+  REQUIRE(f.WaitFor(*caller, "done"));
+  caller->Send(kGet + kGet + kGet);
+  REQUIRE(f.WaitFor(*caller, "done", 4));
+  CHECK(caller->Count("HTTP/1.1 200 OK") == 4);
+  CHECK_FALSE(caller->closed);
+  CHECK(f.upstream.connections.size() == 1);
+}
+
+TEST_CASE("headers travel end to end only", "[callers_test]") {
+  GatewayFixture f;
+  f.AnswerAll(
+      "x-kept: b\r\nx-hop: b\r\nConnection: x-hop\r\nx-verdict: not-run\r\nx-refused: not-run\r\n");
+  const auto caller = f.Connect();
+  caller->Send(
+      "POST /a?b=c HTTP/1.1\r\nx-service: s\r\nx-workspace: w\r\nx-request-id: r1\r\n"
+      "x-deadline-ms: 5000\r\nTE: trailers\r\nX-Gone: 1\r\nKeep-Alive: 3\r\nx-stays: 2\r\n"
+      "Connection: keep-alive, x-gone\r\nContent-Length: 5\r\n\r\nhello");
+  REQUIRE(f.WaitFor(*caller, "done"));
+  const std::string sent = f.upstream.received();
+  CHECK(sent.starts_with("POST /a?b=c HTTP/1.1\r\n"));
+  for (const char* kept : {"x-workspace: w\r\n", "x-request-id: r1\r\n", "x-stays: 2\r\n",
+                           "Content-Length: 5\r\n", "\r\n\r\nhello"}) {
+    INFO(kept);
+    CHECK(sent.find(kept) != std::string::npos);
+  }
+  for (const char* dropped : {"TE:", "X-Gone", "Keep-Alive", "x-gone"}) {
+    INFO(dropped);
+    CHECK(sent.find(dropped) == std::string::npos);
+  }
+  const size_t deadline = sent.find("x-deadline-ms: ");
+  REQUIRE(deadline != std::string::npos);
+  CHECK(std::stoi(sent.substr(deadline + 15)) <= 5000);
+  CHECK(caller->Count("x-kept: b") == 1);
+  CHECK(caller->Count("x-request-id: r1") == 1);
+  // An upstream that relays a verdict must not make the caller repeat a request that has run.
+  CHECK(caller->Count("x-verdict") + caller->Count("x-refused") + caller->Count("x-hop") == 0);
+}
+
+TEST_CASE("a body travels with every method that may have one", "[callers_test]") {
+  GatewayFixture f;
+  f.AnswerAll();
+  for (const char* method : {"GET", "POST", "PUT", "DELETE", "OPTIONS", "PATCH"}) {
+    INFO(method);
+    const auto caller = f.Connect();
+    caller->Send(std::string(method) +
+                 " /a HTTP/1.1\r\nx-service: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+                 "2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n");
+    REQUIRE(f.WaitFor(*caller, "done"));
+    const std::string sent = f.upstream.received();
+    const std::string last = sent.substr(sent.rfind(std::string(method) + " /a"));
+    CHECK(last.find("Content-Length: 5\r\n") != std::string::npos);
+    CHECK(last.ends_with("\r\n\r\nhello"));
+  }
+}
+
+TEST_CASE("a refusal says that the request has not run", "[callers_test]") {
+  GatewayFixture f;
+  const auto caller = f.Connect();
+  caller->Send("GET / HTTP/1.1\r\nx-service: none\r\n\r\n");
+  REQUIRE(f.WaitFor(*caller, "}\n"));
+  CHECK(caller->Count("HTTP/1.1 404") == 1);
+  CHECK(caller->Count("x-verdict: not-run") == 1);
+  CHECK(caller->Count("x-refusal: unknown-service") == 1);
+  CHECK(caller->Count("\"refusal\":\"unknown-service\"") == 1);
+  const std::string metrics = f.Status("/metrics");
+  CHECK(metrics.find("jackdawdeck_refusals_total{reason=\"unknown-service\"} 1") !=
+        std::string::npos);
+}
+
+TEST_CASE("requests that two servers could read differently are rejected", "[callers_test]") {
+  // Guards against a request hidden in the body of another.
+  const std::string start = "POST /a HTTP/1.1\r\nx-service: s\r\n";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n";
+  const std::string requests[] = {
+      start + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody5",
+      start + "Content-Length: 4\r\n" + chunked + "\r\n0\r\n\r\n",
+      start + chunked + "Content-Length: 4\r\n\r\n0\r\n\r\n",
+      start + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+      start + chunked + chunked + "\r\n0\r\n\r\n",
+      start + "Content-Length: +4\r\n\r\nbody",
+      start + "Content-Length: -4\r\n\r\nbody",
+      start + "Content-Length: 4x\r\n\r\nbody",
+      start + "Content-Length: 99999999999999999999\r\n\r\nbody",
+      start + "Content-Length : 4\r\n\r\nbody",
+      start + chunked + "\r\nzz\r\nbody\r\n0\r\n\r\n",
+      start + chunked + "\r\n-1\r\nbody\r\n0\r\n\r\n",
+      start + "no colon\r\n\r\n",
+      start + "x-deadline-ms: soon\r\n\r\n",
+      "POST /a/../b HTTP/1.1\r\nx-service: s\r\n\r\n",
+      "POST /a/%2E./b HTTP/1.1\r\nx-service: s\r\n\r\n",
+      "CONNECT a:1 HTTP/1.1\r\nx-service: s\r\n\r\n",
+      "FLY /a HTTP/1.1\r\nx-service: s\r\nContent-Length: 38\r\n\r\n",
+      "HEAD /a HTTP/1.1\r\nx-service: s\r\nContent-Length: 38\r\n\r\n",
+      "HEAD /a HTTP/1.1\r\nx-service: s\r\n" + chunked + "\r\n0\r\n\r\n",
+      "nonsense\r\n\r\n"};
+  GatewayFixture f;
+  for (const std::string& request : requests) {
+    INFO(request);
+    const auto caller = f.Connect();
+    caller->Send(request + "GET /hidden HTTP/1.1\r\nx-service: s\r\n\r\n");
+    CHECK(f.Wait([&] { return caller->closed; }));
+    CHECK((caller->received.empty() || caller->Count("HTTP/1.1 4") == 1 ||
+           caller->Count("HTTP/1.1 5") == 1));
+    CHECK(caller->Count("HTTP/1.1") <= 1);
+  }
+  CHECK(f.upstream.connections.empty());
+  CheckServes(&f);
+  // The same holds for a request that was sent ahead of the answer to the one before it.
+  const auto ahead = f.Connect();
+  ahead->Send(kGet + "FLY /a HTTP/1.1\r\nx-service: s\r\n\r\n" + kGet);
+  CHECK(f.Wait([&] { return ahead->closed; }));
+  CHECK(ahead->Count("done") == 1);
+}
+
+TEST_CASE("too large headers and bodies are rejected, the largest accepted ones pass",
+          "[callers_test]") {
+  GatewayFixture f("[limits]\nheader_bytes = 2048\nbody_bytes = 100000\n");
+  const std::string post = "POST /a HTTP/1.1\r\nx-service: s\r\n";
+  const std::string too_large[] = {
+      "GET /a HTTP/1.1\r\nx-long: " + std::string(4000, 'a') + "\r\n\r\n",
+      "GET /" + std::string(4000, 'a'),
+      post + "Content-Length: 100001\r\n\r\n" + std::string(100001, 'b'),
+      post + "Transfer-Encoding: chunked\r\n\r\n186a1\r\n" + std::string(100001, 'b') +
+          "\r\n0\r\n\r\n"};
+  for (const std::string& request : too_large) {
+    INFO(request.substr(0, 80));
+    const auto caller = f.Connect();
+    caller->Send(request);
+    CHECK(f.Wait([&] { return caller->closed; }));
+    CHECK((caller->received.empty() || caller->Count("HTTP/1.1 4") == 1));
+  }
+  CHECK(f.upstream.connections.empty());
+  f.AnswerAll();
+  const auto caller = f.Connect();
+  caller->Send(post + "Content-Length: 100000\r\n\r\n" + std::string(100000, 'b'));
+  REQUIRE(f.WaitFor(*caller, "done"));
+  CHECK(f.Wait([&] { return f.upstream.received().size() > 100000; }));
+  // Larger than what is read ahead while a call runs.
+  caller->Send(kGet + post + "Content-Length: 100000\r\n\r\n" + std::string(100000, 'b'));
+  CHECK(f.WaitFor(*caller, "done", 3));
+}
+
+TEST_CASE("slow senders and idle connections are closed", "[callers_test]") {
+  GatewayFixture f(
+      "[limits]\nheader_timeout_ms = 200\nbody_timeout_ms = 200\nidle_timeout_ms = 400\n");
+  const auto slow_header = f.Connect();
+  const auto slow_body = f.Connect();
+  const auto idle = f.Connect();
+  slow_body->Send("POST /a HTTP/1.1\r\nx-service: s\r\nContent-Length: 1000000\r\n\r\n");
+  // A byte now and then must not keep a request alive.
+  Timer trickle(&f.loop, [] {});
+  std::function<void()> next;
+  Timer drip(&f.loop, [&] {
+    slow_header->Send("x");
+    slow_body->Send("x");
+    drip.Schedule(20ms);
+  });
+  drip.Schedule(Duration(0));
+  CHECK(f.Wait([&] { return slow_header->closed && slow_body->closed && idle->closed; }));
+  drip.Cancel();
+  CheckServes(&f);
+  CHECK(f.upstream.requests() == 1);
+}
+
+TEST_CASE("a call may run longer than an idle connection is kept", "[callers_test]") {
+  GatewayFixture f("[limits]\nidle_timeout_ms = 100\n");
+  const auto caller = f.Connect();
+  caller->Send(kGet);
+  REQUIRE(f.Wait([&] { return f.upstream.requests() == 1; }));
+  Timer answer(&f.loop,
+               [&] { f.upstream.connections[0]->Send(HttpResponse("200 OK", "", "late")); });
+  answer.Schedule(500ms);
+  CHECK(f.WaitFor(*caller, "late"));
+}
+
+TEST_CASE("the longest idle connections over the limit are closed", "[callers_test]") {
+  GatewayFixture f("[limits]\nidle_connections = 2\n");
+  const auto busy = f.Connect();
+  busy->Send(kGet);
+  REQUIRE(f.Wait([&] { return f.upstream.requests() == 1; }));
+  std::vector<std::unique_ptr<TextConnection>> idle;
+  for (int i = 0; i < 5; ++i) {
+    idle.push_back(f.Connect());
+  }
+  const auto closed = [&] {
+    return std::count_if(idle.begin(), idle.end(), [](const auto& one) { return one->closed; });
+  };
+  CHECK(f.Wait([&] { return closed() == 3; }));
+  f.upstream.connections[0]->Send(HttpResponse("200 OK", "", "kept"));
+  CHECK(f.WaitFor(*busy, "kept"));
+  CHECK(closed() <= 4);
+}
+
+TEST_CASE("a caller that leaves ends its attempt", "[callers_test]") {
+  GatewayFixture f;
+  const auto caller = f.Connect();
+  caller->Send(kGet + "GET /next HTTP/1.1\r\n");
+  REQUIRE(f.Wait([&] { return f.upstream.requests() == 1; }));
+  caller->Close();
+  CHECK(f.Wait([&] { return f.upstream.connections[0]->closed; }));
+  CHECK(f.Status("/metrics").find("jackdawdeck_calls_total{end=\"caller-gone\"} 1") !=
+        std::string::npos);
+  CheckServes(&f);
+}
+
+TEST_CASE("a HEAD answer keeps its length and has no body", "[callers_test]") {
+  GatewayFixture f;
+  f.upstream.on_request = [](TextConnection& connection) {
+    connection.Send("HTTP/1.1 200 OK\r\nContent-Length: 77\r\n\r\n");
+  };
+  const auto caller = f.Connect();
+  caller->Send("HEAD /a HTTP/1.1\r\nx-service: s\r\n\r\n");
+  REQUIRE(f.WaitFor(*caller, "\r\n\r\n"));
+  CHECK(caller->Count("Content-Length: 77") == 1);
+  f.AnswerAll();
+  caller->Send(kGet);
+  CHECK(f.WaitFor(*caller, "done"));
+}
+
+}  // namespace
+}  // namespace jd
--- /dev/null
+++ b/tests/gateway_harness.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <string>
+
+#include "gateway/gateway.h"
+#include "tests/http_harness.h"
+
+namespace jd {
+
+/// A gateway with the service "s" at one endpoint that the test answers by hand.
+struct GatewayFixture {
+  /// @param extra TOML, for example the table [limits].
+  explicit GatewayFixture(const std::string& extra = "")
+      : upstream(&loop), gateway(&loop, ParseSettings(SettingsText(extra), "test.toml"), 1) {
+    gateway.stopped().connect([this] { stopped = true; });
+    gateway.Start();
+  }
+  std::string SettingsText(const std::string& extra) const {
+    return R"(
+callers = { port = 0 }
+status = { port = 0 }
+peers = { port = 0, shared_key = "0123456789abcdef" }
+zones = [{ id = "z" }]
+profiles = [{ id = "p", deadline_ms = 60000 }]
+[gateway]
+id = "g"
+zone = "z"
+seed = 1
+grace_ms = 300
+)" + extra +
+           R"(
+[[services]]
+id = "s"
+profile = "p"
+endpoints = [{ id = "e", zone = "z", address = "127.0.0.1", slots = 8, port = )" +
+           std::to_string(upstream.port) + "}]\n";
+  }
+  void AnswerAll(const std::string& headers = "", const std::string& body = "done") {
+    upstream.on_request = [headers, body](TextConnection& connection) {
+      connection.Send(HttpResponse("200 OK", headers, body));
+    };
+  }
+  std::unique_ptr<TextConnection> Connect() {
+    return std::make_unique<TextConnection>(&loop, gateway.caller_port());
+  }
+  bool Wait(const std::function<bool()>& done) { return RunUntil(&loop, done); }
+  bool WaitFor(const TextConnection& connection, const std::string& text, size_t count = 1) {
+    return Wait([&] { return connection.Count(text) >= count; });
+  }
+  /// Returns the whole answer of a page of the status port.
+  std::string Status(const std::string& page) {
+    TextConnection connection(&loop, gateway.status_port());
+    connection.Send("GET " + page + " HTTP/1.1\r\nConnection: close\r\n\r\n");
+    Wait([&] { return connection.closed; });
+    return connection.received;
+  }
+
+  EventLoop loop;
+  TextServer upstream;
+  Gateway gateway;
+  bool stopped = false;
+};
+
+inline const std::string kGet = "GET /a HTTP/1.1\r\nx-service: s\r\n\r\n";
+
+}  // namespace jd
--- /dev/null
+++ b/tests/http_harness.h
@@ -0,0 +1,168 @@
+#pragma once
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "platform/event_loop.h"
+
+namespace jd {
+
+/// Handles events until `done` holds. @return false if it does not within a generous time.
+inline bool RunUntil(EventLoop* loop, const std::function<bool()>& done) {
+  bool expired = false;
+  Timer tick(loop, [] {});
+  Timer limit(loop, [&] { expired = true; });
+  limit.Schedule(10s);
+  while (!done() && !expired) {
+    tick.Schedule(5ms);
+    loop->RunOnce();
+  }
+  return done();
+}
+
+inline sockaddr_in Loopback(uint16_t port) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(port);
+  return address;
+}
+
+/// One end of a TCP connection as plain text, so that tests control every byte.
+class TextConnection {
+ public:
+  TextConnection(EventLoop* loop, evutil_socket_t socket)
+      : stream_(bufferevent_socket_new(loop->base(), socket, BEV_OPT_CLOSE_ON_FREE)) {
+    bufferevent_setcb(stream_, &OnRead, nullptr, &OnEvent, this);
+    bufferevent_enable(stream_, EV_READ | EV_WRITE);
+  }
+  TextConnection(EventLoop* loop, uint16_t port) : TextConnection(loop, -1) {
+    const sockaddr_in address = Loopback(port);
+    bufferevent_socket_connect(stream_, reinterpret_cast<const sockaddr*>(&address),
+                               sizeof(address));
+  }
+  ~TextConnection() { Close(); }
+  TextConnection(const TextConnection&) = delete;
+  TextConnection& operator=(const TextConnection&) = delete;
+
+  void Send(const std::string& text) { bufferevent_write(stream_, text.data(), text.size()); }
+  void Close() {
+    if (stream_ != nullptr) {
+      shutdown(bufferevent_getfd(stream_), SHUT_RDWR);  // bufferevent_free closes later.
+      bufferevent_free(stream_);
+      stream_ = nullptr;
+    }
+  }
+  /// Counts how often `text` was received.
+  size_t Count(const std::string& text) const {
+    size_t count = 0;
+    for (size_t at = 0; (at = received.find(text, at)) != std::string::npos; at += text.size()) {
+      ++count;
+    }
+    return count;
+  }
+
+  std::string received;
+  bool closed = false;
+  std::function<void()> on_read;
+
+ private:
+  static void OnRead(bufferevent* stream, void* argument) {
+    auto* self = static_cast<TextConnection*>(argument);
+    evbuffer* input = bufferevent_get_input(stream);
+    std::string text(evbuffer_get_length(input), '\0');
+    evbuffer_remove(input, text.data(), text.size());
+    self->received += text;
+    if (self->on_read) {
+      self->on_read();
+    }
+  }
+  static void OnEvent(bufferevent*, short what, void* argument) {
+    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+      static_cast<TextConnection*>(argument)->closed = true;
+    }
+  }
+  bufferevent* stream_;
+};
+
+/// A TCP server whose connections the test answers by hand, or by `on_request`.
+class TextServer {
+ public:
+  explicit TextServer(EventLoop* loop) : loop_(loop) {
+    const sockaddr_in address = Loopback(0);
+    listener_ = evconnlistener_new_bind(
+        loop->base(), &OnAccept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+        reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+    sockaddr_in bound{};
+    socklen_t size = sizeof(bound);
+    getsockname(evconnlistener_get_fd(listener_), reinterpret_cast<sockaddr*>(&bound), &size);
+    port = ntohs(bound.sin_port);
+  }
+  ~TextServer() { StopListening(); }
+  TextServer(const TextServer&) = delete;
+  TextServer& operator=(const TextServer&) = delete;
+
+  void StopListening() {
+    if (listener_ != nullptr) {
+      evconnlistener_free(listener_);
+      listener_ = nullptr;
+    }
+  }
+  /// Requests received on all connections, recognised by the end of their headers.
+  size_t requests() const {
+    size_t count = 0;
+    for (const auto& connection : connections) {
+      count += connection->Count("\r\n\r\n");
+    }
+    return count;
+  }
+  std::string received() const {
+    std::string all;
+    for (const auto& connection : connections) {
+      all += connection->received;
+    }
+    return all;
+  }
+
+  uint16_t port = 0;
+  std::vector<std::unique_ptr<TextConnection>> connections;
+  /// Called with a connection each time that a header has arrived on it.
+  std::function<void(TextConnection&)> on_request;
+
+ private:
+  static void OnAccept(evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* argument) {
+    auto* self = static_cast<TextServer*>(argument);
+    self->connections.push_back(std::make_unique<TextConnection>(self->loop_, socket));
+    TextConnection* connection = self->connections.back().get();
+    connection->on_read = [self, connection, seen = size_t{0}]() mutable {
+      while (seen < connection->Count("\r\n\r\n")) {
+        ++seen;
+        if (self->on_request) {
+          self->on_request(*connection);
+        }
+      }
+    };
+  }
+  EventLoop* loop_;
+  evconnlistener* listener_;
+};
+
+/// Returns an HTTP response. @param headers each ending with "\r\n".
+inline std::string HttpResponse(const std::string& status,
+                                const std::string& headers,
+                                const std::string& body) {
+  return "HTTP/1.1 " + status + "\r\n" + headers +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+}  // namespace jd
--- /dev/null
+++ b/tests/shutdown_test.cc
@@ -0,0 +1,76 @@
+#include <catch2/catch.hpp>
+
+#include <csignal>
+
+#include "tests/gateway_harness.h"
+
+namespace jd {
+namespace {
+
+TEST_CASE("the status port tells readiness and metrics", "[shutdown_test]") {
+  GatewayFixture f;
+  f.AnswerAll();
+  const auto caller = f.Connect();
+  caller->Send(kGet);
+  REQUIRE(f.WaitFor(*caller, "done"));
+  CHECK(f.Status("/ready").starts_with("HTTP/1.1 200"));
+  CHECK(f.Status("/live").starts_with("HTTP/1.1 200"));
+  CHECK(f.Status("/other").starts_with("HTTP/1.1 404"));
+  const std::string metrics = f.Status("/metrics");
+  for (const char* line :
+       {"jackdawdeck_calls_total{end=\"answered\"} 1", "jackdawdeck_calls_in_flight 0",
+        "jackdawdeck_attempts_total{outcome=\"answered\"} 1", "jackdawdeck_caller_connections 1",
+        "jackdawdeck_upstream_connections 1", "jackdawdeck_added_latency_seconds_count 1",
+        "jackdawdeck_calls_waiting 0"}) {
+    INFO(line);
+    CHECK(metrics.find(line) != std::string::npos);
+  }
+}
+
+TEST_CASE("a stop cuts nothing off and refuses only after the grace time", "[shutdown_test]") {
+  GatewayFixture f;
+  const auto early = f.Connect();
+  const auto idle = f.Connect();
+  early->Send(kGet);
+  REQUIRE(f.Wait([&] { return f.upstream.requests() == 1; }));
+  const SignalWatch watch(&f.loop, SIGTERM, [&f] { f.gateway.Stop(); });
+  std::raise(SIGTERM);
+  REQUIRE(f.Wait([&] { return !f.gateway.ready(); }));
+  CHECK(f.Status("/ready").starts_with("HTTP/1.1 503"));
+  CHECK(f.Status("/live").starts_with("HTTP/1.1 200"));
+  std::raise(SIGTERM);
+  // Within the grace time new calls are served, also on new connections.
+  const auto within = f.Connect();
+  within->Send(kGet);
+  REQUIRE(f.Wait([&] { return f.upstream.requests() == 2; }));
+  REQUIRE(f.Wait([&] { return idle->closed; }));
+  const auto after = f.Connect();
+  after->Send(kGet);
+  REQUIRE(f.WaitFor(*after, "x-refusal: shutting-down"));
+  CHECK(after->Count("x-verdict: not-run") == 1);
+  CHECK_FALSE(f.stopped);
+  for (const auto& connection : f.upstream.connections) {
+    connection->Send(HttpResponse("200 OK", "", "whole"));
+  }
+  CHECK(f.WaitFor(*early, "whole"));
+  CHECK(f.WaitFor(*within, "whole"));
+  CHECK(f.Wait([&] { return f.stopped; }));
+  CHECK(early->Count("Connection: close") == 1);
+}
+
+TEST_CASE("an answer that its caller reads slowly is written whole before the exit",
+          "[shutdown_test]") {
+  GatewayFixture f;
+  const std::string body(4 << 20, 'b');
+  f.AnswerAll("", body);
+  const auto caller = f.Connect();
+  caller->Send(kGet);
+  REQUIRE(f.Wait([&] { return f.upstream.requests() == 1; }));
+  f.gateway.Stop();
+  REQUIRE(f.Wait([&] { return f.stopped; }));
+  REQUIRE(f.Wait([&] { return caller->closed; }));
+  CHECK(caller->received.size() > body.size());
+}
+
+}  // namespace
+}  // namespace jd
--- /dev/null
+++ b/tests/upstream_test.cc
@@ -0,0 +1,228 @@
+#include <catch2/catch.hpp>
+
+#include "gateway/upstream_pool.h"
+#include "tests/http_harness.h"
+
+namespace jd {
+namespace {
+
+// A pool with one endpoint "e" at a server that the test answers by hand.
+struct Fixture {
+  Fixture() : server(&loop), pool(&loop, HttpConnection::Limits()) {
+    Configure(4);
+    pool.attempt_ended().connect([this](const AttemptResult& result, HttpRequestPtr&) {
+      results[result.attempt.value].push_back(result);
+    });
+    pool.probe_ended().connect([this](const ProbeResult& result) { probes.push_back(result); });
+  }
+  void Configure(int max_connections) {
+    Configuration configuration;
+    Service service;
+    service.id = ServiceId("s");
+    service.health_path = "/healthy";
+    service.endpoints = {
+        {EndpointId("e"), ZoneId("z"), "127.0.0.1", server.port, 4, max_connections}};
+    configuration.services[service.id] = service;
+    pool.SetConfiguration(std::make_shared<const Configuration>(configuration));
+  }
+  void Send(uint64_t attempt, Duration timeout = 60s) {
+    UpstreamRequest request;
+    request.method = EVHTTP_REQ_POST;
+    request.target = "/order";
+    const BufferPtr body(evbuffer_new());
+    evbuffer_add_printf(body.get(), "body");
+    request.body = body.get();
+    pool.Send({CallId(1), AttemptId(attempt), EndpointId("e"), timeout}, request);
+  }
+  AttemptResult Wait(uint64_t attempt) {
+    REQUIRE(RunUntil(&loop, [&] { return !results[attempt].empty(); }));
+    CHECK(results[attempt].size() == 1);
+    return results[attempt].front();
+  }
+  void AnswerAll(const std::string& response) {
+    server.on_request = [response](TextConnection& connection) { connection.Send(response); };
+  }
+  void Settle() {
+    for (int i = 0; i < 20; ++i) {
+      int turns = 0;
+      RunUntil(&loop, [&] { return ++turns > 2; });
+    }
+  }
+
+  EventLoop loop;
+  TextServer server;
+  UpstreamPool pool;
+  std::map<uint64_t, std::vector<AttemptResult>> results;
+  std::vector<ProbeResult> probes;
+};
+
+const std::string kOk =
+    HttpResponse("200 OK",
+                 "x-load: in-flight=1;slots=4;state=warm\r\nx-instance-id: i7\r\n",
+                 "done");
+
+TEST_CASE("a request is sent once when a reused connection dies after reading it",
+          "[upstream_test]") {
+  // Guards against a client library that repeats an order on a new connection.
+  Fixture f;
+  f.AnswerAll(kOk);
+  f.Send(1);
+  const AttemptResult first = f.Wait(1);
+  CHECK(first.outcome == AttemptOutcome::kAnswered);
+  CHECK(first.new_connection);
+  REQUIRE(first.report);
+  CHECK(first.report->in_flight == 1);
+  CHECK(first.report->instance == InstanceId("i7"));
+  f.server.on_request = [](TextConnection& connection) { connection.Close(); };
+  f.Send(2);
+  const AttemptResult second = f.Wait(2);
+  CHECK_FALSE(second.new_connection);
+  CHECK(second.outcome == AttemptOutcome::kConnectionLost);
+  CHECK(second.request_written);
+  CHECK_FALSE(second.response_started);
+  f.Settle();
+  CHECK(f.server.requests() == 2);
+  CHECK(f.server.connections.size() == 1);
+}
+
+TEST_CASE("an idle connection that the upstream closed is not used", "[upstream_test]") {
+  Fixture f;
+  f.AnswerAll(kOk);
+  f.Send(1);
+  f.Wait(1);
+  f.server.connections[0]->Close();  // The pool's loop has not seen this yet.
+  f.Send(2);
+  const AttemptResult result = f.Wait(2);
+  CHECK(result.outcome == AttemptOutcome::kAnswered);
+  CHECK(result.new_connection);
+  CHECK(f.pool.connections() == 1);
+}
+
+TEST_CASE("a refused connection is not run", "[upstream_test]") {
+  Fixture f;
+  f.server.StopListening();
+  f.Send(1);
+  const AttemptResult result = f.Wait(1);
+  CHECK(result.outcome == AttemptOutcome::kConnectFailed);
+  CHECK_FALSE(result.request_written);
+  CHECK(VerdictOf(result) == Verdict::kNotRun);
+  f.Settle();
+  CHECK(f.pool.connections() == 0);
+}
+
+TEST_CASE("only the marked 503 counts as refused before running", "[upstream_test]") {
+  Fixture f;
+  f.AnswerAll(HttpResponse("503 Busy", "x-refused: not-run\r\n", ""));
+  f.Send(1);
+  CHECK(f.Wait(1).outcome == AttemptOutcome::kRefused);
+  f.AnswerAll(HttpResponse("503 Busy", "", ""));
+  f.Send(2);
+  CHECK(f.Wait(2).outcome == AttemptOutcome::kAnswered);
+  f.AnswerAll(HttpResponse("500 Oops", "x-refused: not-run\r\n", ""));
+  f.Send(3);
+  CHECK(f.Wait(3).outcome == AttemptOutcome::kAnswered);
+}
+
+TEST_CASE("a truncated response is a lost connection", "[upstream_test]") {
+  // Guards against half a response passed off as a whole one.
+  Fixture f;
+  for (const char* start : {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+                            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf"}) {
+    f.server.on_request = [start](TextConnection& connection) { connection.Send(start); };
+    const uint64_t attempt = f.results.size() + 1;
+    f.Send(attempt);
+    REQUIRE(RunUntil(&f.loop, [&] { return f.server.requests() == attempt; }));
+    f.Settle();
+    f.server.connections.back()->Close();
+    const AttemptResult result = f.Wait(attempt);
+    CHECK(result.outcome == AttemptOutcome::kConnectionLost);
+    CHECK(result.response_started);
+  }
+}
+
+TEST_CASE("a cancelled attempt reports once and its late answer reaches nobody",
+          "[upstream_test]") {
+  Fixture f;
+  f.Send(1);
+  REQUIRE(RunUntil(&f.loop, [&] { return f.server.requests() == 1; }));
+  f.pool.Cancel(AttemptId(1));
+  const AttemptResult result = f.Wait(1);
+  CHECK(result.outcome == AttemptOutcome::kCancelled);
+  CHECK(result.request_written);
+  f.server.connections[0]->Send(kOk);
+  f.pool.Cancel(AttemptId(1));
+  f.AnswerAll(HttpResponse("201 Created", "", ""));
+  f.Send(2);
+  CHECK(f.Wait(2).status == 201);
+  CHECK(f.results[1].size() == 1);
+  CHECK(f.server.connections.size() == 2);
+  CHECK(f.server.connections[0]->closed);
+}
+
+TEST_CASE("an attempt cancelled before its connection opens is not written", "[upstream_test]") {
+  Fixture f;
+  f.Send(1);
+  f.pool.Cancel(AttemptId(1));
+  const AttemptResult result = f.Wait(1);
+  CHECK(result.outcome == AttemptOutcome::kCancelled);
+  CHECK_FALSE(result.request_written);
+  f.Settle();
+  CHECK(f.server.requests() == 0);
+}
+
+TEST_CASE("an attempt ends at its time limit, which the upstream is told", "[upstream_test]") {
+  Fixture f;
+  f.Send(1, 200ms);
+  const AttemptResult result = f.Wait(1);
+  CHECK(result.outcome == AttemptOutcome::kTimedOut);
+  CHECK(result.request_written);
+  CHECK(f.server.received().find("x-deadline-ms: 200\r\n") != std::string::npos);
+}
+
+TEST_CASE("an endpoint never has more connections than allowed", "[upstream_test]") {
+  Fixture f;
+  f.Configure(2);
+  for (uint64_t attempt = 1; attempt <= 3; ++attempt) {
+    f.Send(attempt);
+  }
+  const AttemptResult third = f.Wait(3);
+  CHECK(third.outcome == AttemptOutcome::kConnectFailed);
+  CHECK_FALSE(third.request_written);
+  CHECK(f.pool.connections() == 2);
+  f.pool.Cancel(AttemptId(1));
+  f.AnswerAll(kOk);
+  f.Send(4);
+  CHECK(f.Wait(4).outcome == AttemptOutcome::kAnswered);
+}
+
+TEST_CASE("closing old connections fails those in use and keeps newer ones", "[upstream_test]") {
+  Fixture f;
+  f.Send(1);
+  REQUIRE(RunUntil(&f.loop, [&] { return f.server.requests() == 1; }));
+  const MonoTime between = f.loop.ReadClocks().mono;
+  REQUIRE(RunUntil(&f.loop, [&] { return f.loop.ReadClocks().mono > between; }));
+  f.Send(2);
+  REQUIRE(RunUntil(&f.loop, [&] { return f.server.requests() == 2; }));
+  f.pool.Close({EndpointId("e"), between});
+  CHECK(f.Wait(1).outcome == AttemptOutcome::kConnectionLost);
+  CHECK(f.results[2].empty());
+  f.server.connections[1]->Send(kOk);
+  CHECK(f.Wait(2).outcome == AttemptOutcome::kAnswered);
+}
+
+TEST_CASE("a probe reads the health page", "[upstream_test]") {
+  Fixture f;
+  f.AnswerAll(kOk);
+  f.pool.Probe({EndpointId("e"), 60s});
+  REQUIRE(RunUntil(&f.loop, [&] { return !f.probes.empty(); }));
+  CHECK(f.server.received().starts_with("GET /healthy HTTP/1.1\r\n"));
+  CHECK(f.probes[0].answered);
+  CHECK(f.probes[0].report->slots == 4);
+  f.pool.Probe({EndpointId("unknown"), 60s});
+  REQUIRE(f.probes.size() == 2);
+  CHECK_FALSE(f.probes[1].answered);
+  CHECK(f.results.empty());
+}
+
+}  // namespace
+}  // namespace jd
