--- a/cluster/endpoint_directory.cc
+++ b/cluster/endpoint_directory.cc
@@ -1,19 +1,18 @@
 #include "cluster/endpoint_directory.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace jd {
 
 void EndpointDirectory::SetConfiguration(ConfigurationPtr configuration) {
   configuration_ = std::move(configuration);
-  service_of_.clear();
+  entries_.clear();
   for (const auto& [id, service] : configuration_->services) {
     for (const Endpoint& endpoint : service.endpoints) {
-      service_of_[endpoint.id] = id;
+      entries_[endpoint.id] = {&service, &endpoint};
     }
   }
-  std::erase_if(leaving_, [this](const EndpointId& id) { return !service_of_.contains(id); });
+  std::erase_if(leaving_, [this](const EndpointId& id) { return !entries_.contains(id); });
 }
 
 void EndpointDirectory::SetZonesOut(std::set<ZoneId> zones) {
@@ -21,25 +20,20 @@
 }
 
 bool EndpointDirectory::SetLeaving(const EndpointId& endpoint, bool leaving) {
-  if (!service_of_.contains(endpoint)) {
+  if (!entries_.contains(endpoint)) {
     return false;
   }
   return leaving ? leaving_.insert(endpoint).second : leaving_.erase(endpoint) > 0;
 }
 
 const Service* EndpointDirectory::ServiceOf(const EndpointId& endpoint) const {
-  const auto service = service_of_.find(endpoint);
-  return service == service_of_.end() ? nullptr : &configuration_->services.at(service->second);
+  const auto entry = entries_.find(endpoint);
+  return entry == entries_.end() ? nullptr : entry->second.service;
 }
 
 const Endpoint* EndpointDirectory::Find(const EndpointId& endpoint) const {
-  const Service* service = ServiceOf(endpoint);
-  if (service == nullptr) {
-    return nullptr;
-  }
-  const auto found = std::find_if(service->endpoints.begin(), service->endpoints.end(),
-                                  [&](const Endpoint& one) { return one.id == endpoint; });
-  return found == service->endpoints.end() ? nullptr : &*found;
+  const auto entry = entries_.find(endpoint);
+  return entry == entries_.end() ? nullptr : entry->second.endpoint;
 }
 
 ServiceView EndpointDirectory::View(const Service& service) const {
--- a/cluster/endpoint_directory.h
+++ b/cluster/endpoint_directory.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <set>
+#include <unordered_map>
 #include <vector>
 
 #include "common/configuration.h"
@@ -34,10 +35,15 @@
   Changes TakeChanges();
 
  private:
+  struct Entry {
+    const Service* service = nullptr;
+    const Endpoint* endpoint = nullptr;
+  };
+
   ServiceView View(const Service& service) const;
 
   ConfigurationPtr configuration_;
-  std::map<EndpointId, ServiceId> service_of_;
+  std::unordered_map<EndpointId, Entry> entries_;  ///< Point into configuration_.
   std::set<ZoneId> zones_out_;
   std::set<EndpointId> leaving_;
   std::map<ServiceId, ServiceView> taken_;
--- a/cluster/node.cc
+++ b/cluster/node.cc
@@ -1,94 +1,347 @@
 #include "cluster/node.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace jd {
+namespace {
 
-Node::Node(NodeSettings settings)
-    : settings_(std::move(settings)), dispatcher_(settings_.zone, &policy_, settings_.seed) {}
+// The VM list lags anyway; reading it more often would cost reads and tell nothing newer.
+constexpr Duration kVmListEvery = 2s;
+constexpr Duration kProbeTimeout = 500ms;
+// An answer slower than this many times its zone's usual latency counts against a ramp.
+constexpr int kSlowFactor = 3;
 
-void Node::Start(Now now, ConfigurationPtr initial, NodeActions*) {
-  configuration_ = std::move(initial);
-  if (configuration_ == nullptr) {
-    return;
+PolicyVariant MakePolicy(const NodeSettings& settings) {
+  if (settings.policy == SlotHolder::kName) {
+    return PolicyVariant(SlotHolder(settings.id, settings.zone, settings.incarnation));
   }
-  dispatcher_.SetConfiguration(now.mono, configuration_);
-  for (const auto& [id, service] : configuration_->services) {
-    ServiceView view;
-    view.id = id;
-    for (const Endpoint& endpoint : service.endpoints) {
-      view.endpoints.push_back({endpoint.id, endpoint.zone, endpoint.slots, true});
-    }
-    policy_.SetService(now.mono, view);
+  return PolicyVariant::ByName(settings.policy);
+}
+
+void EarlierOf(std::optional<MonoTime>* earliest, std::optional<MonoTime> other) {
+  if (other && (!*earliest || *other < **earliest)) {
+    *earliest = other;
+  }
+}
+
+}  // namespace
+
+Node::Node(const NodeSettings& settings)
+    : settings_(settings),
+      policy_(MakePolicy(settings)),
+      dispatcher_(settings.zone, &policy_, settings.seed),
+      config_(settings, &router_),
+      membership_(settings),
+      slots_(settings, policy_.get_if<SlotHolder>()),
+      claims_(settings.id, settings.incarnation),
+      timeline_(settings.id, settings.event_capacity),
+      operator_({&settings_, &config_, &membership_, &slots_, &timeline_}) {}
+
+void Node::Start(Now now, ConfigurationPtr initial, NodeActions* actions) {
+  MembershipOutput members;
+  membership_.Start(now.mono, &members);
+  TakeMembership(now, members, actions);
+  std::vector<GatewayId> peers;
+  for (const PeerSeed& seed : settings_.seeds) {
+    peers.push_back(seed.id);
   }
+  NodeConfig::Output output = ConfigOutputFor(actions);
+  config_.Start(now, std::move(initial), peers, &output);
+  TakeConfig(now, &output, actions);
+  next_vm_list_ = now.mono;
+  OnTimer(now, actions);
 }
 
 void Node::OnCall(Now now, const CallRequest& request, NodeActions* actions) {
-  CallActions out;
-  dispatcher_.OnCall(now.mono, request, &out);
-  Append(out, actions);
+  if (!request.request_key.empty() && !config_.has_platform()) {
+    actions->push_back(RefuseCall{request.id,
+                                  {RefusalReason::kStoreUnavailable, Verdict::kNotRun, Duration(0),
+                                   "Request keys need a platform to be claimed in."}});
+    return;
+  }
+  if (request.request_key.empty()) {
+    CallActions out;
+    dispatcher_.OnCall(now.mono, request, &out);
+    Append(now, out, actions);
+    return;
+  }
+  claiming_.emplace(request.id, request);
+  ClaimOutput output;
+  // The dispatcher applies the profile's deadline; the claim only needs an upper limit.
+  const MonoTime deadline = now.mono + request.timeout.value_or(RequestClaims::kClaimLimit * 2);
+  claims_.Claim(now, request.id,
+                RequestClaims::KeyOf(request.service, request.workspace, request.request_key),
+                request.fingerprint, deadline, &output);
+  keyed_[request.id] = now.mono;
+  TakeClaims(now, std::move(output), actions);
+}
+
+void Node::TakeClaims(Now now, ClaimOutput from, NodeActions* actions) {
+  router_.Send(TableClient::kClaims, 0, std::move(from.calls), actions);
+  for (const ClaimAnswer& answer : from.answers) {
+    TakeClaimAnswer(now, answer, actions);
+  }
+}
+
+void Node::TakeClaimAnswer(Now now, const ClaimAnswer& answer, NodeActions* actions) {
+  const auto waiting = claiming_.extract(answer.call);
+  if (waiting.empty()) {
+    return;
+  }
+  if (answer.decision == ClaimDecision::kRun) {
+    CallRequest request = std::move(waiting.mapped());
+    if (request.timeout) {
+      *request.timeout -= now.mono - keyed_[request.id];
+    }
+    CallActions out;
+    dispatcher_.OnCall(now.mono, request, &out);
+    Append(now, out, actions);
+    return;
+  }
+  keyed_.erase(answer.call);
+  if (answer.decision == ClaimDecision::kReplay) {
+    actions->push_back(ReplayCall{answer.call, answer.stored.status, answer.stored.content_type,
+                                  answer.stored.body});
+    return;
+  }
+  Refusal refusal;
+  refusal.reason = RefusalReason::kKeyUnresolved;
+  refusal.verdict = Verdict::kMayHaveRun;
+  switch (answer.decision) {
+    case ClaimDecision::kBodyNotKept:
+      refusal.text = "The request with this key has run; its response was too large to keep.";
+      break;
+    case ClaimDecision::kOtherRequest:
+      refusal.verdict = Verdict::kNotRun;
+      refusal.text = "The key belongs to a different request.";
+      break;
+    case ClaimDecision::kStoreDown:
+      refusal.reason = RefusalReason::kStoreUnavailable;
+      refusal.verdict = Verdict::kNotRun;
+      refusal.retry_after = 1s;
+      refusal.text = "The request key could not be claimed in the platform's table.";
+      break;
+    default:
+      refusal.text = "Another request with this key may have run.";
+  }
+  actions->push_back(RefuseCall{answer.call, std::move(refusal)});
 }
 
 void Node::OnCallerGone(Now now, CallId call, NodeActions* actions) {
+  if (claiming_.erase(call) > 0) {
+    keyed_.erase(call);
+    ClaimOutput output;
+    claims_.Cancel(now, call, &output);
+    TakeClaims(now, std::move(output), actions);
+    return;
+  }
   CallActions out;
   dispatcher_.OnCallerGone(now.mono, call, &out);
-  Append(out, actions);
+  // Cancelled attempts may have run, so the claim stays unresolved unless none was sent.
+  EndKeyed(now, call, out.empty() ? Verdict::kNotRun : Verdict::kMayHaveRun, actions);
+  Append(now, out, actions);
+}
+
+void Node::EndKeyed(Now now, CallId call, Verdict verdict, NodeActions* actions) {
+  if (keyed_.erase(call) == 0) {
+    return;
+  }
+  ClaimOutput output;
+  ClaimOutcome outcome;
+  outcome.verdict = verdict;
+  claims_.Finish(now, call, outcome, &output);
+  TakeClaims(now, std::move(output), actions);
+}
+
+void Node::OnCallAnswered(Now now,
+                          CallId call,
+                          const StoredResponse& response,
+                          NodeActions* actions) {
+  ClaimOutput output;
+  claims_.Finish(now, call, {Verdict::kRan, response.status, response.content_type, response.body},
+                 &output);
+  TakeClaims(now, std::move(output), actions);
 }
 
 void Node::OnAttemptResult(Now now, const AttemptResult& result, NodeActions* actions) {
+  const auto attempt = attempts_.extract(result.attempt);
   CallActions out;
   dispatcher_.OnAttemptResult(now.mono, result, &out);
-  Append(out, actions);
+  Append(now, out, actions);
+  if (attempt.empty()) {
+    return;
+  }
+  const EndpointId& endpoint = attempt.mapped();
+  if (result.response_started) {
+    probes_.OnFreeSignal(now.mono, endpoint);
+  }
+  if (result.report) {
+    OnReport(now, endpoint, *result.report, actions);
+  }
+  const Endpoint* known = directory_.Find(endpoint);
+  if (known == nullptr || result.outcome == AttemptOutcome::kCancelled) {
+    return;
+  }
+  const bool ok = result.outcome == AttemptOutcome::kAnswered && result.status < 500;
+  const Duration usual = latency_.usual(endpoint);
+  const bool slow = ok && usual > Duration(0) && result.latency > usual * kSlowFactor;
+  if (ok) {
+    latency_.Add(endpoint, result.latency);
+  }
+  config_.OnZoneEvidence(known->zone, {ok ? 1 : 0, slow ? 1 : 0, ok ? 0 : 1});
 }
 
-void Node::OnPeerMessage(Now, const PeerMessage&, NodeActions*) {}
-void Node::OnTableReply(Now, uint64_t, const TableReply&, NodeActions*) {}
-void Node::OnVmList(Now, const VmList&, NodeActions*) {}
-void Node::OnProbeResult(Now, const ProbeResult&, NodeActions*) {}
-void Node::OnOperatorRequest(Now, const OperatorRequest& request, NodeActions* actions) {
-  OperatorReply reply;
-  reply.id = request.id;
-  reply.status = OperatorStatus::kRefused;
-  reply.body = R"({"error":"unknown command"})";
-  actions->push_back(SendOperatorReply{std::move(reply)});
+void Node::OnReport(Now now,
+                    const EndpointId& endpoint,
+                    const LoadReport& report,
+                    NodeActions* actions) {
+  if (report.state == EndpointState::kDraining) {
+    OnNotice(now, {endpoint, report.instance, EndpointNoticeKind::kDraining}, true, actions);
+    return;
+  }
+  const auto drained = drained_instances_.find(endpoint);
+  if (drained != drained_instances_.end() && drained->second != report.instance) {
+    OnNotice(now, {endpoint, report.instance, EndpointNoticeKind::kServing}, true, actions);
+  }
+}
+
+void Node::OnNotice(Now now, const EndpointNotice& notice, bool tell_peers, NodeActions* actions) {
+  const bool leaving = notice.kind == EndpointNoticeKind::kDraining;
+  if (!directory_.SetLeaving(notice.endpoint, leaving)) {
+    return;
+  }
+  if (leaving) {
+    drained_instances_[notice.endpoint] = notice.instance;
+    slots_.OnEndpointLeaving(now.mono, notice.endpoint);
+  } else {
+    drained_instances_.erase(notice.endpoint);
+    slots_.OnEndpointServing(now.mono, notice.endpoint);
+  }
+  Event event;
+  event.kind = leaving ? EventKind::kEndpointDraining : EventKind::kEndpointWarm;
+  event.endpoint = notice.endpoint;
+  timeline_.Add(now, std::move(event));
+  if (tell_peers) {
+    SendToAll(now, notice, actions);
+  }
+  UpdateServices(now, actions);
+}
+
+void Node::OnProbeResult(Now now, const ProbeResult& result, NodeActions* actions) {
+  if (!result.answered || !result.report) {
+    return;
+  }
+  probes_.OnFreeSignal(now.mono, result.endpoint);
+  slots_.OnProbeReport(now.mono, result.endpoint, *result.report);
+  OnReport(now, result.endpoint, *result.report, actions);
+}
+
+void Node::OnVmList(Now now, const VmList& vms, NodeActions* actions) {
+  MembershipOutput output;
+  membership_.OnVmList(now.mono, vms, &output);
+  TakeMembership(now, output, actions);
+  for (const Vm& vm : vms) {
+    const EndpointId endpoint(vm.name);
+    if (vm.role != VmRole::kUpstream || directory_.Find(endpoint) == nullptr) {
+      continue;
+    }
+    const bool leaving = vm.state == VmState::kLeaving;
+    // The list lags: only its own change from leaving to live brings an endpoint back.
+    const bool was_leaving = std::exchange(listed_leaving_[endpoint], leaving);
+    if (leaving != was_leaving) {
+      OnNotice(now,
+               {endpoint, InstanceId(),
+                leaving ? EndpointNoticeKind::kDraining : EndpointNoticeKind::kServing},
+               false, actions);
+    }
+  }
+}
+
+void Node::OnTableReply(Now now, uint64_t id, const TableReply& reply, NodeActions* actions) {
+  const std::optional<TableRouter::Route> route = router_.Take(id);
+  if (!route) {
+    return;
+  }
+  if (route->client == TableClient::kClaims) {
+    ClaimOutput output;
+    claims_.OnTableReply(now, route->token, reply, &output);
+    TakeClaims(now, std::move(output), actions);
+    return;
+  }
+  NodeConfig::Output output = ConfigOutputFor(actions);
+  config_.OnTableReply(now, *route, reply, &output);
+  TakeConfig(now, &output, actions);
+}
+
+void Node::OnOperatorRequest(Now now, const OperatorRequest& request, NodeActions* actions) {
+  NodeConfig::Output output = ConfigOutputFor(actions);
+  std::optional<OperatorReply> reply = operator_.OnRequest(now, request, ready(), calls(), &output);
+  if (reply) {
+    actions->push_back(SendOperatorReply{std::move(*reply)});
+  }
+  TakeConfig(now, &output, actions);
 }
 
 void Node::OnTimer(Now now, NodeActions* actions) {
   CallActions out;
   dispatcher_.OnTimer(now.mono, &out);
-  Append(out, actions);
+  Append(now, out, actions);
+  membership_.SetSelf({config_.version(), ready(), config_.configuration() != nullptr});
+  MembershipOutput members;
+  membership_.OnTimer(now.mono, &members);
+  TakeMembership(now, members, actions);
+  NodeConfig::Output config = ConfigOutputFor(actions);
+  config_.OnTimer(now, &config);
+  TakeConfig(now, &config, actions);
+  ClaimOutput claims;
+  claims_.OnTimer(now, &claims);
+  TakeClaims(now, std::move(claims), actions);
+  for (const EndpointId& endpoint : probes_.TakeProbes(now.mono)) {
+    actions->push_back(SendProbe{endpoint, kProbeTimeout});
+  }
+  if (config_.has_platform() && now.mono >= next_vm_list_) {
+    next_vm_list_ = now.mono + kVmListEvery;
+    actions->push_back(FetchVmList{});
+  }
+  OnTurnEnd(now, actions);
 }
 
-void Node::OnStop(Now, NodeActions*) {
+void Node::OnStop(Now now, NodeActions* actions) {
   stopping_ = true;
   dispatcher_.Stop();
+  slots_.HandOver(now.mono);
+  MembershipOutput members;
+  membership_.Leave(now.mono, &members);
+  TakeMembership(now, members, actions);
+  OnTurnEnd(now, actions);
 }
 
 std::optional<MonoTime> Node::next_timer() const {
-  return dispatcher_.next_timer();
+  std::optional<MonoTime> next = dispatcher_.next_timer();
+  EarlierOf(&next, membership_.next_timer());
+  EarlierOf(&next, config_.next_timer());
+  EarlierOf(&next, slots_.next_timer());
+  EarlierOf(&next, probes_.next_timer());
+  EarlierOf(&next, claims_.next_timer());
+  if (config_.has_platform()) {
+    EarlierOf(&next, next_vm_list_);
+  }
+  return next;
 }
 
 bool Node::ready() const {
-  return configuration_ != nullptr && !stopping_;
+  return config_.ready() && !stopping_ && !config_.zones().own_zone_out();
 }
 
 bool Node::drained() const {
-  return stopping_ && dispatcher_.calls() == 0;
-}
-
-void Node::Append(const CallActions& from, NodeActions* to) {
-  for (const CallAction& action : from) {
-    std::visit(
-        [to](const auto& value) {
-          using Value = std::decay_t<decltype(value)>;
-          if constexpr (std::is_constructible_v<NodeAction, const Value&> &&
-                        !std::is_same_v<Value, RecordEvent> &&
-                        !std::is_same_v<Value, AnnounceCrash>) {
-            to->push_back(value);
-          }
-        },
-        action);
-  }
+  return stopping_ && calls() == 0 && dispatcher_.attempts() == 0;
+}
+
+NodeConfig::Output Node::ConfigOutputFor(NodeActions* actions) {
+  NodeConfig::Output output;
+  output.actions = actions;
+  return output;
 }
 
 }  // namespace jd
--- /dev/null
+++ b/cluster/node_config.cc
@@ -0,0 +1,235 @@
+#include "cluster/node_config.h"
+
+#include <algorithm>
+
+namespace jd {
+namespace {
+
+// Time to write a zone decision after a store outage; it is repeated until it is settled.
+constexpr Duration kRecordTimeout = 5s;
+
+}  // namespace
+
+NodeConfig::NodeConfig(const NodeSettings& settings, TableRouter* router)
+    : self_(settings.id),
+      has_platform_(settings.has_platform),
+      router_(router),
+      keeper_(settings.seed),
+      zones_(settings.zone),
+      maintenance_(settings.id),
+      random_(settings.seed ^ settings.incarnation.value) {}
+
+void NodeConfig::Start(Now now,
+                       ConfigurationPtr initial,
+                       const std::vector<GatewayId>& peers,
+                       Output* output) {
+  if (!has_platform_) {
+    embedded_ = std::move(initial);
+    if (embedded_ != nullptr) {
+      output->configuration_changed = true;
+      ZoneOutput zones;
+      zones_.OnConfiguration(now.mono, *embedded_, &zones);
+      TakeZones(now, std::move(zones), output);
+    }
+    return;
+  }
+  ConfigOutput out;
+  keeper_.Start(now.mono, peers, &out);
+  TakeKeeper(now, std::move(out), output);
+}
+
+void NodeConfig::TakeKeeper(Now now, ConfigOutput from, Output* output) {
+  router_->Send(TableClient::kKeeper, 0, std::move(from.calls), output->actions);
+  for (auto& [to, entries] : from.answers) {
+    output->messages.push_back({to, std::move(entries)});
+  }
+  for (auto& [to, fetch] : from.fetches) {
+    output->messages.push_back({to, fetch});
+  }
+  for (ConfigEntries& push : from.pushes) {
+    output->messages.push_back({std::nullopt, std::move(push)});
+  }
+  zones_.OnStore(now.mono, keeper_.store_up());
+  if (from.changed) {
+    output->configuration_changed = true;
+    ZoneOutput zones;
+    zones_.OnConfiguration(now.mono, *keeper_.configuration(), &zones);
+    TakeZones(now, std::move(zones), output);
+  }
+}
+
+void NodeConfig::TakeZones(Now now, ZoneOutput from, Output* output) {
+  output->zones_changed = output->zones_changed || !from.changed.empty();
+  for (const UnrecordedZone& decision : from.broadcast) {
+    output->messages.push_back({std::nullopt, decision});
+  }
+  for (const UnrecordedZone& decision : from.record) {
+    Record(now, decision, output);
+  }
+}
+
+void NodeConfig::Record(Now now, const UnrecordedZone& decision, Output* output) {
+  if (recording_.contains(decision.zone)) {
+    return;
+  }
+  WriteRequest request;
+  request.change = Zone{decision.zone, ZoneState::kOut};
+  request.base = decision.base;
+  request.author = decision.author;
+  recording_[decision.zone] = Write(now, std::move(request), kRecordTimeout, output);
+}
+
+void NodeConfig::OnTimer(Now now, Output* output) {
+  if (has_platform_) {
+    ConfigOutput out;
+    keeper_.OnTimer(now.mono, &out);
+    TakeKeeper(now, std::move(out), output);
+    TableCalls calls;
+    maintenance_.OnTimer(now, &calls);
+    router_->Send(TableClient::kMaintenance, 0, std::move(calls), output->actions);
+    std::vector<uint64_t> operations;
+    for (const auto& [operation, writer] : writers_) {
+      operations.push_back(operation);
+    }
+    for (const uint64_t operation : operations) {
+      TableCalls writes;
+      writers_.at(operation)->OnTimer(now, &writes);
+      router_->Send(TableClient::kWriter, operation, std::move(writes), output->actions);
+      FinishWriter(now, operation, output);
+    }
+  }
+  ZoneOutput zones;
+  zones_.OnTimer(now.mono, &zones);
+  TakeZones(now, std::move(zones), output);
+}
+
+void NodeConfig::OnTableReply(Now now,
+                              const TableRouter::Route& route,
+                              const TableReply& reply,
+                              Output* output) {
+  if (route.client == TableClient::kKeeper) {
+    ConfigOutput out;
+    keeper_.OnTableReply(now.mono, route.token, reply, &out);
+    TakeKeeper(now, std::move(out), output);
+    return;
+  }
+  TableCalls calls;
+  if (route.client == TableClient::kMaintenance) {
+    maintenance_.OnTableReply(now, route.token, reply, &calls);
+    router_->Send(TableClient::kMaintenance, 0, std::move(calls), output->actions);
+    return;
+  }
+  const auto writer = writers_.find(route.instance);
+  if (writer == writers_.end()) {
+    return;
+  }
+  writer->second->OnTableReply(now, route.token, reply, &calls);
+  router_->Send(TableClient::kWriter, route.instance, std::move(calls), output->actions);
+  FinishWriter(now, route.instance, output);
+}
+
+void NodeConfig::FinishWriter(Now now, uint64_t operation, Output* output) {
+  const auto writer = writers_.find(operation);
+  if (writer == writers_.end() || !writer->second->done()) {
+    return;
+  }
+  WriteResult result = writer->second->result();
+  writers_.erase(writer);
+  std::erase_if(recording_, [operation](const auto& item) { return item.second == operation; });
+  if (result.entry) {
+    ConfigOutput out;
+    keeper_.OnRecorded(now.mono, *result.entry, &out);
+    TakeKeeper(now, std::move(out), output);
+  }
+  output->written.emplace_back(operation, std::move(result));
+}
+
+uint64_t NodeConfig::Write(Now now, WriteRequest request, Duration timeout, Output* output) {
+  const uint64_t operation = next_operation_++;
+  request.nonce = self_.value + "-" + std::to_string(random_());
+  auto writer = std::make_unique<ConfigWriter>(std::move(request), keeper_.configuration(),
+                                               now.mono + timeout);
+  TableCalls calls;
+  writer->Start(now, &calls);
+  writers_.emplace(operation, std::move(writer));
+  router_->Send(TableClient::kWriter, operation, std::move(calls), output->actions);
+  FinishWriter(now, operation, output);
+  return operation;
+}
+
+void NodeConfig::OnEntries(Now now,
+                           const GatewayId& from,
+                           const ConfigEntries& entries,
+                           Output* output) {
+  ConfigOutput out;
+  keeper_.OnEntries(now.mono, from, entries, &out);
+  TakeKeeper(now, std::move(out), output);
+}
+
+void NodeConfig::OnFetch(const GatewayId& from, const ConfigFetch& fetch, Output* output) {
+  ConfigOutput out;
+  keeper_.OnFetch(from, fetch, &out);
+  for (auto& [to, entries] : out.answers) {
+    output->messages.push_back({to, std::move(entries)});
+  }
+}
+
+void NodeConfig::OnUnrecorded(Now now, const UnrecordedZone& decision, Output* output) {
+  ZoneOutput zones;
+  zones_.OnUnrecorded(now.mono, decision, &zones);
+  TakeZones(now, std::move(zones), output);
+}
+
+void NodeConfig::OnPeerVersion(Now now,
+                               const GatewayId& from,
+                               ConfigVersion version,
+                               Output* output) {
+  if (!has_platform_) {
+    return;
+  }
+  ConfigOutput out;
+  keeper_.OnPeerVersion(now.mono, from, version, &out);
+  TakeKeeper(now, std::move(out), output);
+}
+
+void NodeConfig::OnZoneEvidence(const ZoneId& zone, const ZoneEvidence& evidence) {
+  zones_.OnEvidence(zone, evidence);
+}
+
+bool NodeConfig::TakeOutUnrecorded(Now now,
+                                   const ZoneId& zone,
+                                   HybridTime decided,
+                                   const std::string& author,
+                                   Output* output) {
+  ZoneOutput zones;
+  const bool taken = zones_.TakeOutUnrecorded(now.mono, zone, decided, author, &zones);
+  TakeZones(now, std::move(zones), output);
+  return taken;
+}
+
+MonoTime NodeConfig::next_timer() const {
+  MonoTime next = MonoTime::max();
+  if (has_platform_) {
+    next = std::min(keeper_.next_timer(), maintenance_.next_timer());
+    for (const auto& [operation, writer] : writers_) {
+      next = std::min(next, writer->next_timer());
+    }
+  }
+  return std::min(next, zones_.next_timer().value_or(MonoTime::max()));
+}
+
+bool NodeConfig::ready() const {
+  return has_platform_ ? keeper_.ready() && keeper_.configuration() != nullptr
+                       : embedded_ != nullptr;
+}
+
+ConfigurationPtr NodeConfig::configuration() const {
+  return has_platform_ ? keeper_.configuration() : embedded_;
+}
+
+ConfigVersion NodeConfig::version() const {
+  const ConfigurationPtr current = configuration();
+  return current == nullptr ? ConfigVersion() : current->version;
+}
+
+}  // namespace jd
--- /dev/null
+++ b/cluster/node_effects.cc
@@ -0,0 +1,227 @@
+// The part of Node that turns what its components decided into actions, messages and new views.
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "cluster/node.h"
+
+namespace jd {
+
+void Node::SendTo(Now now, const GatewayId& to, PeerBody body, NodeActions* actions) {
+  actions->push_back(SendPeer{
+      to,
+      {settings_.id, settings_.incarnation, timeline_.clock().Tick(now.wall), std::move(body)}});
+}
+
+void Node::SendToAll(Now now, const PeerBody& body, NodeActions* actions) {
+  for (const auto& [id, member] : membership_.members()) {
+    if (member.state != MemberState::kDead) {
+      SendTo(now, id, body, actions);
+    }
+  }
+}
+
+void Node::Record(Now now, EventKind kind, const std::string& detail) {
+  Event event;
+  event.kind = kind;
+  event.detail = detail;
+  timeline_.Add(now, std::move(event));
+}
+
+void Node::Append(Now now, const CallActions& from, NodeActions* to) {
+  for (const CallAction& action : from) {
+    if (const auto* record = std::get_if<RecordEvent>(&action)) {
+      timeline_.Add(now, record->event);
+    } else if (const auto* crash = std::get_if<AnnounceCrash>(&action)) {
+      SendToAll(now, CrashNotice{crash->fingerprint}, to);
+    } else if (const auto* send = std::get_if<SendAttempt>(&action)) {
+      attempts_[send->attempt] = send->endpoint;
+      to->push_back(*send);
+    } else if (const auto* answer = std::get_if<AnswerCall>(&action)) {
+      const bool keyed = keyed_.erase(answer->call) > 0;
+      to->push_back(AnswerCall{answer->call, answer->attempt, keyed});
+    } else if (const auto* refuse = std::get_if<RefuseCall>(&action)) {
+      EndKeyed(now, refuse->call, refuse->refusal.verdict, to);
+      to->push_back(*refuse);
+    } else if (const auto* cancel = std::get_if<CancelAttempt>(&action)) {
+      to->push_back(*cancel);
+    } else if (const auto* close = std::get_if<CloseConnections>(&action)) {
+      to->push_back(*close);
+    }
+  }
+}
+
+void Node::OnPeerMessage(Now now, const PeerMessage& message, NodeActions* actions) {
+  timeline_.clock().Receive(now.wall, message.stamp);
+  if (message.from == settings_.id || membership_.IsOutdated(message.from, message.incarnation)) {
+    return;
+  }
+  NodeConfig::Output output = ConfigOutputFor(actions);
+  const GatewayId& from = message.from;
+  if (const auto* heartbeat = std::get_if<Heartbeat>(&message.body)) {
+    MembershipOutput members;
+    membership_.OnHeartbeat(now.mono, from, message.incarnation, *heartbeat, &members);
+    TakeMembership(now, members, actions);
+    config_.OnPeerVersion(now, from, heartbeat->version, &output);
+  } else if (const auto* request = std::get_if<SlotRequest>(&message.body)) {
+    slots_.OnRequest(now.mono, from, message.incarnation, *request);
+  } else if (const auto* grant = std::get_if<SlotGrant>(&message.body)) {
+    slots_.OnGrant(now.mono, from, *grant);
+  } else if (const auto* notice = std::get_if<EndpointNotice>(&message.body)) {
+    OnNotice(now, *notice, false, actions);
+  } else if (const auto* crash = std::get_if<CrashNotice>(&message.body)) {
+    dispatcher_.AddCrashFromPeer(now.mono, crash->fingerprint);
+    Record(now, EventKind::kCrashFingerprint, "told by " + from.value);
+  } else if (const auto* entries = std::get_if<ConfigEntries>(&message.body)) {
+    config_.OnEntries(now, from, *entries, &output);
+  } else if (const auto* fetch = std::get_if<ConfigFetch>(&message.body)) {
+    config_.OnFetch(from, *fetch, &output);
+  } else if (const auto* zone = std::get_if<UnrecordedZone>(&message.body)) {
+    config_.OnUnrecorded(now, *zone, &output);
+  }
+  TakeConfig(now, &output, actions);
+}
+
+void Node::TakeMembership(Now now, const MembershipOutput& from, NodeActions* actions) {
+  for (const SetPeerAddress& address : from.addresses) {
+    actions->push_back(address);
+  }
+  for (const auto& [to, heartbeat] : from.heartbeats) {
+    SendTo(now, to, heartbeat, actions);
+  }
+  for (const MemberChange& change : from.changes) {
+    if (change.state == MemberState::kDead) {
+      Record(now, EventKind::kPeerDead, change.id.value);
+      const auto member = membership_.members().find(change.id);
+      if (member != membership_.members().end() && member->second.leaving) {
+        slots_.OnGatewayLeft(now.mono, change.id);
+      } else {
+        slots_.OnGatewayDead(now.mono, change.id);
+      }
+    } else if (change.state == MemberState::kLeaving) {
+      Record(now, EventKind::kPeerDead, change.id.value + " is leaving");
+    } else if (change.state == MemberState::kLive) {
+      Record(now, EventKind::kPeerLive, change.id.value);
+    }
+  }
+  UpdateSlotView(now);
+}
+
+void Node::UpdateSlotView(Now now) {
+  NodeSlots::View view;
+  view.owners = membership_.owners();
+  view.roster = membership_.roster();
+  for (const auto& [id, member] : membership_.members()) {
+    view.incarnations[id] = member.incarnation;
+  }
+  slots_.SetView(now.mono, view);
+}
+
+void Node::TakeConfig(Now now, NodeConfig::Output* from, NodeActions* actions) {
+  for (NodeConfig::Message& message : from->messages) {
+    if (message.to) {
+      SendTo(now, *message.to, std::move(message.body), actions);
+    } else {
+      SendToAll(now, message.body, actions);
+    }
+  }
+  if (from->configuration_changed) {
+    directory_.SetConfiguration(config_.configuration());
+    dispatcher_.SetConfiguration(now.mono, config_.configuration());
+    Record(now, EventKind::kConfigApplied, std::to_string(config_.version().value));
+    // Peers learn the version with the next heartbeat of any kind of change.
+    membership_.SetSelf({config_.version(), ready(), true});
+  }
+  if (from->configuration_changed || from->zones_changed) {
+    UpdateServices(now, actions);
+  }
+  for (const auto& [operation, result] : from->written) {
+    if (std::optional<OperatorReply> reply = operator_.OnWritten(operation, result)) {
+      actions->push_back(SendOperatorReply{std::move(*reply)});
+    }
+  }
+}
+
+void Node::UpdateServices(Now now, NodeActions* actions) {
+  const ConfigurationPtr configuration = config_.configuration();
+  if (configuration == nullptr) {
+    return;
+  }
+  std::set<ZoneId> out;
+  std::map<ZoneId, double> shares;
+  for (const auto& [id, zone] : configuration->zones) {
+    const ZoneUse use = config_.zones().use(id);
+    if (!use.usable) {
+      out.insert(id);
+    } else if (use.share < 1.0) {
+      shares[id] = use.share;
+    }
+  }
+  if (out != zones_out_) {
+    Record(now, EventKind::kZoneChanged, std::to_string(out.size()) + " zones out");
+    zones_out_ = out;
+  }
+  directory_.SetZonesOut(std::move(out));
+  const EndpointDirectory::Changes changes = directory_.TakeChanges();
+  for (const ServiceId& service : changes.removed) {
+    policy_.RemoveService(now.mono, service);
+  }
+  for (const ServiceView& view : changes.services) {
+    policy_.SetService(now.mono, view);
+    dispatcher_.SetService(now.mono, view);
+  }
+  for (const auto& [id, service] : configuration->services) {
+    dispatcher_.SetDegraded(id, !zones_out_.empty() || !shares.empty());
+  }
+  slots_.SetZoneShares(now.mono, shares);
+  slots_.SetServices(now.mono, changes.services, changes.removed);
+  UpdateSlotView(now);
+  UpdateProbes(now);
+  CallActions sent;
+  dispatcher_.OnCapacity(now.mono, &sent);
+  Append(now, sent, actions);
+}
+
+void Node::UpdateProbes(Now now) {
+  std::set<EndpointId> wanted;
+  for (const PoolId& pool : slots_.owned_pools()) {
+    for (const EndpointView& endpoint : slots_.pools().at(pool).endpoints) {
+      const Service* service = directory_.ServiceOf(endpoint.id);
+      if (service != nullptr) {
+        wanted.insert(endpoint.id);
+        probes_.SetEndpoint(
+            now.mono, endpoint.id,
+            {endpoint.slots, service->probe_share, service->probe_cost, service->connect_cost});
+      }
+    }
+  }
+  for (const EndpointId& endpoint : probed_) {
+    if (!wanted.contains(endpoint)) {
+      probes_.RemoveEndpoint(endpoint);
+    }
+  }
+  probed_ = std::move(wanted);
+}
+
+void Node::OnTurnEnd(Now now, NodeActions* actions) {
+  // Sending waiting calls changes the holder's demand, so the second flush carries what is left.
+  for (int pass = 0; pass < 2; ++pass) {
+    NodeSlots::Output output = slots_.Flush(now.mono);
+    for (NodeSlots::Outgoing& message : output.messages) {
+      SendTo(now, message.to, std::move(message.body), actions);
+    }
+    if (output.ownership_changed) {
+      Record(now, EventKind::kOwnerChanged,
+             "owns " + std::to_string(slots_.owned_pools().size()) + " pools");
+      UpdateProbes(now);
+    }
+    if (!output.capacity) {
+      break;
+    }
+    CallActions sent;
+    dispatcher_.OnCapacity(now.mono, &sent);
+    Append(now, sent, actions);
+  }
+}
+
+}  // namespace jd
--- /dev/null
+++ b/cluster/node_operator.cc
@@ -0,0 +1,303 @@
+#include "cluster/node_operator.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "common/config_codec.h"
+
+namespace jd {
+namespace {
+
+using Json = nlohmann::json;
+
+// The table is given up a little before the operator's command, so that the answer arrives.
+constexpr double kTableShare = 0.8;
+
+OperatorReply Reply(const OperatorRequest& request, OperatorStatus status, const Json& body) {
+  return {request.id, status, body.dump()};
+}
+
+OperatorReply Refuse(const OperatorRequest& request, const std::string& error) {
+  return Reply(request, OperatorStatus::kRefused, {{"error", error}});
+}
+
+Json EntryToJson(const ConfigEntry& entry) {
+  return {{"version", entry.version.value},
+          {"author", entry.author},
+          {"written", Micros(entry.written)},
+          {"change", Json::parse(entry.change, nullptr, false)}};
+}
+
+std::optional<ObjectKind> KindByName(const std::string& name) {
+  static const std::map<std::string, ObjectKind> kinds = {{"profile", ObjectKind::kProfile},
+                                                          {"service", ObjectKind::kService},
+                                                          {"workspace", ObjectKind::kWorkspace},
+                                                          {"zone", ObjectKind::kZone}};
+  const auto kind = kinds.find(name);
+  return kind == kinds.end() ? std::nullopt : std::optional(kind->second);
+}
+
+// Returns the section of a configuration's JSON that holds the objects of a kind.
+Json Objects(const Configuration& configuration, const std::string& kind) {
+  const Json all = Json::parse(ToJson(configuration));
+  return all.value(kind + "s", Json::object());
+}
+
+std::optional<ConfigChange> ParsePut(const Json& body, ConfigErrors* errors) {
+  const std::string kind = body.value("kind", "");
+  const std::string name = body.value("name", "");
+  Json object = body.value("object", Json());
+  if (kind == "workspace") {
+    if (!object.is_number() || object.get<double>() <= 0) {
+      errors->push_back({"share", "is not a positive number", "a number above 0"});
+      return std::nullopt;
+    }
+    return Workspace{WorkspaceId(name), object.get<double>()};
+  }
+  if (object.is_object() && !object.contains("id")) {
+    object["id"] = name;
+  }
+  std::optional<ConfigChange> change;
+  if (kind == "profile") {
+    if (const auto profile = ProfileFromJson(object.dump(), errors)) {
+      change = *profile;
+    }
+  } else if (const auto service = ServiceFromJson(object.dump(), errors)) {
+    change = *service;
+  }
+  if (change && ObjectOf(*change).name != name) {
+    errors->push_back({"id", "differs from the name in the command", name});
+    return std::nullopt;
+  }
+  return change;
+}
+
+const char* StateName(MemberState state) {
+  switch (state) {
+    case MemberState::kUnknown:
+      return "unknown";
+    case MemberState::kOneWay:
+      return "one-way";
+    case MemberState::kLive:
+      return "live";
+    case MemberState::kSuspect:
+      return "suspect";
+    case MemberState::kLeaving:
+      return "leaving";
+    case MemberState::kDead:
+      break;
+  }
+  return "dead";
+}
+
+const char* ZoneStateName(const ZoneUse& use) {
+  switch (use.state) {
+    case ZoneState::kIn:
+      return "in";
+    case ZoneState::kOut:
+      return "out";
+    case ZoneState::kReturning:
+      break;
+  }
+  return "returning";
+}
+
+Json ListZones(const NodeConfig& config) {
+  Json zones = Json::object();
+  for (const auto& [id, zone] : config.configuration()->zones) {
+    const ZoneUse use = config.zones().use(id);
+    zones[id.value] = {{"state", ZoneStateName(use)},
+                       {"usable", use.usable},
+                       {"share", use.share},
+                       {"unrecorded", use.unrecorded}};
+  }
+  return zones;
+}
+
+Json Log(const ConfigKeeper& keeper, size_t limit) {
+  Json entries = Json::array();
+  const auto& history = keeper.history();
+  for (size_t i = history.size() - std::min(limit, history.size()); i < history.size(); ++i) {
+    entries.push_back(EntryToJson(history[i]));
+  }
+  return entries;
+}
+
+}  // namespace
+
+Json NodeOperator::Status(bool ready, size_t calls) const {
+  const NodeConfig& config = *parts_.config;
+  Json members = Json::array();
+  Json notes = Json::array();
+  const NodeSettings& self = *parts_.settings;
+  members.push_back({{"id", self.id.value},
+                     {"address", self.address},
+                     {"port", self.peer_port},
+                     {"state", "live"},
+                     {"version", config.version().value}});
+  for (const auto& [id, member] : parts_.membership->members()) {
+    members.push_back({{"id", id.value},
+                       {"address", member.address},
+                       {"port", member.port},
+                       {"state", StateName(member.state)},
+                       {"version", member.version.value}});
+    if (member.state != MemberState::kLive) {
+      notes.push_back("member " + id.value + " is " + StateName(member.state));
+    } else if (member.version != config.version()) {
+      notes.push_back("member " + id.value + " uses version " +
+                      std::to_string(member.version.value));
+    }
+  }
+  if (config.has_platform() && !config.keeper().store_up()) {
+    notes.push_back("the platform's table does not answer; the configuration comes from " +
+                    std::string(config.keeper().source() == ConfigSource::kPeers
+                                    ? "peers"
+                                    : "an earlier read"));
+  }
+  for (const UnrecordedZone& zone : config.zones().unrecorded()) {
+    notes.push_back("zone " + zone.zone.value + " is out by an unrecorded decision of " +
+                    zone.author);
+  }
+  Json pools = Json::array();
+  for (const PoolId& pool : parts_.slots->owned_pools()) {
+    pools.push_back(pool.value);
+  }
+  return {{"gateway", self.id.value}, {"zone", self.zone.value},
+          {"ready", ready},           {"version", config.version().value},
+          {"members", members},       {"owned_pools", pools},
+          {"calls", calls},           {"notes", notes}};
+}
+
+std::optional<OperatorReply> NodeOperator::OnRequest(Now now,
+                                                     const OperatorRequest& request,
+                                                     bool ready,
+                                                     size_t calls,
+                                                     NodeConfig::Output* output) {
+  const Json body = Json::parse(request.body, nullptr, false);
+  if (!body.is_object()) {
+    return Refuse(request, "the arguments are not a JSON object");
+  }
+  const std::string& command = request.command;
+  if (command == "status") {
+    return Reply(request, OperatorStatus::kDone, Status(ready, calls));
+  }
+  if (command == "timeline") {
+    return Reply(request, OperatorStatus::kDone, parts_.timeline->Query(body));
+  }
+  const ConfigurationPtr configuration = parts_.config->configuration();
+  if (configuration == nullptr) {
+    return Refuse(request, "the gateway has no configuration yet");
+  }
+  if (command == "put" || command == "zone" || command == "rollback") {
+    return Change(now, request, body, output);
+  }
+  if (command == "config-show") {
+    return Reply(request, OperatorStatus::kDone, Json::parse(ToJson(*configuration)));
+  }
+  if (command == "config-log") {
+    return Reply(request, OperatorStatus::kDone,
+                 Log(parts_.config->keeper(), body.value("limit", size_t{20})));
+  }
+  if (command == "config-diff") {
+    const auto from = parts_.config->keeper().At(ConfigVersion(body.value("from", uint64_t{0})));
+    const auto to = parts_.config->keeper().At(ConfigVersion(body.value("to", uint64_t{0})));
+    return from && to ? Reply(request, OperatorStatus::kDone, Diff(*from, *to))
+                      : Refuse(request, "a version is not in this gateway's history");
+  }
+  if (command != "list" && command != "show") {
+    return Refuse(request, "unknown command '" + command + "'");
+  }
+  const std::string kind = body.value("kind", "");
+  if (command == "list") {
+    return Reply(request, OperatorStatus::kDone,
+                 kind == "zone" ? ListZones(*parts_.config) : Objects(*configuration, kind));
+  }
+  const Json objects = Objects(*configuration, kind);
+  const std::string name = body.value("name", "");
+  return objects.contains(name) ? Reply(request, OperatorStatus::kDone, objects[name])
+                                : Refuse(request, "no " + kind + " named '" + name + "'");
+}
+
+std::optional<OperatorReply> NodeOperator::Change(Now now,
+                                                  const OperatorRequest& request,
+                                                  const Json& body,
+                                                  NodeConfig::Output* output) {
+  if (!parts_.config->has_platform()) {
+    return Refuse(request, "this gateway takes its configuration from its settings file");
+  }
+  if (request.command == "zone" && body.value("unrecorded", false)) {
+    return Zone(now, request, body, output);
+  }
+  WriteRequest write;
+  write.author = body.value("author", "operator");
+  if (body.contains("base")) {
+    write.base = ConfigVersion(body.value("base", uint64_t{0}));
+  }
+  ConfigErrors errors;
+  if (request.command == "zone") {
+    // A zone comes back under a ramp; gateways treat it as in once the ramp has ended.
+    write.change = jd::Zone{ZoneId(body.value("zone", "")),
+                            body.value("out", false) ? ZoneState::kOut : ZoneState::kReturning};
+  } else if (request.command == "rollback") {
+    const auto kind = KindByName(body.value("kind", ""));
+    if (!kind) {
+      return Refuse(request, "unknown kind; accepted are profile, service, workspace and zone");
+    }
+    write.change = Removal{{*kind, body.value("name", "")}};
+    write.rollback_to = ConfigVersion(body.value("version", uint64_t{0}));
+  } else {
+    const auto change = ParsePut(body, &errors);
+    if (!change) {
+      return Refuse(request, ErrorText(errors));
+    }
+    write.change = *change;
+  }
+  waiting_[parts_.config->next_operation()] = request.id;
+  parts_.config->Write(now, std::move(write), Scale(request.timeout, kTableShare), output);
+  return std::nullopt;
+}
+
+OperatorReply NodeOperator::Zone(Now now,
+                                 const OperatorRequest& request,
+                                 const Json& body,
+                                 NodeConfig::Output* output) {
+  if (!body.value("out", false)) {
+    return Refuse(request, "a zone can be taken out, but not in, without recording it");
+  }
+  const HybridTime decided = parts_.timeline->clock().Tick(now.wall);
+  if (!parts_.config->TakeOutUnrecorded(now, ZoneId(body.value("zone", "")), decided,
+                                        body.value("author", "operator"), output)) {
+    return Refuse(request, "the zone is out already");
+  }
+  return Reply(request, OperatorStatus::kDone,
+               {{"unrecorded", true},
+                {"note", "in force by peer messages; recorded once the table answers"}});
+}
+
+std::optional<OperatorReply> NodeOperator::OnWritten(uint64_t operation,
+                                                     const WriteResult& result) {
+  const auto waiting = waiting_.extract(operation);
+  if (waiting.empty()) {
+    return std::nullopt;
+  }
+  OperatorRequest request;
+  request.id = waiting.mapped();
+  switch (result.status) {
+    case WriteStatus::kAccepted:
+      return Reply(request, OperatorStatus::kDone, {{"version", result.entry->version.value}});
+    case WriteStatus::kRefused: {
+      Json body = {{"error", ErrorText(result.errors)}};
+      if (result.newer) {
+        body["newer"] = EntryToJson(*result.newer);
+      }
+      return Reply(request, OperatorStatus::kRefused, body);
+    }
+    case WriteStatus::kPending:
+    case WriteStatus::kUnknown:
+      break;
+  }
+  return Reply(request, OperatorStatus::kUnknown,
+               {{"error", "the table did not settle the change in time; see 'config log'"}});
+}
+
+}  // namespace jd
--- a/cluster/node_slots.cc
+++ b/cluster/node_slots.cc
@@ -8,6 +8,7 @@
 NodeSlots::NodeSlots(const NodeSettings& settings, SlotHolder* holder)
     : self_(settings.id),
       incarnation_(settings.incarnation),
+      alone_(!settings.has_platform && settings.seeds.empty()),
       holder_(holder),
       owner_(settings.incarnation),
       ownership_(settings.id) {}
@@ -63,7 +64,7 @@
   if (holder_ == nullptr) {
     return;
   }
-  if (view.roster != view_.roster) {
+  if (view.roster != view_.roster && !alone_) {
     owner_.SetRoster(now, view.roster);
     holder_->SetRoster(now, view.roster);
   }
@@ -80,11 +81,13 @@
   const Ownership::Change change = ownership_.Update(view_.owners, ids);
   for (const PoolId& pool : change.lost) {
     owner_.DropOwnership(now, pool);
+    ownership_changed_ = true;
   }
   for (const PoolId& pool : change.gained) {
     if (!handed_over_) {
-      owner_.TakeOwnership(now, pool);
-      gained_.push_back(pool);
+      // A gateway without peers has no former owner whose loans it would have to wait for.
+      owner_.TakeOwnership(alone_ ? now - kLoanLifetimeAtOwner : now, pool);
+      ownership_changed_ = true;
     }
   }
   for (const PoolId& pool : ids) {
@@ -134,13 +137,15 @@
   }
 }
 
+void NodeSlots::OnEndpointServing(MonoTime, const EndpointId&) {}
+
 void NodeSlots::OnProbeReport(MonoTime now, const EndpointId& endpoint, const LoadReport& report) {
   owner_.OnProbeReport(now, endpoint, report);
 }
 
 NodeSlots::Output NodeSlots::Flush(MonoTime now) {
   Output output;
-  output.gained = std::exchange(gained_, {});
+  output.ownership_changed = std::exchange(ownership_changed_, false);
   if (holder_ == nullptr) {
     return output;
   }
--- a/cluster/node_slots.h
+++ b/cluster/node_slots.h
@@ -24,7 +24,7 @@
   /// What a flush asks of its caller.
   struct Output {
     std::vector<Outgoing> messages;
-    std::vector<PoolId> gained;
+    bool ownership_changed = false;
     bool capacity = false;  ///< The holder has slots that it did not have before.
   };
   /// The gateways as the membership sees them.
@@ -51,6 +51,7 @@
   void OnGatewayDead(MonoTime now, const GatewayId& gateway);
   void OnGatewayLeft(MonoTime now, const GatewayId& gateway);
   void OnEndpointLeaving(MonoTime now, const EndpointId& endpoint);
+  void OnEndpointServing(MonoTime now, const EndpointId& endpoint);
   void OnProbeReport(MonoTime now, const EndpointId& endpoint, const LoadReport& report);
   /// Drops the ownership of every pool, as the first step of a graceful stop.
   void HandOver(MonoTime now);
@@ -69,6 +70,7 @@
 
   GatewayId self_;
   Incarnation incarnation_;
+  bool alone_;  ///< No other gateway can lend or hold: there is neither platform nor peer.
   SlotHolder* holder_;
   SlotOwner owner_;
   Ownership ownership_;
@@ -76,7 +78,7 @@
   bool handed_over_ = false;
   std::map<PoolId, PoolView> pools_;
   std::map<ZoneId, double> zone_shares_;
-  std::vector<PoolId> gained_;
+  bool ownership_changed_ = false;
   bool capacity_ = false;
 };
 
--- a/cluster/peer_message.h
+++ b/cluster/peer_message.h
@@ -28,7 +28,10 @@
   Incarnation echo_incarnation;  ///< Incarnation of the receiver that `echo` belongs to.
 };
 
-enum class EndpointNoticeKind : uint8_t { kDraining, kCold, kGone };
+enum class EndpointNoticeKind : uint8_t {
+  kDraining,
+  kServing,  ///< A new instance serves again.
+};
 
 /// Tells peers what one gateway learned of an endpoint first.
 struct EndpointNotice {
--- a/control/command.cc
+++ b/control/command.cc
@@ -6,6 +6,8 @@
 
 #include "control/check_command.h"
 #include "control/gateway_command.h"
+#include "control/operator_commands.h"
+#include "control/operator_usage.h"
 
 namespace jd {
 namespace {
@@ -19,12 +21,18 @@
   }
 }
 
+// The operator commands share one usage text and one entry.
+bool Matches(const Command& command, const std::string& name) {
+  return command.name[0] == '\0' ? IsOperatorCommand(name) : name == command.name;
+}
+
 }  // namespace
 
 const std::vector<Command>& AllCommands() {
   static const std::vector<Command> commands = {
       {"gateway", kGatewayUsage, &RunGatewayCommand},
       {"check", kCheckUsage, &RunCheckCommand},
+      {"", kOperatorUsage, &RunOperatorCommand},
   };
   return commands;
 }
@@ -35,7 +43,7 @@
     return kCommandDone;
   }
   for (const Command& command : AllCommands()) {
-    if (arguments.empty() || arguments[0] != command.name) {
+    if (arguments.empty() || !Matches(command, arguments[0])) {
       continue;
     }
     try {
--- a/control/command.h
+++ b/control/command.h
@@ -5,10 +5,11 @@
 
 namespace jd {
 
-/// Exit codes of the commands that run on this VM.
+/// Exit codes of every command.
 inline constexpr int kCommandDone = 0;
 inline constexpr int kCommandFailed = 1;
 inline constexpr int kCommandUsage = 2;
+inline constexpr int kCommandUnknown = 3;  ///< The change may or may not be recorded.
 
 /// A subcommand, chosen by its first word.
 struct Command {
--- a/control/operator_commands.cc
+++ b/control/operator_commands.cc
@@ -15,6 +15,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "control/command.h"
 #include "control/operator_client.h"
 #include "control/operator_output.h"
 #include "control/operator_usage.h"
@@ -202,13 +203,13 @@
 int ExitCodeOf(OperatorStatus status) {
   switch (status) {
     case OperatorStatus::kDone:
-      return kExitDone;
+      return kCommandDone;
     case OperatorStatus::kRefused:
-      return kExitRefused;
+      return kCommandFailed;
     case OperatorStatus::kUnknown:
       break;
   }
-  return kExitUnknown;
+  return kCommandUnknown;
 }
 
 int Run(const Arguments& args) {
@@ -249,15 +250,9 @@
 int RunOperatorCommand(const std::vector<std::string>& args) {
   try {
     return Run(docopt::docopt_parse(kOperatorUsage, args, true, false));
-  } catch (const docopt::DocoptExitHelp&) {
-    std::cout << kOperatorUsage;
-    return kExitDone;
-  } catch (const docopt::DocoptArgumentError& error) {
-    std::cerr << "jackdawdeck: " << error.what() << "; see jackdawdeck --help\n";
-    return kExitUsage;
   } catch (const UsageError& error) {
     std::cerr << "jackdawdeck: " << error.what() << "\n";
-    return kExitUsage;
+    return kCommandUsage;
   }
 }
 
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -1,6 +1,8 @@
 #include "gateway/gateway.h"
 
+#include <event2/buffer.h>
 #include <algorithm>
+
 #include <cassert>
 
 #include "gateway/header_rules.h"
@@ -41,6 +43,16 @@
   return headers;
 }
 
+StoredResponse ToStored(evhttp_request* response) {
+  StoredResponse stored;
+  stored.status = evhttp_request_get_response_code(response);
+  stored.content_type = HeaderValue(evhttp_request_get_input_headers(response), "content-type");
+  evbuffer* body = evhttp_request_get_input_buffer(response);
+  stored.body.resize(evbuffer_get_length(body));
+  evbuffer_copyout(body, stored.body.data(), stored.body.size());
+  return stored;
+}
+
 }  // namespace
 
 Gateway::Gateway(EventLoop* loop, const Settings& settings, uint16_t peer_port)
@@ -59,7 +71,13 @@
                     scheduled_.reset();
                     Drive([this](Now now, NodeActions* out) { node_.OnTimer(now, out); });
                   }),
-      grace_timer_(loop, [this] { BeginRefusing(); }) {
+      grace_timer_(loop, [this] { BeginRefusing(); }),
+      turn_timer_(loop, [this] {
+        NodeActions actions;
+        node_.OnTurnEnd(loop_->ReadClocks(), &actions);
+        turn_scheduled_ = false;
+        Execute(&actions);
+      }) {
   if (!settings.platform.address.empty()) {
     platform_ =
         std::make_unique<PlatformClient>(loop, settings.platform.address, settings.platform.port);
@@ -137,6 +155,13 @@
   FinishIfDrained();
 }
 
+void Gateway::ScheduleTurnEnd() {
+  if (!turn_scheduled_) {
+    turn_scheduled_ = true;
+    turn_timer_.ScheduleNow();
+  }
+}
+
 void Gateway::ScheduleTimer() {
   const std::optional<MonoTime> next = node_.next_timer();
   // A timer that fires too early costs one look; moving it for each call would cost more.
@@ -222,6 +247,9 @@
   levels.caller_connections = callers_.connections();
   levels.upstream_connections = upstreams_.connections();
   levels.ready = ready();
+  if (peer_traffic_) {
+    levels.peers = peer_traffic_();
+  }
   return levels;
 }
 
@@ -254,6 +282,10 @@
       std::find_if(call->responses.begin(), call->responses.end(),
                    [&](const auto& entry) { return entry.first == action.attempt; });
   assert(response != call->responses.end());
+  if (action.keyed) {
+    const StoredResponse stored = ToStored(response->second.get());
+    Drive([&](Now now, NodeActions* out) { node_.OnCallAnswered(now, action.call, stored, out); });
+  }
   callers_.Answer(action.call, call->request, response->second.get());
   metrics_.ObserveAdded(loop_->ReadClocks().mono - call->arrived - call->upstream_time);
 }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <random>
@@ -14,6 +15,7 @@
 #include "cluster/node.h"
 #include "gateway/caller_server.h"
 #include "gateway/metrics.h"
+#include "gateway/peer_links.h"
 #include "gateway/settings.h"
 #include "gateway/status_server.h"
 #include "gateway/upstream_pool.h"
@@ -45,6 +47,10 @@
   sigc::signal<void(const OperatorReply&)>& operator_reply() { return operator_reply_; }
   void OnPeerMessage(const PeerMessage& message);
   void OnOperatorRequest(const OperatorRequest& request);
+  /// Sets where the metrics page takes the counters of the peer links from.
+  void SetPeerTraffic(std::function<PeerLinks::Traffic()> traffic) {
+    peer_traffic_ = std::move(traffic);
+  }
 
   uint16_t caller_port() const { return callers_.port(); }
   uint16_t status_port() const { return status_.port(); }
@@ -69,6 +75,7 @@
   void Drive(Event event) {
     NodeActions actions;
     event(loop_->ReadClocks(), &actions);
+    ScheduleTurnEnd();
     Execute(&actions);
   }
 
@@ -77,6 +84,7 @@
   void OnCallerGone(CallId call);
   void OnAttemptEnded(const AttemptResult& result, HttpRequestPtr& response);
   void ScheduleTimer();
+  void ScheduleTurnEnd();
   void FinishIfDrained();
   void BeginRefusing();
   /// Ends a call. @return nothing if its caller has left.
@@ -115,6 +123,9 @@
   Timer node_timer_;
   std::optional<MonoTime> scheduled_;
   Timer grace_timer_;
+  Timer turn_timer_;
+  bool turn_scheduled_ = false;
+  std::function<PeerLinks::Traffic()> peer_traffic_;
   sigc::signal<void()> stopped_;
   sigc::signal<void(const SendPeer&)> send_peer_;
   sigc::signal<void(const SetPeerAddress&)> set_peer_address_;
--- a/gateway/metrics.cc
+++ b/gateway/metrics.cc
@@ -73,6 +73,15 @@
       waiting_(NewGauge(&registry_, "jackdawdeck_calls_waiting", "Calls without an attempt.")),
       caller_connections_(
           NewGauge(&registry_, "jackdawdeck_caller_connections", "Connections of callers.")),
+      peer_bytes_sent_(NewGauge(&registry_,
+                                "jackdawdeck_peer_bytes_sent",
+                                "Bytes sent to peers since the start.")),
+      peer_bytes_received_(NewGauge(&registry_,
+                                    "jackdawdeck_peer_bytes_received",
+                                    "Bytes received from peers and operators since the start.")),
+      peer_messages_sent_(NewGauge(&registry_,
+                                   "jackdawdeck_peer_messages_sent",
+                                   "Messages sent to peers since the start.")),
       upstream_connections_(
           NewGauge(&registry_, "jackdawdeck_upstream_connections", "Connections to endpoints.")),
       ready_(NewGauge(&registry_, "jackdawdeck_ready", "1 if the balancer may send calls.")) {
@@ -116,6 +125,9 @@
   in_flight_->Set(static_cast<double>(levels.calls));
   waiting_->Set(static_cast<double>(levels.waiting));
   caller_connections_->Set(static_cast<double>(levels.caller_connections));
+  peer_bytes_sent_->Set(static_cast<double>(levels.peers.bytes_sent));
+  peer_bytes_received_->Set(static_cast<double>(levels.peers.bytes_received));
+  peer_messages_sent_->Set(static_cast<double>(levels.peers.messages_sent));
   upstream_connections_->Set(static_cast<double>(levels.upstream_connections));
   ready_->Set(levels.ready ? 1 : 0);
   return prometheus::TextSerializer().Serialize(registry_.Collect());
--- a/gateway/metrics.h
+++ b/gateway/metrics.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "common/units.h"
+#include "gateway/peer_links.h"
 #include "policy/attempt_result.h"
 #include "policy/refusal.h"
 
@@ -20,6 +21,7 @@
 
 /// Present amounts, read when the metrics are asked for.
 struct GatewayLevels {
+  PeerLinks::Traffic peers;
   size_t calls = 0;
   size_t waiting = 0;  ///< Calls without an attempt under way.
   size_t caller_connections = 0;
@@ -49,6 +51,9 @@
   prometheus::Gauge* in_flight_;
   prometheus::Gauge* waiting_;
   prometheus::Gauge* caller_connections_;
+  prometheus::Gauge* peer_bytes_sent_;
+  prometheus::Gauge* peer_bytes_received_;
+  prometheus::Gauge* peer_messages_sent_;
   prometheus::Gauge* upstream_connections_;
   prometheus::Gauge* ready_;
 };
--- a/gateway/setting_table.cc
+++ b/gateway/setting_table.cc
@@ -73,6 +73,12 @@
     {{"shared_key", SettingKind::kText, "", 16, 0, "", nullptr,
       "Secret that all gateways and operators share."},
      [](Settings& object, const SettingValue& value) { object.shared_key = value.text; }},
+    {{"added_delay_us", SettingKind::kInteger, "us", 0, 1000000, "", "0",
+      "Delay added to each message to a peer, to rehearse the distance between zones on one "
+      "machine."},
+     [](Settings& object, const SettingValue& value) {
+       object.peer_delay = Duration(value.integer);
+     }},
 };
 
 constexpr SettingField<PeerSeed> kSeedFields[] = {
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -43,6 +43,7 @@
   ListenAddress status;
   ListenAddress peers;
   std::string shared_key;
+  Duration peer_delay{0};
   std::vector<PeerSeed> seeds;
   ListenAddress platform;  ///< An empty address: there is no platform.
   Limits limits;
--- a/policy/call_action.h
+++ b/policy/call_action.h
@@ -28,6 +28,8 @@
 struct AnswerCall {
   CallId call;
   AttemptId attempt;
+  /// The response is also passed to Node::OnCallAnswered, which stores it under the request key.
+  bool keyed = false;
 };
 
 /// Answers the caller with a refusal; ends the call.
--- a/rpc/convert.cc
+++ b/rpc/convert.cc
@@ -199,6 +199,7 @@
   out.lifetime = in.lifetime.count();
   out.pressure = in.pressure;
   out.slots = ToWireList(in.slots);
+  out.holder = Number(in.holder.value);
   out.handed_over = in.handed_over;
   return out;
 }
@@ -213,6 +214,7 @@
   out.lifetime = Duration(in.lifetime);
   out.pressure = in.pressure;
   out.slots = FromWireList(in.slots);
+  out.holder = Incarnation(Unsigned(in.holder));
   out.handed_over = in.handed_over;
   return out;
 }
@@ -227,7 +229,7 @@
 
 EndpointNotice FromWire(const wire::EndpointNotice& in) {
   return {EndpointId(in.endpoint), InstanceId(in.instance),
-          CheckedEnum(in.kind, EndpointNoticeKind::kGone)};
+          CheckedEnum(in.kind, EndpointNoticeKind::kServing)};
 }
 
 wire::CrashNotice ToWire(const CrashNotice& in) {
--- a/rpc/gen-cpp/jackdawdeck_types.cpp
+++ b/rpc/gen-cpp/jackdawdeck_types.cpp
@@ -1365,6 +1365,10 @@
 void SlotGrant::__set_handed_over(const bool val) {
   this->handed_over = val;
 }
+
+void SlotGrant::__set_holder(const int64_t val) {
+  this->holder = val;
+}
 std::ostream& operator<<(std::ostream& out, const SlotGrant& obj)
 {
   obj.printTo(out);
@@ -1477,6 +1481,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->holder);
+          this->__isset.holder = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1538,6 +1550,10 @@
   xfer += oprot->writeBool(this->handed_over);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->holder);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1554,6 +1570,7 @@
   swap(a.pressure, b.pressure);
   swap(a.slots, b.slots);
   swap(a.handed_over, b.handed_over);
+  swap(a.holder, b.holder);
   swap(a.__isset, b.__isset);
 }
 
@@ -1567,6 +1584,7 @@
   pressure = other30.pressure;
   slots = other30.slots;
   handed_over = other30.handed_over;
+  holder = other30.holder;
   __isset = other30.__isset;
 }
 SlotGrant& SlotGrant::operator=(const SlotGrant& other31) {
@@ -1579,6 +1597,7 @@
   pressure = other31.pressure;
   slots = other31.slots;
   handed_over = other31.handed_over;
+  holder = other31.holder;
   __isset = other31.__isset;
   return *this;
 }
@@ -1594,6 +1613,7 @@
   out << ", " << "pressure=" << to_string(pressure);
   out << ", " << "slots=" << to_string(slots);
   out << ", " << "handed_over=" << to_string(handed_over);
+  out << ", " << "holder=" << to_string(holder);
   out << ")";
 }
 
--- a/rpc/gen-cpp/jackdawdeck_types.h
+++ b/rpc/gen-cpp/jackdawdeck_types.h
@@ -564,7 +564,7 @@
 std::ostream& operator<<(std::ostream& out, const GrantedSlots& obj);
 
 typedef struct _SlotGrant__isset {
-  _SlotGrant__isset() : pool(false), owner(false), sequence(false), request(false), request_sent(false), lifetime(false), pressure(false), slots(false), handed_over(false) {}
+  _SlotGrant__isset() : pool(false), owner(false), sequence(false), request(false), request_sent(false), lifetime(false), pressure(false), slots(false), handed_over(false), holder(false) {}
   bool pool :1;
   bool owner :1;
   bool sequence :1;
@@ -574,6 +574,7 @@
   bool pressure :1;
   bool slots :1;
   bool handed_over :1;
+  bool holder :1;
 } _SlotGrant__isset;
 
 class SlotGrant : public virtual ::apache::thrift::TBase {
@@ -589,7 +590,8 @@
               request_sent(0),
               lifetime(0),
               pressure(0),
-              handed_over(0) {
+              handed_over(0),
+              holder(0) {
   }
 
   virtual ~SlotGrant() noexcept;
@@ -602,6 +604,7 @@
   bool pressure;
   std::vector<GrantedSlots>  slots;
   bool handed_over;
+  int64_t holder;
 
   _SlotGrant__isset __isset;
 
@@ -623,6 +626,8 @@
 
   void __set_handed_over(const bool val);
 
+  void __set_holder(const int64_t val);
+
   bool operator == (const SlotGrant & rhs) const
   {
     if (!(pool == rhs.pool))
@@ -643,6 +648,8 @@
       return false;
     if (!(handed_over == rhs.handed_over))
       return false;
+    if (!(holder == rhs.holder))
+      return false;
     return true;
   }
   bool operator != (const SlotGrant &rhs) const {
--- a/rpc/jackdawdeck.thrift
+++ b/rpc/jackdawdeck.thrift
@@ -74,6 +74,7 @@
   7: bool pressure
   8: list<GrantedSlots> slots
   9: bool handed_over
+  10: i64 holder
 }
 
 struct EndpointNotice {
