--- a/cluster/node_operator.cc
+++ b/cluster/node_operator.cc
@@ -54,6 +54,9 @@
     }
     return Workspace{WorkspaceId(name), object.get<double>()};
   }
+  if (kind == "zone") {
+    return jd::Zone{ZoneId(name), ZoneState::kIn};
+  }
   if (object.is_object() && !object.contains("id")) {
     object["id"] = name;
   }
--- a/control/operator_commands.cc
+++ b/control/operator_commands.cc
@@ -200,6 +200,28 @@
   return answers;
 }
 
+// Puts every object of a configuration file, those that others refer to first. Stops at the first
+// one that is not accepted, since later ones may need it.
+OperatorReply LoadAll(const OperatorTarget& target,
+                      const Json& objects,
+                      const std::string& author,
+                      Duration timeout) {
+  OperatorReply reply;
+  reply.status = OperatorStatus::kDone;
+  reply.body = "{}";
+  for (const char* kind : {"workspace", "zone", "profile", "service"}) {
+    for (const auto& [name, object] :
+         objects.value(kind + std::string("s"), Json::object()).items()) {
+      const Json put = {{"kind", kind}, {"name", name}, {"object", object}, {"author", author}};
+      reply = CallOperator(target, {0, "put", put.dump(), {}}, timeout);
+      if (reply.status != OperatorStatus::kDone) {
+        return reply;
+      }
+    }
+  }
+  return reply;
+}
+
 int ExitCodeOf(OperatorStatus status) {
   switch (status) {
     case OperatorStatus::kDone:
@@ -223,7 +245,12 @@
   const Duration timeout(static_cast<int64_t>(seconds * 1e6));
   OperatorStatus status = OperatorStatus::kUnknown;
   Json answer;
-  if (command == "status" || command == "timeline") {
+  if (Flag(args, "load")) {
+    const OperatorReply reply =
+        LoadAll(target, ReadObject(Text(args, "FILE")), Text(args, "--author"), timeout);
+    status = reply.status;
+    answer = ParseBody(reply.body);
+  } else if (command == "status" || command == "timeline") {
     answer = AskAll(target, command, body, timeout, &status);
   } else {
     const OperatorReply reply = CallOperator(target, {0, command, body.dump(), {}}, timeout);
--- a/control/operator_usage.h
+++ b/control/operator_usage.h
@@ -17,6 +17,7 @@
   jackdawdeck zone out ZONE [--unrecorded] [--base=VERSION] [options]
   jackdawdeck zone in ZONE [--base=VERSION] [options]
   jackdawdeck zone list [options]
+  jackdawdeck config load FILE [options]
   jackdawdeck config log [--limit=N] [options]
   jackdawdeck config show [options]
   jackdawdeck config diff FROM TO [options]
@@ -39,6 +40,7 @@
 
 Examples:
   jackdawdeck profile put orders examples/orders.toml
+  jackdawdeck config load examples/umurimo.configuration.json
   jackdawdeck zone out gasabo --author=kim
   jackdawdeck timeline --endpoint=records/3 --format=trace > trace.json
 )";
