Count calls that a crashed gateway may have run

Cause: the property of request claims dropped the running calls of a crashed gateway without counting them as possibly run, so a second run after a crash went unnoticed.

Change: each dropped call counts as an execution at random.

Before: only finished calls were counted.

--- a/tests/request_claims_test.cc
+++ b/tests/request_claims_test.cc
@@ -121,7 +121,11 @@
         // A crash loses the gateway's calls; an attempt that was sent may still run.
         gateways[g] = std::make_unique<RequestClaims>(
             GatewayId(std::to_string(g)), Incarnation(static_cast<uint64_t>(++runs[g])));
-        std::erase_if(running, [&](const auto& call) { return call.first == g; });
+        std::erase_if(running, [&](const auto& call) {
+          const bool lost = call.first == g;
+          executions += lost && link.random() % 2 == 0 ? 1 : 0;
+          return lost;
+        });
       } else if (dice < 6) {
         gateways[g]->Claim(At(now), CallId(next_call++), kKey, Fingerprint(7), At(now + 5000).mono,
                            &output);
