Spare running attempts when silent connections are closed

Cause: closing the siblings of a silent connection also ended every attempt in use on them, so one silent connection interrupted orders that were running on connections that work.

Change: CloseConnections carries a second time. ClosedHere follows the same rule, so that the loss of a connection that the gateway spared counts against the endpoint.

Before: closing ended all attempts on connections opened before the limit.

Conclusion: a working order keeps its connection.

--- a/gateway/upstream_pool.cc
+++ b/gateway/upstream_pool.cc
@@ -214,7 +214,9 @@
   idle.erase(old, idle.end());
   std::vector<uint64_t> busy;
   for (const auto& [id, exchange] : exchanges_) {
-    if (exchange.link->endpoint == close.endpoint && exchange.link->opened < close.opened_before) {
+    const Link& link = *exchange.link;
+    if (link.endpoint == close.endpoint && link.opened < close.opened_before &&
+        exchange.sent < close.sent_before && !link.http->response_started()) {
       busy.push_back(id);
     }
   }
--- a/gateway/upstream_pool.h
+++ b/gateway/upstream_pool.h
@@ -46,6 +46,7 @@
   void SetConfiguration(const ConfigurationPtr& configuration);
   void Send(const SendAttempt& attempt, const UpstreamRequest& request);
   void Cancel(AttemptId attempt);
+  /// Ends the attempts on the connections in use that it closes as lost.
   void Close(const CloseConnections& close);
   void Probe(const SendProbe& probe);
 
--- a/policy/attempt_book.cc
+++ b/policy/attempt_book.cc
@@ -42,7 +42,7 @@
     return;
   }
   if (seen.outcome == AttemptOutcome::kConnectionLost && !attempt.cancelled()) {
-    if (silent_.ClosedHere(now, origin.endpoint, seen.connection_opened)) {
+    if (silent_.ClosedHere(now, origin.endpoint, seen.connection_opened, attempt.sent())) {
       told->outcome = AttemptOutcome::kCancelled;
     } else if (seen.request_written) {
       guard_.OnConnectionLost(now, {origin.fingerprint, origin.call, origin.service,
--- a/policy/call_action.h
+++ b/policy/call_action.h
@@ -36,11 +36,13 @@
   Refusal refusal;
 };
 
-/// Closes idle connections to an endpoint that were opened before the given time and fails those in
-/// use, because something between the two ends has lost track of them.
+/// Closes idle connections to an endpoint that were opened before the given time, because something
+/// between the two ends has lost track of them. A connection in use may work, so it is closed only
+/// if its attempt was sent before `sent_before` and has not got a byte of response.
 struct CloseConnections {
   EndpointId endpoint;
   MonoTime opened_before;
+  MonoTime sent_before;
 };
 
 /// Adds an event to the process's time line; the stamp and the gateway are filled in by the
--- a/policy/silent_connections.cc
+++ b/policy/silent_connections.cc
@@ -35,7 +35,8 @@
     return attempt.new_connection;
   }
   const auto& latest = found->second.latest;
-  if (now - attempt.sent < found->second.latency * kMinWaitFactor) {
+  const Duration min_wait = found->second.latency * kMinWaitFactor;
+  if (now - attempt.sent < min_wait) {
     return false;
   }
   // Openings rise with time, so the first answer since the attempt has the oldest connection.
@@ -43,19 +44,21 @@
                                   [&](const Answer& answer) { return answer.at >= attempt.sent; });
   const MonoTime before = since == latest.end() ? latest.back().opened : since->opened;
   if (attempt.connection_opened < before) {
-    actions->push_back(CloseConnections{attempt.endpoint, before});
+    actions->push_back(CloseConnections{attempt.endpoint, before, now - min_wait});
     found->second.closed_at = now;
     found->second.closed_before = before;
+    found->second.sent_before = now - min_wait;
   }
   return attempt.new_connection;
 }
 
 bool SilentConnections::ClosedHere(MonoTime now,
                                    const EndpointId& endpoint,
-                                   MonoTime connection_opened) const {
+                                   MonoTime connection_opened,
+                                   MonoTime sent) const {
   const auto found = answers_.find(endpoint);
   return found != answers_.end() && connection_opened < found->second.closed_before &&
-         now - found->second.closed_at <= kCloseReported;
+         sent < found->second.sent_before && now - found->second.closed_at <= kCloseReported;
 }
 
 }  // namespace jd
--- a/policy/silent_connections.h
+++ b/policy/silent_connections.h
@@ -31,12 +31,17 @@
                   Duration latency);
   /// Closes the connections of the endpoint that are likely silent too: those older than every
   /// connection that answered since the attempt was sent, or, if none did, older than the last one
-  /// that answered. A connection that has answered since the attempt was sent is known to work.
+  /// that answered. A connection that has answered since the attempt was sent is known to work. One
+  /// in use is closed only if its own attempt has been silent for longer than kMinWaitFactor times
+  /// the usual latency, since it may carry an order that is running.
   /// @return whether the endpoint itself is to blame, because a new connection was silent too.
   bool OnSilent(MonoTime now, const SilentAttempt& attempt, CallActions* actions);
-  /// Returns whether OnSilent closed the connection lately, so that its loss says nothing about the
-  /// endpoint or the request.
-  bool ClosedHere(MonoTime now, const EndpointId& endpoint, MonoTime connection_opened) const;
+  /// Returns whether OnSilent closed the connection of an attempt lately, so that its loss says
+  /// nothing about the endpoint or the request.
+  bool ClosedHere(MonoTime now,
+                  const EndpointId& endpoint,
+                  MonoTime connection_opened,
+                  MonoTime sent) const;
   /// Forgets an endpoint that has left the configuration.
   void RemoveEndpoint(const EndpointId& endpoint) { answers_.erase(endpoint); }
 
@@ -52,6 +57,7 @@
     Duration latency{0};     ///< Smoothed.
     MonoTime closed_at;      ///< When connections were last closed.
     MonoTime closed_before;  ///< Those opened before this time; the epoch if none were.
+    MonoTime sent_before;    ///< Those in use by attempts sent before this time.
   };
   std::unordered_map<EndpointId, Answered> answers_;
 };
