Escape request keys in the keys of claim rows

Cause: a request key and a workspace name hold the bytes that a caller sends. They went unchanged into the JSON of a table write, and nlohmann-json throws on bytes that are not UTF-8, so one header could end a gateway.

Change: KeyOf writes all but printable ASCII, and '%', as '%' and two digits. The keys stay distinct.

Conclusion: a request key of any bytes is claimed like any other.

--- a/cluster/request_claims.cc
+++ b/cluster/request_claims.cc
@@ -4,6 +4,25 @@
 #include <utility>
 
 namespace jd {
+namespace {
+
+/// Writes all but printable ASCII as "%" and two digits: callers choose the bytes, and the platform
+/// takes JSON, which cannot hold every byte.
+std::string Escaped(const std::string& text) {
+  constexpr const char* kHex = "0123456789abcdef";
+  std::string escaped;
+  for (const char character : text) {
+    const auto byte = static_cast<unsigned char>(character);
+    if (byte > ' ' && byte < 127 && byte != '%') {
+      escaped.push_back(character);
+    } else {
+      escaped.append({'%', kHex[byte >> 4U], kHex[byte & 15U]});
+    }
+  }
+  return escaped;
+}
+
+}  // namespace
 
 RequestClaims::RequestClaims(const GatewayId& self, Incarnation incarnation)
     : nonce_prefix_(self.value + "/" + std::to_string(incarnation.value) + "/") {}
@@ -11,10 +30,11 @@
 std::string RequestClaims::KeyOf(const ServiceId& service,
                                  const WorkspaceId& workspace,
                                  const std::string& request_key) {
+  const std::string name = Escaped(service.value);
+  const std::string tenant = Escaped(workspace.value);
   // The lengths keep names apart that contain the separator.
-  return kClaimPrefix + std::to_string(service.value.size()) + "." +
-         std::to_string(workspace.value.size()) + "/" + service.value + "/" + workspace.value +
-         "/" + request_key;
+  return kClaimPrefix + std::to_string(name.size()) + "." + std::to_string(tenant.size()) + "/" +
+         name + "/" + tenant + "/" + Escaped(request_key);
 }
 
 void RequestClaims::Claim(Now now,
--- a/tests/request_claims_test.cc
+++ b/tests/request_claims_test.cc
@@ -2,6 +2,7 @@
 
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <memory>
 
@@ -58,6 +59,23 @@
   CHECK(Ask(&a, &table, 10, 8) == ClaimDecision::kOtherRequest);
 }
 
+// Guards against a caller whose request key ends the gateway, as JSON cannot hold every byte.
+TEST_CASE("a request key of any bytes makes a row key of its own", "[request_claims_test]") {
+  CHECK(rc::check([](const std::string& first, const std::string& second) {
+    const auto key = [](const std::string& workspace, const std::string& text) {
+      return RequestClaims::KeyOf(ServiceId("s"), WorkspaceId(workspace), text);
+    };
+    RC_ASSERT((key(first, second) == key(second, first)) == (first == second));
+    RC_ASSERT((key("w", first) == key("w", second)) == (first == second));
+    const std::string row = key(first, second);
+    RC_ASSERT(std::all_of(row.begin(), row.end(), [](char c) { return c > ' ' && c < 127; }));
+  }));
+  CHECK(RequestClaims::KeyOf(ServiceId("s"), WorkspaceId("w"), "a-1") ==
+        std::string(kClaimPrefix) + "1.1/s/w/a-1");
+  CHECK(RequestClaims::KeyOf(ServiceId("s"), WorkspaceId("w"), "\xff%") ==
+        std::string(kClaimPrefix) + "1.1/s/w/%ff%25");
+}
+
 // Guards against a slow store that holds callers, and a late answer that starts a refused call.
 TEST_CASE("a claim that takes too long is refused and taken back", "[request_claims_test]") {
   FakeTable table;
