Add make fuzz for every parser of bytes from outside

Cause: only frames were tested against arbitrary bytes; a caller's bytes could end a gateway.

CTest does not run it.

--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,9 @@
 mutants: packages
 	./tests/mutants
 
+fuzz: packages build
+	./tests/fuzz $(BUILD)
+
 docs:
 	doxygen Doxyfile
 
