Add the configuration page, generated from the tables of the code

A third archive beside JsonWriter and JsonReader lists the fields of the configuration objects, so that the page and the codec cannot differ.

--- a/common/config_codec.cc
+++ b/common/config_codec.cc
@@ -105,6 +105,13 @@
   return std::move(writer).Take();
 }
 
+template <typename T>
+void Describe(const char* path, std::vector<ConfigField>* fields) {
+  JsonDescriber describer(path, fields);
+  const T item;
+  Fields(describer, item);
+}
+
 std::string Dump(const json& value) {
   return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
@@ -335,4 +342,13 @@
   return errors->size() > before ? std::nullopt : std::optional(std::move(result));
 }
 
+std::vector<ConfigField> AllConfigFields() {
+  std::vector<ConfigField> fields;
+  Describe<Workspace>("workspaces[]", &fields);
+  Describe<Profile>("profiles[]", &fields);
+  Describe<Service>("services[]", &fields);
+  Describe<Zone>("zones[]", &fields);
+  return fields;
+}
+
 }  // namespace jd
--- a/common/config_codec.h
+++ b/common/config_codec.h
@@ -3,6 +3,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "common/config_change.h"
 #include "common/configuration.h"
@@ -24,4 +25,7 @@
 /// Also checks the references between objects.
 std::optional<Configuration> ConfigurationFromJson(std::string_view text, ConfigErrors* errors);
 
+/// Returns the fields of every configuration object, from the lists that the codec itself uses.
+std::vector<ConfigField> AllConfigFields();
+
 }  // namespace jd
--- a/common/json_fields.cc
+++ b/common/json_fields.cc
@@ -11,6 +11,12 @@
 constexpr size_t kMaxName = 128;
 /// Longer values are cut in messages.
 constexpr size_t kMaxShown = 60;
+constexpr const char* kWhole = "a whole number";
+constexpr const char* kNumber = "a number";
+constexpr const char* kFlagText = "true or false";
+constexpr const char* kText = "a text";
+constexpr const char* kFilledText = "a text that is not empty";
+constexpr const char* kNameText = "a name of 1 to 128 letters, digits, '-', '_', '.' and '/'";
 
 std::string Shown(const nlohmann::json& value) {
   std::string text = value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
@@ -29,6 +35,14 @@
          c == '/';
 }
 
+std::string ChoiceText(std::initializer_list<const char*> names) {
+  std::string text;
+  for (const char* name : names) {
+    text += std::string(text.empty() ? "" : ", ") + "\"" + name + "\"";
+  }
+  return text;
+}
+
 double ToMillis(Duration value) {
   return static_cast<double>(value.count()) / 1000.0;
 }
@@ -79,6 +93,50 @@
   json_[name] = values;
 }
 
+void JsonDescriber::Text(const char* name, const std::string& value, Need need, bool may_be_empty) {
+  Add(name, may_be_empty ? kText : kFilledText, value, need);
+}
+
+void JsonDescriber::NameText(const char* name) {
+  Add(name, kNameText, nullptr, Need::kRequired);
+}
+
+void JsonDescriber::Integer(const char* name, int64_t value, int64_t low, int64_t high, Need need) {
+  Add(name, RangeText(kWhole, low, high), value, need);
+}
+
+void JsonDescriber::Number(const char* name, double value, double low, double high, Need need) {
+  Add(name, RangeText(kNumber, low, high), value, need);
+}
+
+void JsonDescriber::Millis(const char* name, Duration value, Duration low, Duration high) {
+  Add(name, RangeText(kNumber, ToMillis(low), ToMillis(high)) + ", in ms", ToMillis(value),
+      Need::kOptional);
+}
+
+void JsonDescriber::Flag(const char* name, bool value) {
+  Add(name, kFlagText, value, Need::kOptional);
+}
+
+void JsonDescriber::Texts(const char* name, const std::vector<std::string>& values) {
+  Add(name, "a list of texts that are not empty", values, Need::kOptional);
+}
+
+void JsonDescriber::ChoiceIndex(const char* name,
+                                size_t index,
+                                std::initializer_list<const char*> names,
+                                Need need) {
+  Add(name, ChoiceText(names), names.begin()[index], need);
+}
+
+void JsonDescriber::Add(const char* name,
+                        std::string accepted,
+                        const nlohmann::json& value,
+                        Need need) {
+  fields_->push_back(
+      {path_ + "." + name, std::move(accepted), need == Need::kRequired ? "" : value.dump()});
+}
+
 JsonReader::JsonReader(const nlohmann::json& json, std::string path, ConfigErrors* errors)
     : json_(&json), path_(std::move(path)), errors_(errors) {
   if (!json_->is_object()) {
@@ -92,7 +150,7 @@
     return;
   }
   if (!found->is_string() || (!may_be_empty && found->get_ref<const std::string&>().empty())) {
-    Fail(name, "is " + Shown(*found), may_be_empty ? "a text" : "a text that is not empty");
+    Fail(name, "is " + Shown(*found), may_be_empty ? kText : kFilledText);
     return;
   }
   value = found->get<std::string>();
@@ -106,7 +164,7 @@
   const std::string text = found->is_string() ? found->get<std::string>() : std::string();
   if (text.empty() || text.size() > kMaxName ||
       !std::all_of(text.begin(), text.end(), IsNameCharacter)) {
-    Fail(name, "is " + Shown(*found), "a name of 1 to 128 letters, digits, '-', '_', '.' and '/'");
+    Fail(name, "is " + Shown(*found), kNameText);
     return;
   }
   value = text;
@@ -120,7 +178,7 @@
   const bool fits = found->is_number_integer() &&
                     (!found->is_number_unsigned() || found->get<uint64_t>() <= INT64_MAX);
   if (!fits || found->get<int64_t>() < low || found->get<int64_t>() > high) {
-    Fail(name, "is " + Shown(*found), RangeText("a whole number", low, high));
+    Fail(name, "is " + Shown(*found), RangeText(kWhole, low, high));
     return;
   }
   value = found->get<int64_t>();
@@ -132,7 +190,7 @@
     return;
   }
   if (!found->is_number() || !(found->get<double>() >= low) || !(found->get<double>() <= high)) {
-    Fail(name, "is " + Shown(*found), RangeText("a number", low, high));
+    Fail(name, "is " + Shown(*found), RangeText(kNumber, low, high));
     return;
   }
   value = found->get<double>();
@@ -150,7 +208,7 @@
     return;
   }
   if (!found->is_boolean()) {
-    Fail(name, "is " + Shown(*found), "true or false");
+    Fail(name, "is " + Shown(*found), kFlagText);
     return;
   }
   value = found->get<bool>();
@@ -165,8 +223,7 @@
   for (size_t i = 0; i < array->size(); ++i) {
     const nlohmann::json& item = (*array)[i];
     if (!item.is_string() || item.get_ref<const std::string&>().empty()) {
-      Fail(std::string(name) + "[" + std::to_string(i) + "]", "is " + Shown(item),
-           "a text that is not empty");
+      Fail(std::string(name) + "[" + std::to_string(i) + "]", "is " + Shown(item), kFilledText);
       continue;
     }
     values.push_back(item.get<std::string>());
@@ -181,15 +238,13 @@
   if (found == nullptr) {
     return;
   }
-  std::string accepted;
   for (size_t i = 0; i < names.size(); ++i) {
     if (found->is_string() && found->get_ref<const std::string&>() == names.begin()[i]) {
       index = i;
       return;
     }
-    accepted += std::string(i == 0 ? "" : ", ") + "\"" + names.begin()[i] + "\"";
   }
-  Fail(name, "is " + Shown(*found), accepted);
+  Fail(name, "is " + Shown(*found), ChoiceText(names));
 }
 
 void JsonReader::Finish() {
--- a/common/json_fields.h
+++ b/common/json_fields.h
@@ -68,6 +68,61 @@
   nlohmann::json json_ = nlohmann::json::object();
 };
 
+/// What a field of a JSON object accepts, for the page that documents it.
+struct ConfigField {
+  std::string path;      ///< For example "services[].endpoints[].port".
+  std::string accepted;  ///< Type, range and unit.
+  std::string fallback;  ///< Default as JSON, or empty if the field is required.
+};
+
+/// Lists the fields of a struct. It has the functions of JsonWriter; the values that it is given
+/// are the defaults.
+class JsonDescriber {
+ public:
+  /// @param path of the object, for example "profiles[]".
+  JsonDescriber(std::string path, std::vector<ConfigField>* fields)
+      : path_(std::move(path)), fields_(fields) {}
+
+  void Text(const char* name, const std::string& value, Need need, bool may_be_empty = false);
+  template <typename Tag>
+  void Name(const char* name, const NameId<Tag>& /*id*/) {
+    NameText(name);
+  }
+  template <typename Int>
+  void Whole(const char* name, const Int& value, int64_t low, int64_t high, Need need) {
+    Integer(name, static_cast<int64_t>(value), low, high, need);
+  }
+  void Number(const char* name, double value, double low, double high, Need need);
+  void Millis(const char* name, Duration value, Duration low, Duration high);
+  void Flag(const char* name, bool value);
+  void Texts(const char* name, const std::vector<std::string>& values);
+  template <typename Enum>
+  void Choice(const char* name,
+              const Enum& value,
+              std::initializer_list<const char*> names,
+              Need need) {
+    ChoiceIndex(name, static_cast<size_t>(value), names, need);
+  }
+  template <typename Item, typename Fields>
+  void Objects(const char* name, const std::vector<Item>& /*items*/, Fields fields) {
+    JsonDescriber describer(path_ + "." + name + "[]", fields_);
+    const Item item;
+    fields(describer, item);
+  }
+
+ private:
+  void NameText(const char* name);
+  void Integer(const char* name, int64_t value, int64_t low, int64_t high, Need need);
+  void ChoiceIndex(const char* name,
+                   size_t index,
+                   std::initializer_list<const char*> names,
+                   Need need);
+  void Add(const char* name, std::string accepted, const nlohmann::json& value, Need need);
+
+  std::string path_;
+  std::vector<ConfigField>* fields_;
+};
+
 /// Reads the fields of a struct from a JSON object and collects every error.
 class JsonReader {
  public:
--- a/control/command.cc
+++ b/control/command.cc
@@ -6,6 +6,7 @@
 
 #include "control/check_command.h"
 #include "control/gateway_command.h"
+#include "control/settings_command.h"
 
 namespace jd {
 namespace {
@@ -25,6 +26,7 @@
   static const std::vector<Command> commands = {
       {"gateway", kGatewayUsage, &RunGatewayCommand},
       {"check", kCheckUsage, &RunCheckCommand},
+      {"settings", kSettingsUsage, &RunSettingsCommand},
   };
   return commands;
 }
