--- a/control/command.cc
+++ b/control/command.cc
@@ -6,6 +6,8 @@
 
 #include "control/check_command.h"
 #include "control/gateway_command.h"
+#include "control/operator_commands.h"
+#include "control/operator_usage.h"
 #include "control/settings_command.h"
 
 namespace jd {
@@ -20,6 +22,11 @@
   }
 }
 
+// The operator commands share one usage text and one entry.
+bool Matches(const Command& command, const std::string& name) {
+  return command.name[0] == '\0' ? IsOperatorCommand(name) : name == command.name;
+}
+
 }  // namespace
 
 const std::vector<Command>& AllCommands() {
@@ -27,6 +34,7 @@
       {"gateway", kGatewayUsage, &RunGatewayCommand},
       {"check", kCheckUsage, &RunCheckCommand},
       {"settings", kSettingsUsage, &RunSettingsCommand},
+      {"", kOperatorUsage, &RunOperatorCommand},
   };
   return commands;
 }
@@ -37,7 +45,7 @@
     return kCommandDone;
   }
   for (const Command& command : AllCommands()) {
-    if (arguments.empty() || arguments[0] != command.name) {
+    if (arguments.empty() || !Matches(command, arguments[0])) {
       continue;
     }
     try {
