Keep probes out of the gateway tests

A gateway that runs for more than a second probes the endpoint, which opened connections that the tests counted: under valgrind two checks of callers_test and shutdown_test failed. The service of the fixture now has no probing budget; the checks are unchanged.

Also passes the output of the zones by reference, which the linter asks for in cluster/node_config.cc.

--- a/cluster/node_config.cc
+++ b/cluster/node_config.cc
@@ -29,7 +29,7 @@
       output->configuration_changed = true;
       ZoneOutput zones;
       zones_.OnConfiguration(now.mono, *embedded_, &zones);
-      TakeZones(now, std::move(zones), output);
+      TakeZones(now, zones, output);
     }
     return;
   }
@@ -54,11 +54,11 @@
     output->configuration_changed = true;
     ZoneOutput zones;
     zones_.OnConfiguration(now.mono, *keeper_.configuration(), &zones);
-    TakeZones(now, std::move(zones), output);
+    TakeZones(now, zones, output);
   }
 }
 
-void NodeConfig::TakeZones(Now now, ZoneOutput from, Output* output) {
+void NodeConfig::TakeZones(Now now, const ZoneOutput& from, Output* output) {
   output->zones_changed = output->zones_changed || !from.changed.empty();
   for (const UnrecordedZone& decision : from.broadcast) {
     output->messages.push_back({std::nullopt, decision});
@@ -100,7 +100,7 @@
   }
   ZoneOutput zones;
   zones_.OnTimer(now.mono, &zones);
-  TakeZones(now, std::move(zones), output);
+  TakeZones(now, zones, output);
 }
 
 void NodeConfig::OnTableReply(Now now,
@@ -177,7 +177,7 @@
 void NodeConfig::OnUnrecorded(Now now, const UnrecordedZone& decision, Output* output) {
   ZoneOutput zones;
   zones_.OnUnrecorded(now.mono, decision, &zones);
-  TakeZones(now, std::move(zones), output);
+  TakeZones(now, zones, output);
 }
 
 void NodeConfig::OnPeerVersion(Now now,
@@ -203,7 +203,7 @@
                                    Output* output) {
   ZoneOutput zones;
   const bool taken = zones_.TakeOutUnrecorded(now.mono, zone, decided, author, &zones);
-  TakeZones(now, std::move(zones), output);
+  TakeZones(now, zones, output);
   return taken;
 }
 
--- a/cluster/node_config.h
+++ b/cluster/node_config.h
@@ -76,7 +76,7 @@
 
  private:
   void TakeKeeper(Now now, ConfigOutput from, Output* output);
-  void TakeZones(Now now, ZoneOutput from, Output* output);
+  void TakeZones(Now now, const ZoneOutput& from, Output* output);
   void FinishWriter(Now now, uint64_t operation, Output* output);
   void Record(Now now, const UnrecordedZone& decision, Output* output);
 
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -32,6 +32,7 @@
 [[services]]
 id = "s"
 profile = "p"
+probe_share = 0
 endpoints = [{ id = "e", zone = "z", address = "127.0.0.1", slots = 8, port = )" +
            std::to_string(upstream.port) + "}]\n";
   }
