--- a/common/config_codec.cc
+++ b/common/config_codec.cc
@@ -1,10 +1,10 @@
 #include "common/config_codec.h"
 
-#include <arpa/inet.h>
-
 #include <limits>
 #include <utility>
 
+#include "common/text_rules.h"
+
 namespace jd {
 namespace {
 
@@ -127,12 +127,6 @@
   }
 }
 
-bool IsIpNumber(const std::string& address) {
-  unsigned char buffer[sizeof(in6_addr)];
-  return inet_pton(AF_INET, address.c_str(), buffer) == 1 ||
-         inet_pton(AF_INET6, address.c_str(), buffer) == 1;
-}
-
 void CheckItem(const Service& service, const std::string& path, ConfigErrors* errors) {
   std::set<EndpointId> ids;
   for (size_t i = 0; i < service.endpoints.size(); ++i) {
--- a/common/json_fields.cc
+++ b/common/json_fields.cc
@@ -5,10 +5,11 @@
 #include <cmath>
 #include <sstream>
 
+#include "common/text_rules.h"
+
 namespace jd {
 namespace {
 
-constexpr size_t kMaxName = 128;
 /// Longer values are cut in messages.
 constexpr size_t kMaxShown = 60;
 constexpr const char* kWhole = "a whole number";
@@ -16,7 +17,6 @@
 constexpr const char* kFlagText = "true or false";
 constexpr const char* kText = "a text";
 constexpr const char* kFilledText = "a text that is not empty";
-constexpr const char* kNameText = "a name of 1 to 128 letters, digits, '-', '_', '.' and '/'";
 
 std::string Shown(const nlohmann::json& value) {
   std::string text = value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
@@ -30,11 +30,6 @@
   return text.str();
 }
 
-bool IsNameCharacter(char c) {
-  return std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '-' || c == '_' || c == '.' ||
-         c == '/';
-}
-
 std::string ChoiceText(std::initializer_list<const char*> names) {
   std::string text;
   for (const char* name : names) {
@@ -98,7 +93,7 @@
 }
 
 void JsonDescriber::NameText(const char* name) {
-  Add(name, kNameText, nullptr, Need::kRequired);
+  Add(name, kNameRule, nullptr, Need::kRequired);
 }
 
 void JsonDescriber::Integer(const char* name, int64_t value, int64_t low, int64_t high, Need need) {
@@ -162,9 +157,8 @@
     return;
   }
   const std::string text = found->is_string() ? found->get<std::string>() : std::string();
-  if (text.empty() || text.size() > kMaxName ||
-      !std::all_of(text.begin(), text.end(), IsNameCharacter)) {
-    Fail(name, "is " + Shown(*found), kNameText);
+  if (!IsName(text)) {
+    Fail(name, "is " + Shown(*found), kNameRule);
     return;
   }
   value = text;
--- /dev/null
+++ b/common/text_rules.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+
+namespace jd {
+
+/// Longest name of an object; names are part of table keys.
+inline constexpr size_t kMaxNameLength = 128;
+
+/// What IsName accepts, for messages and documentation.
+inline constexpr const char* kNameRule =
+    "a name of 1 to 128 letters, digits, '-', '_', '.' and '/'";
+
+/// Returns whether a text may be the name of an object.
+bool IsName(const std::string& text);
+
+/// Returns whether a text is an IPv4 or IPv6 number.
+bool IsIpNumber(const std::string& text);
+
+}  // namespace jd
--- a/gateway/configuration_page.cc
+++ b/gateway/configuration_page.cc
@@ -28,8 +28,8 @@
 constexpr const char* kObjects = R"(
 ## Configuration objects
 
-Operators write these as JSON, for example `jackdawdeck profile put NAME FILE`. Unknown fields are
-errors, and every error of a document is reported. Paths start with `/`; addresses are IPv4 or IPv6
+Operators write these as TOML or JSON, for example `jackdawdeck profile put NAME FILE`; a file that
+starts with `{` is read as JSON. Unknown fields are errors, and every error of a document is reported. Paths start with `/`; addresses are IPv4 or IPv6
 numbers; an endpoint's id, and a workspace in `shares`, is listed once. A `max_connections` of 0 sets
 no limit. `zones[].state` is changed by `zone out` and `zone in`.
 )";
@@ -53,16 +53,20 @@
          " |\n";
 }
 
-// Writes one table for each run of keys with the same scope.
+// Writes one table for each scope, in the order in which the scopes first appear.
 std::string Tables(const std::vector<SettingInfo>& infos) {
-  std::string text;
-  std::string_view scope;
+  std::vector<std::string> scopes;
+  std::map<std::string, std::string> rows;
   for (const SettingInfo& info : infos) {
-    if (ScopeOf(info.key) != scope) {
-      scope = ScopeOf(info.key);
-      text += "\n### " + std::string(scope) + "\n\n" + kTableHead;
+    const std::string scope(ScopeOf(info.key));
+    if (!rows.contains(scope)) {
+      scopes.push_back(scope);
     }
-    text += Row(info);
+    rows[scope] += Row(info);
+  }
+  std::string text;
+  for (const std::string& scope : scopes) {
+    text += "\n### " + scope + "\n\n" + kTableHead + rows[scope];
   }
   return text;
 }
--- a/gateway/frame_link.h
+++ b/gateway/frame_link.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <string>
 
-#include "gateway/libevent_ptr.h"
+#include "platform/libevent_ptr.h"
 #include "rpc/frame.h"
 
 namespace jd {
--- a/gateway/http_server.h
+++ b/gateway/http_server.h
@@ -3,19 +3,16 @@
 #include <event2/http.h>
 
 #include <cstdint>
-#include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
 
 #include "gateway/settings.h"
 #include "platform/event_loop.h"
+#include "platform/libevent_ptr.h"
 
 namespace jd {
 
-struct HttpServerDeleter {
-  void operator()(evhttp* server) const { evhttp_free(server); }
-};
-using HttpServerPtr = std::unique_ptr<evhttp, HttpServerDeleter>;
+using HttpServerPtr = LibeventPtr<evhttp>;
 
 /// Opens a port for HTTP requests.
 /// @param bound receives the port, which the system chooses if the settings say 0.
--- a/gateway/setting_field.cc
+++ b/gateway/setting_field.cc
@@ -1,29 +1,16 @@
 #include "gateway/setting_field.h"
 
-#include <arpa/inet.h>
-
 #include <algorithm>
 #include <array>
 #include <cctype>
 #include <cmath>
 #include <sstream>
 
+#include "common/text_rules.h"
+
 namespace jd {
 namespace {
 
-bool IsName(const std::string& text) {
-  return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
-    return std::isalnum(static_cast<unsigned char>(c)) != 0 ||
-           std::string_view("._/-").find(c) != std::string_view::npos;
-  });
-}
-
-bool IsAddress(const std::string& text) {
-  std::array<unsigned char, sizeof(in6_addr)> bytes{};
-  return inet_pton(AF_INET, text.c_str(), bytes.data()) == 1 ||
-         inet_pton(AF_INET6, text.c_str(), bytes.data()) == 1;
-}
-
 bool IsChoice(const std::string& text, const std::string& choices) {
   const std::string list = "|" + choices + "|";
   return choices.empty() || (!text.empty() && text.find('|') == std::string::npos &&
@@ -36,7 +23,7 @@
       return IsName(text);
     case SettingKind::kAddress:
       return (text.empty() && rule.fallback != nullptr && *rule.fallback == '\0') ||
-             IsAddress(text);
+             IsIpNumber(text);
     default:
       return text.size() >= static_cast<size_t>(rule.min) && IsChoice(text, rule.choices);
   }
@@ -58,8 +45,10 @@
 }
 
 std::string FormatNumber(double number) {
+  if (number == std::trunc(number)) {
+    return std::to_string(static_cast<int64_t>(number));
+  }
   std::ostringstream out;
-  out.precision(15);
   out << number;
   return out.str();
 }
@@ -67,7 +56,7 @@
 std::string DescribeKind(const SettingRule& rule) {
   switch (rule.kind) {
     case SettingKind::kName:
-      return "a name of letters, digits and '._/-'";
+      return kNameRule;
     case SettingKind::kText:
       return rule.min > 0 ? "a text of at least " + FormatNumber(rule.min) + " characters"
                           : "a text";
--- a/gateway/setting_field.h
+++ b/gateway/setting_field.h
@@ -13,7 +13,7 @@
 namespace jd {
 
 enum class SettingKind : uint8_t {
-  kName,     ///< Letters, digits and "._/-", not empty.
+  kName,     ///< See IsName.
   kText,     ///< Any text; `choices` restricts it to a list.
   kAddress,  ///< IP number.
   kInteger,
