Add the metrics page and the metrics that it needs

New: call latency, refusals by workspace, new connections, silent connections, probes, replies of the table, and the configuration version. Only workspaces of the configuration get a series, because callers choose the name that they send. A test compares the page with what is exported. A replayed response carries x-request-id like every other answer.

--- a/gateway/caller_server.cc
+++ b/gateway/caller_server.cc
@@ -277,13 +277,15 @@
 }
 
 void CallerServer::Replay(CallId call,
+                          const RequestId& id,
                           int status,
                           const std::string& content_type,
                           const std::string& text) {
   evhttp_request* request = EndCall(call);
+  evkeyvalq* headers = evhttp_request_get_output_headers(request);
+  evhttp_add_header(headers, "x-request-id", id.value.c_str());
   if (!content_type.empty()) {
-    evhttp_add_header(evhttp_request_get_output_headers(request), "Content-Type",
-                      content_type.c_str());
+    evhttp_add_header(headers, "Content-Type", content_type.c_str());
   }
   const BufferPtr body(evbuffer_new());
   evbuffer_add(body.get(), text.data(), text.size());
--- a/gateway/caller_server.h
+++ b/gateway/caller_server.h
@@ -43,7 +43,11 @@
   /// Relays a whole response; its body is moved.
   void Answer(CallId call, const RequestId& request, evhttp_request* response);
   void Refuse(CallId call, const RequestId& request, const Refusal& refusal);
-  void Replay(CallId call, int status, const std::string& content_type, const std::string& body);
+  void Replay(CallId call,
+              const RequestId& request,
+              int status,
+              const std::string& content_type,
+              const std::string& body);
   /// Asks callers to open no further requests on their connections; idle ones are kept.
   void AnnounceClose() { closing_ = true; }
   void CloseIdle();
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -88,6 +88,7 @@
   callers_.became_quiet().connect(sigc::mem_fun(*this, &Gateway::FinishIfDrained));
   upstreams_.attempt_ended().connect(sigc::mem_fun(*this, &Gateway::OnAttemptEnded));
   upstreams_.probe_ended().connect([this](const ProbeResult& result) {
+    metrics_.CountProbe(result.answered);
     Drive([&](Now now, NodeActions* out) { node_.OnProbeResult(now, result, out); });
   });
 }
@@ -139,6 +140,11 @@
       configuration_ = node_.configuration();
       upstreams_.SetConfiguration(configuration_);
       if (configuration_ != nullptr) {
+        std::set<WorkspaceId> workspaces;
+        for (const auto& [id, share] : configuration_->workspaces) {
+          workspaces.insert(id);
+        }
+        metrics_.SetWorkspaces(std::move(workspaces));
         LogInfo(LogPart::kConfig,
                 "Version " + std::to_string(configuration_->version.value) + " is in use.");
       }
@@ -193,6 +199,7 @@
   evhttp_request* http = callers_.request(request.id);
   Call call;
   call.request = request.request;
+  call.workspace = request.workspace;
   call.arrived = loop_->ReadClocks().mono;
   call.upstream.method = evhttp_request_get_command(http);
   call.upstream.target = request.path;
@@ -208,7 +215,7 @@
 }
 
 void Gateway::OnAttemptEnded(const AttemptResult& result, HttpRequestPtr& response) {
-  metrics_.CountAttempt(result.outcome);
+  metrics_.CountAttempt(result);
   const auto attempt = attempts_.extract(result.attempt);
   const auto call = attempt.empty() ? calls_.end() : calls_.find(attempt.mapped());
   if (call != calls_.end()) {
@@ -246,6 +253,7 @@
       calls_.begin(), calls_.end(), [](const auto& call) { return call.second.running == 0; }));
   levels.caller_connections = callers_.connections();
   levels.upstream_connections = upstreams_.connections();
+  levels.config_version = configuration_ == nullptr ? 0 : configuration_->version.value;
   levels.ready = ready();
   if (peer_traffic_) {
     levels.peers = peer_traffic_();
@@ -287,12 +295,14 @@
     Drive([&](Now now, NodeActions* out) { node_.OnCallAnswered(now, action.call, stored, out); });
   }
   callers_.Answer(action.call, call->request, response->second.get());
-  metrics_.ObserveAdded(loop_->ReadClocks().mono - call->arrived - call->upstream_time);
+  const Duration whole = loop_->ReadClocks().mono - call->arrived;
+  metrics_.ObserveCall(whole);
+  metrics_.ObserveAdded(whole - call->upstream_time);
 }
 
 void Gateway::Do(const RefuseCall& action) {
   if (const std::optional<Call> call = TakeCall(action.call, CallEnd::kRefused)) {
-    metrics_.CountRefusal(action.refusal.reason);
+    metrics_.CountRefusal(action.refusal.reason, call->workspace);
     LogDebug(LogPart::kCalls, "Call " + call->request.value + " is refused: " +
                                   std::string(RefusalReasonName(action.refusal.reason)) + ".");
     callers_.Refuse(action.call, call->request, action.refusal);
@@ -300,12 +310,13 @@
 }
 
 void Gateway::Do(const ReplayCall& action) {
-  if (TakeCall(action.call, CallEnd::kReplayed)) {
-    callers_.Replay(action.call, action.status, action.content_type, action.body);
+  if (const std::optional<Call> call = TakeCall(action.call, CallEnd::kReplayed)) {
+    callers_.Replay(action.call, call->request, action.status, action.content_type, action.body);
   }
 }
 
 void Gateway::Do(const CloseConnections& action) {
+  metrics_.CountSilentConnections();
   upstreams_.Close(action);
 }
 
@@ -327,6 +338,7 @@
 
 void Gateway::Do(const CallTable& action) {
   const auto answer = [this, id = action.id](const TableReply& reply) {
+    metrics_.CountTableReply(reply.status);
     Drive([&](Now now, NodeActions* out) { node_.OnTableReply(now, id, reply, out); });
   };
   if (platform_ == nullptr) {
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -61,6 +61,7 @@
   /// What the loop keeps of a call until it ends.
   struct Call {
     RequestId request;
+    WorkspaceId workspace;
     MonoTime arrived;
     int running = 0;            ///< Attempts under way.
     MonoTime running_since;     ///< When the first of them started.
--- a/tests/pages_test.cc
+++ b/tests/pages_test.cc
@@ -2,11 +2,14 @@
 
 #include <cstdlib>
 #include <fstream>
+#include <regex>
+#include <set>
 #include <sstream>
 
 #include "common/config_codec.h"
 #include "control/command.h"
 #include "gateway/configuration_page.h"
+#include "gateway/metrics.h"
 
 namespace jd {
 namespace {
@@ -27,6 +30,79 @@
   CHECK(RunCommandLine({"settings"}) == kCommandUsage);
 }
 
+// Returns "name type label,label" for each metric that a gateway exports.
+std::set<std::string> ExportedMetrics() {
+  Metrics metrics;
+  metrics.CountRefusal(RefusalReason::kOverload, WorkspaceId("w"));
+  const std::string text = metrics.Serialize(GatewayLevels());
+  std::map<std::string, std::string> types;
+  std::map<std::string, std::set<std::string>> labels;
+  std::istringstream lines(text);
+  for (std::string line; std::getline(lines, line);) {
+    std::smatch match;
+    if (std::regex_match(line, match, std::regex("# TYPE (\\w+) (\\w+)"))) {
+      types[match[1]] = match[2];
+    } else if (std::regex_match(line, match, std::regex("(\\w+)\\{(\\w+)=.*"))) {
+      if (match[2] != "le") {
+        labels[match[1]].insert(match[2]);
+      }
+    }
+  }
+  std::set<std::string> result;
+  for (const auto& [name, type] : types) {
+    std::string one = name + " " + type;
+    for (const std::string& label : labels[name]) {
+      one += " " + label;
+    }
+    result.insert(one);
+  }
+  return result;
+}
+
+TEST_CASE("the metrics page lists exactly the metrics that a gateway exports", "[pages_test]") {
+  // Guards against a metric that operators do not know of, and one that they look for in vain.
+  std::set<std::string> documented;
+  std::istringstream lines(ReadPage("metrics.md"));
+  for (std::string line; std::getline(lines, line);) {
+    std::smatch match;
+    const std::regex row("\\| `(jackdawdeck_\\w+)` \\| (\\w+) \\| (?:`(\\w+)`)? ?\\|.*");
+    if (std::regex_match(line, match, row)) {
+      documented.insert(match[1].str() + " " + match[2].str() +
+                        (match[3].matched ? " " + match[3].str() : ""));
+    }
+  }
+  CHECK(documented.size() > 10);
+  CHECK(documented == ExportedMetrics());
+}
+
+TEST_CASE("the metrics page explains every value of a label", "[pages_test]") {
+  Metrics metrics;
+  const std::string text = metrics.Serialize(GatewayLevels());
+  const std::string page = ReadPage("metrics.md");
+  const std::regex label("\\{(?:end|outcome|reason|status|result)=\"([^\"]+)\"\\}");
+  int values = 0;
+  for (std::sregex_iterator at(text.begin(), text.end(), label), end; at != end; ++at) {
+    INFO((*at)[1].str());
+    CHECK(page.find("`" + (*at)[1].str() + "`") != std::string::npos);
+    ++values;
+  }
+  CHECK(values > 20);
+}
+
+TEST_CASE("only workspaces of the configuration get a series of their own", "[pages_test]") {
+  // Callers choose the name that they send, so it must not grow the metrics without bound.
+  Metrics metrics;
+  metrics.SetWorkspaces({WorkspaceId("known")});
+  for (const char* name : {"known", "x1", "x2"}) {
+    metrics.CountRefusal(RefusalReason::kOverload, WorkspaceId(name));
+  }
+  const std::string text = metrics.Serialize(GatewayLevels());
+  const std::string series = "jackdawdeck_workspace_refusals_total{workspace=";
+  CHECK(text.find(series + "\"known\"} 1") != std::string::npos);
+  CHECK(text.find(series + "\"other\"} 2") != std::string::npos);
+  CHECK(text.find("x1") == std::string::npos);
+}
+
 TEST_CASE("the described fields are those that the codec accepts", "[pages_test]") {
   std::set<std::string> paths;
   for (const ConfigField& field : AllConfigFields()) {
