Tell upstreams at least 1 ms, name probes, and test the stop of a process

A limit below 1 ms was rounded down to 0, which reads as expired. Probes carry x-service and x-request-id. A caller's host header in lower case is no longer doubled.

--- a/gateway/upstream_pool.cc
+++ b/gateway/upstream_pool.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cassert>
 
+#include "gateway/header_rules.h"
+
 namespace jd {
 namespace {
 
@@ -26,6 +28,21 @@
              : AttemptOutcome::kAnswered;
 }
 
+HttpHeaders HeadersOf(const UpstreamRequest& request,
+                      Duration timeout,
+                      const std::string& address) {
+  HttpHeaders headers = request.headers;
+  // The upstream is told whole milliseconds; rounding down keeps it within the caller's deadline,
+  // but 0 would tell it that the deadline has passed.
+  const int64_t millis = std::chrono::floor<std::chrono::milliseconds>(timeout).count();
+  headers.emplace_back("x-deadline-ms", std::to_string(std::max<int64_t>(millis, 1)));
+  if (std::none_of(headers.begin(), headers.end(),
+                   [](const auto& header) { return SameHeader(header.first, "Host"); })) {
+    headers.emplace_back("Host", address);
+  }
+  return headers;
+}
+
 }  // namespace
 
 UpstreamPool::UpstreamPool(EventLoop* loop, const HttpConnection::Limits& limits)
@@ -40,7 +57,7 @@
     for (const auto& [id, service] : configuration->services) {
       for (const Endpoint& endpoint : service.endpoints) {
         targets[endpoint.id] = {endpoint.address, endpoint.port, endpoint.max_connections,
-                                service.health_path};
+                                service.health_path, id};
       }
     }
   }
@@ -98,11 +115,18 @@
 void UpstreamPool::Probe(const SendProbe& probe) {
   const auto peer = peers_.find(probe.endpoint);
   UpstreamRequest request;
-  request.target = peer == peers_.end() ? "/" : peer->second.target.health_path;
+  const uint64_t id = ++next_probe_;
+  request.target = "/";
+  if (peer != peers_.end()) {
+    request.target = peer->second.target.health_path;
+    // A server of several services needs the name, and its log shows which requests are probes.
+    request.headers = {{"x-service", peer->second.target.service.value},
+                       {"x-request-id", "probe-" + std::to_string(id)}};
+  }
   SendAttempt attempt;
   attempt.endpoint = probe.endpoint;
   attempt.timeout = probe.timeout;
-  Start(kProbeBit | ++next_probe_, attempt, request, true);
+  Start(kProbeBit | id, attempt, request, true);
 }
 
 void UpstreamPool::Start(uint64_t id,
@@ -125,15 +149,8 @@
   deadlines_.emplace(exchange.deadline, id);
   exchanges_.emplace(id, std::move(exchange));
   ScheduleDeadline();
-  HttpHeaders headers = request.headers;
-  // The upstream is told whole milliseconds; rounding down keeps it within the caller's deadline.
-  headers.emplace_back(
-      "x-deadline-ms",
-      std::to_string(std::chrono::floor<std::chrono::milliseconds>(attempt.timeout).count()));
-  if (std::none_of(headers.begin(), headers.end(),
-                   [](const auto& header) { return header.first == "Host"; })) {
-    headers.emplace_back("Host", exchanges_.at(id).link->target.address);
-  }
+  const HttpHeaders headers =
+      HeadersOf(request, attempt.timeout, exchanges_.at(id).link->target.address);
   BufferPtr body;
   if (request.body != nullptr && evbuffer_get_length(request.body) > 0) {
     body.reset(evbuffer_new());
--- a/gateway/upstream_pool.h
+++ b/gateway/upstream_pool.h
@@ -57,6 +57,7 @@
     uint16_t port = 0;
     int32_t max_connections = 0;
     std::string health_path;
+    ServiceId service;
     bool operator==(const Target&) const = default;
   };
   struct Link {
--- /dev/null
+++ b/tests/process_test.cc
@@ -0,0 +1,211 @@
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <regex>
+#include <sstream>
+
+#include "tests/http_harness.h"
+
+namespace jd {
+namespace {
+
+std::string ReadAll(const std::string& path) {
+  std::ifstream in(path);
+  std::stringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+// A gateway as a process of its own, with the service "s" at one endpoint.
+class GatewayProcess {
+ public:
+  explicit GatewayProcess(uint16_t upstream_port)
+      : base_(std::string(std::getenv("JACKDAWDECK_BUILD")) + "/process_test") {
+    std::ofstream(base_ + ".toml") << R"(
+callers = { port = 0 }
+status = { port = 0 }
+peers = { port = 0, shared_key = "0123456789abcdef" }
+zones = [{ id = "z" }]
+profiles = [{ id = "p", deadline_ms = 60000 }]
+[gateway]
+id = "g"
+zone = "z"
+policy = "pooled"
+grace_ms = 500
+[[services]]
+id = "s"
+profile = "p"
+endpoints = [{ id = "e", zone = "z", address = "127.0.0.1", slots = 64, port = )"
+                                   << upstream_port << "}]\n";
+    const std::string program = std::string(std::getenv("JACKDAWDECK_BUILD")) + "/jackdawdeck";
+    const std::string settings = base_ + ".toml";
+    const std::string log = base_ + ".log";
+    const char* arguments[] = {program.c_str(), "gateway", "--config", settings.c_str(), nullptr};
+    posix_spawn_file_actions_t files;
+    posix_spawn_file_actions_init(&files);
+    posix_spawn_file_actions_addopen(&files, STDERR_FILENO, log.c_str(),
+                                     O_WRONLY | O_CREAT | O_TRUNC, 0600);
+    const int error = posix_spawn(&pid_, program.c_str(), &files, nullptr,
+                                  const_cast<char* const*>(arguments), environ);
+    posix_spawn_file_actions_destroy(&files);
+    REQUIRE(error == 0);
+  }
+  ~GatewayProcess() {
+    if (!ended()) {
+      kill(pid_, SIGKILL);
+      waitpid(pid_, nullptr, 0);
+    }
+    for (const char* suffix : {".toml", ".log"}) {
+      unlink((base_ + suffix).c_str());
+    }
+  }
+  GatewayProcess(const GatewayProcess&) = delete;
+  GatewayProcess& operator=(const GatewayProcess&) = delete;
+
+  std::string log() const { return ReadAll(base_ + ".log"); }
+  /// Returns the port that the log names after `word`, or 0.
+  uint16_t Port(const std::string& word) const {
+    const std::string text = log();
+    std::smatch match;
+    return std::regex_search(text, match, std::regex(word + " on port (\\d+)"))
+               ? static_cast<uint16_t>(std::stoi(match[1]))
+               : 0;
+  }
+  void Terminate() const { kill(pid_, SIGTERM); }
+  bool ended() {
+    ended_ = ended_ || waitpid(pid_, &status_, WNOHANG) == pid_;
+    return ended_;
+  }
+  bool ended_with_zero() const { return ended_ && WIFEXITED(status_) && WEXITSTATUS(status_) == 0; }
+
+ private:
+  std::string base_;
+  pid_t pid_ = 0;
+  int status_ = 0;
+  bool ended_ = false;
+};
+
+// Callers that each send the next request when the answer to the last one is whole.
+struct Load {
+  Load(EventLoop* loop, uint16_t port, size_t callers) : loop(loop), port(port) {
+    connections.resize(callers);
+    for (auto& connection : connections) {
+      Send(&connection);
+    }
+  }
+  void Send(std::unique_ptr<TextConnection>* connection) {
+    if (*connection == nullptr || (*connection)->closed ||
+        (*connection)->Count("Connection: close") > 0) {
+      *connection = std::make_unique<TextConnection>(loop, port);
+    }
+    (*connection)->received.clear();
+    (*connection)->Send("GET /quick HTTP/1.1\r\nx-service: s\r\n\r\n");
+    ++sent;
+  }
+  void Step() {
+    for (auto& connection : connections) {
+      if (connection == nullptr) {
+        continue;
+      }
+      if (connection->Count("whole-answer") > 0) {
+        ++answered;
+        if (stopping) {
+          connection.reset();
+        } else {
+          Send(&connection);
+        }
+      } else if (connection->closed) {
+        ++lost;
+        connection.reset();
+      }
+    }
+  }
+  bool idle() const {
+    return std::all_of(connections.begin(), connections.end(),
+                       [](const auto& connection) { return connection == nullptr; });
+  }
+
+  EventLoop* loop;
+  uint16_t port;
+  std::vector<std::unique_ptr<TextConnection>> connections;
+  size_t sent = 0;
+  size_t answered = 0;
+  size_t lost = 0;
+  bool stopping = false;
+};
+
+TEST_CASE("a process that is told to stop under load cuts nothing off and exits with 0",
+          "[process_test]") {
+  // Guards against an exit that loses calls in flight, which callers could not tell from a crash.
+  EventLoop loop;
+  TextServer upstream(&loop);
+  const std::string answer = HttpResponse("200 OK", "", "whole-answer");
+  std::vector<TextConnection*> held;
+  size_t received = 0;
+  upstream.on_request = [&](TextConnection& connection) {
+    ++received;
+    const size_t last = connection.received.rfind("GET ");
+    if (connection.received.compare(last, 9, "GET /held") == 0) {
+      held.push_back(&connection);
+    } else {
+      connection.Send(answer);
+    }
+  };
+  GatewayProcess gateway(upstream.port);
+  REQUIRE(RunUntil(&loop, [&] { return gateway.Port("status") != 0; }));
+  const uint16_t callers = gateway.Port("callers");
+  std::vector<std::unique_ptr<TextConnection>> slow;
+  for (int i = 0; i < 8; ++i) {
+    slow.push_back(std::make_unique<TextConnection>(&loop, callers));
+    slow.back()->Send("GET /held HTTP/1.1\r\nx-service: s\r\n\r\n");
+  }
+  Load load(&loop, callers, 16);
+  const auto step_until = [&](const std::function<bool()>& done) {
+    return RunUntil(&loop, [&] {
+      load.Step();
+      return done();
+    });
+  };
+  REQUIRE(step_until([&] { return held.size() == 8 && load.answered > 200; }));
+  gateway.Terminate();
+  // A balancer sends new calls until it has seen that the gateway is not ready.
+  TextConnection probe(&loop, gateway.Port("status"));
+  const std::string ask = "GET /ready HTTP/1.1\r\n\r\n";
+  probe.Send(ask);
+  size_t asked = 1;
+  REQUIRE(step_until([&] {
+    if (probe.Count("ready\n") == asked && probe.Count("HTTP/1.1 503") == 0) {
+      probe.Send(ask);
+      ++asked;
+    }
+    return probe.Count("HTTP/1.1 503") > 0;
+  }));
+  const size_t before = load.answered;
+  REQUIRE(step_until([&] { return load.answered > before + 20; }));
+  load.stopping = true;
+  REQUIRE(step_until([&] { return load.idle(); }));
+  REQUIRE(step_until(
+      [&] { return gateway.log().find("Grace time over: refusing") != std::string::npos; }));
+  CHECK_FALSE(gateway.ended());
+  for (TextConnection* connection : held) {
+    connection->Send(answer);
+  }
+  REQUIRE(RunUntil(&loop, [&] { return gateway.ended(); }));
+  CHECK(gateway.ended_with_zero());
+  CHECK(load.lost == 0);
+  CHECK(load.answered == load.sent);
+  CHECK(received == load.sent + 8);
+  for (const auto& connection : slow) {
+    CHECK(RunUntil(&loop, [&] { return connection->closed; }));
+    CHECK(connection->Count("whole-answer") == 1);
+  }
+}
+
+}  // namespace
+}  // namespace jd
--- a/tests/upstream_test.cc
+++ b/tests/upstream_test.cc
@@ -179,6 +179,35 @@
   CHECK(f.server.received().find("x-deadline-ms: 200\r\n") != std::string::npos);
 }
 
+TEST_CASE("an upstream is never told that no time is left", "[upstream_test]") {
+  // Guards against a limit below 1 ms that is rounded down to 0, which reads as expired.
+  Fixture f;
+  f.AnswerAll(kOk);
+  f.Send(1);
+  f.Wait(1);
+  // The connection is open, so that the request is written before the limit is checked.
+  f.Send(2, 900us);
+  f.Wait(2);
+  f.Settle();
+  const std::string sent = f.server.received();
+  CHECK(sent.find("x-deadline-ms: 1\r\n") != std::string::npos);
+  CHECK(sent.find("x-deadline-ms: 0\r\n") == std::string::npos);
+}
+
+TEST_CASE("a caller's host header is not doubled, whatever its case", "[upstream_test]") {
+  // Two host headers could be read differently by two servers.
+  Fixture f;
+  UpstreamRequest request;
+  request.target = "/";
+  request.headers = {{"host", "records"}};
+  f.AnswerAll(kOk);
+  f.pool.Send({CallId(1), AttemptId(1), EndpointId("e"), 60s}, request);
+  f.Wait(1);
+  const std::string sent = f.server.received();
+  CHECK(sent.find("host: records\r\n") != std::string::npos);
+  CHECK(sent.find("Host: ") == std::string::npos);
+}
+
 TEST_CASE("an endpoint never has more connections than allowed", "[upstream_test]") {
   Fixture f;
   f.Configure(2);
@@ -215,7 +244,13 @@
   f.AnswerAll(kOk);
   f.pool.Probe({EndpointId("e"), 60s});
   REQUIRE(RunUntil(&f.loop, [&] { return !f.probes.empty(); }));
-  CHECK(f.server.received().starts_with("GET /healthy HTTP/1.1\r\n"));
+  const std::string sent = f.server.received();
+  CHECK(sent.starts_with("GET /healthy HTTP/1.1\r\n"));
+  for (const char* header : {"x-service: s\r\n", "x-request-id: probe-1\r\n",
+                             "x-deadline-ms: 60000\r\n", "Host: 127.0.0.1\r\n"}) {
+    INFO(header);
+    CHECK(sent.find(header) != std::string::npos);
+  }
   CHECK(f.probes[0].answered);
   CHECK(f.probes[0].report->slots == 4);
   f.pool.Probe({EndpointId("unknown"), 60s});
