--- a/common/ids.h
+++ b/common/ids.h
@@ -60,6 +60,8 @@
 
 }  // namespace jd
 
+// Doxygen reports an inconsistency for specialisations outside their namespace.
+/// @cond
 template <typename Tag>
 struct std::hash<jd::NameId<Tag>> {
   size_t operator()(const jd::NameId<Tag>& id) const noexcept {
@@ -71,3 +73,4 @@
 struct std::hash<jd::NumberId<Tag>> {
   size_t operator()(jd::NumberId<Tag> id) const noexcept { return std::hash<uint64_t>()(id.value); }
 };
+/// @endcond
