--- a/common/config_codec.cc
+++ b/common/config_codec.cc
@@ -1,10 +1,10 @@
 #include "common/config_codec.h"
 
-#include <arpa/inet.h>
-
 #include <limits>
 #include <utility>
 
+#include "common/text_rules.h"
+
 namespace jd {
 namespace {
 
@@ -105,6 +105,13 @@
   return std::move(writer).Take();
 }
 
+template <typename T>
+void Describe(const char* path, std::vector<ConfigField>* fields) {
+  JsonDescriber describer(path, fields);
+  const T item;
+  Fields(describer, item);
+}
+
 std::string Dump(const json& value) {
   return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
@@ -120,12 +127,6 @@
   }
 }
 
-bool IsIpNumber(const std::string& address) {
-  unsigned char buffer[sizeof(in6_addr)];
-  return inet_pton(AF_INET, address.c_str(), buffer) == 1 ||
-         inet_pton(AF_INET6, address.c_str(), buffer) == 1;
-}
-
 void CheckItem(const Service& service, const std::string& path, ConfigErrors* errors) {
   std::set<EndpointId> ids;
   for (size_t i = 0; i < service.endpoints.size(); ++i) {
@@ -335,4 +336,13 @@
   return errors->size() > before ? std::nullopt : std::optional(std::move(result));
 }
 
+std::vector<ConfigField> AllConfigFields() {
+  std::vector<ConfigField> fields;
+  Describe<Workspace>("workspaces[]", &fields);
+  Describe<Profile>("profiles[]", &fields);
+  Describe<Service>("services[]", &fields);
+  Describe<Zone>("zones[]", &fields);
+  return fields;
+}
+
 }  // namespace jd
--- a/control/command.cc
+++ b/control/command.cc
@@ -8,6 +8,7 @@
 #include "control/gateway_command.h"
 #include "control/operator_commands.h"
 #include "control/operator_usage.h"
+#include "control/settings_command.h"
 
 namespace jd {
 namespace {
@@ -32,6 +33,7 @@
   static const std::vector<Command> commands = {
       {"gateway", kGatewayUsage, &RunGatewayCommand},
       {"check", kCheckUsage, &RunCheckCommand},
+      {"settings", kSettingsUsage, &RunSettingsCommand},
       {"", kOperatorUsage, &RunOperatorCommand},
   };
   return commands;
