Keep calls of an endpoint that is removed and added again

SlotHolder::SetService dropped the slot of a removed endpoint together with its count of running calls. Once the endpoint was added again, the end of such a call met a count of 0 and Release hit its assert, which aborts the process. Removed endpoints with running calls are now parked; an endpoint that is added again, in the same pool or another, takes these calls over as used slots.

Before: slot_holder_test aborts in Release. After: it passes, with slot_lending_test. Conclusion: a configuration change under load no longer ends the process.

--- a/policy/slot_holder.cc
+++ b/policy/slot_holder.cc
@@ -102,6 +102,14 @@
 }
 
 void SlotHolder::Release(MonoTime now, const EndpointId& endpoint, const AttemptResult& result) {
+  if (const auto parked = parked_.find(endpoint); parked != parked_.end()) {
+    Slot& slot = parked->second;
+    slot.deadlines.erase(slot.deadlines.begin());
+    if (--slot.in_flight == 0) {
+      parked_.erase(parked);
+    }
+    return;
+  }
   Pool* pool = nullptr;
   Slot* slot = Find(endpoint, &pool);
   if (slot == nullptr) {
@@ -132,9 +140,39 @@
   }
 }
 
+void SlotHolder::Park(Pool* pool) {
+  for (auto& [endpoint, slot] : pool->slots) {
+    pool_of_.erase(endpoint);
+    parked_.insert_or_assign(endpoint, std::move(slot));
+  }
+  pool->slots.clear();
+}
+
+SlotHolder::Slot SlotHolder::Unpark(const EndpointView& endpoint, const PoolId& pool) {
+  Slot slot;
+  const auto parked = parked_.find(endpoint.id);
+  if (parked != parked_.end()) {
+    if (parked->second.pool == pool) {
+      slot = std::move(parked->second);
+    } else {
+      // The loans ended with the removal, but the calls run on.
+      slot.in_flight = slot.held = parked->second.in_flight;
+      slot.deadlines = std::move(parked->second.deadlines);
+    }
+    parked_.erase(parked);
+  }
+  slot.pool = pool;
+  slot.view = endpoint;
+  slot.evidence.endpoint = endpoint.id;
+  return slot;
+}
+
 void SlotHolder::SetService(MonoTime now, const ServiceView& view) {
   std::vector<PoolId>& ids = services_[view.id];
   std::vector<PoolId> old_ids = std::exchange(ids, {});
+  for (const PoolId& id : old_ids) {
+    Park(&pools_.at(id));
+  }
   for (PoolView& pool_view : SplitIntoPools(view)) {
     ids.push_back(pool_view.id);
     auto [found, added] = pools_.try_emplace(pool_view.id);
@@ -145,18 +183,8 @@
       pool.next_request = now;
       pool.busy_at = now;
     }
-    std::map<EndpointId, Slot> old = std::exchange(pool.slots, {});
-    for (const auto& [endpoint, slot] : old) {
-      pool_of_.erase(endpoint);
-    }
     for (const EndpointView& endpoint : pool_view.endpoints) {
-      const auto before = old.find(endpoint.id);
-      Slot& slot = pool.slots[endpoint.id];
-      if (before != old.end()) {
-        slot = std::move(before->second);
-      }
-      slot.view = endpoint;
-      slot.evidence.endpoint = endpoint.id;
+      pool.slots.insert_or_assign(endpoint.id, Unpark(endpoint, pool_view.id));
       pool_of_[endpoint.id] = pool_view.id;
     }
     pool.view = std::move(pool_view);
@@ -164,11 +192,12 @@
     std::erase(old_ids, found->first);
   }
   for (const PoolId& id : old_ids) {
-    for (const auto& [endpoint, slot] : pools_.at(id).slots) {
-      pool_of_.erase(endpoint);
-    }
     pools_.erase(id);
   }
+  std::erase_if(parked_, [](const auto& entry) { return entry.second.in_flight == 0; });
+  for (auto& [endpoint, slot] : parked_) {
+    slot.pool = PoolId();
+  }
   ShareWaiting(now, view.id);
 }
 
--- a/policy/slot_holder.h
+++ b/policy/slot_holder.h
@@ -69,6 +69,7 @@
     bool leaving = false;
     EndpointEvidence evidence;
     InstanceId instance;
+    PoolId pool;  ///< Whose owner lent the slots; empty after the endpoint was removed.
   };
   struct Pool {
     PoolView view;
@@ -95,6 +96,8 @@
     MonoTime busy_at;
   };
 
+  void Park(Pool* pool);
+  Slot Unpark(const EndpointView& endpoint, const PoolId& pool);
   Slot* Find(const EndpointId& endpoint, Pool** pool);
   const Slot* Find(const EndpointId& endpoint, const Pool** pool) const;
   static int32_t Usable(MonoTime now, const Pool& pool, const Slot& slot);
@@ -117,6 +120,9 @@
   std::map<ServiceId, std::vector<PoolId>> services_;
   std::map<ServiceId, int32_t> waiting_;
   std::map<EndpointId, PoolId> pool_of_;
+  /// Endpoints that were removed while calls ran there. If one is added again, these calls still
+  /// use its slots.
+  std::map<EndpointId, Slot> parked_;
 };
 
 static_assert(RoutingPolicy<SlotHolder>);
--- /dev/null
+++ b/tests/slot_holder_test.cc
@@ -0,0 +1,91 @@
+#include "policy/slot_holder.h"
+
+#include <catch2/catch.hpp>
+
+namespace jd {
+namespace {
+
+const MonoTime kStart(1000s);
+const ServiceId kService("records");
+const EndpointId kEndpoint("records/0");
+const GatewayId kOwner("g1");
+const Incarnation kRun(7);
+
+ServiceView View(int32_t slots) {
+  return {kService, {{kEndpoint, ZoneId("z0"), slots, true}}};
+}
+
+/// A holder with two slots on loan of the only endpoint.
+struct Fixture {
+  Fixture() {
+    holder.SetService(kStart, View(2));
+    holder.SetOwner(kStart, PoolIdOf(kService, 0), kOwner, kRun);
+    Grant(kStart, 2);
+  }
+
+  void Grant(MonoTime now, int32_t added) {
+    SlotGrant grant;
+    grant.pool = PoolIdOf(kService, 0);
+    grant.owner = kRun;
+    grant.holder = Incarnation(1);
+    grant.sequence = ++sequence;
+    grant.request_sent = now;
+    grant.lifetime = kLoanLifetime;
+    grant.slots.push_back({kEndpoint, added, kNoSlotLimit, 2});
+    holder.OnGrant(now, kOwner, grant);
+  }
+
+  std::optional<EndpointId> Acquire(MonoTime now) {
+    return holder.Acquire(now, {kService, ZoneId("z0"), now + 2s, {}}, random);
+  }
+
+  SlotHolder holder{GatewayId("g0"), ZoneId("z0"), Incarnation(1)};
+  RandomEngine random{1};
+  uint64_t sequence = 0;
+};
+
+AttemptResult Answer() {
+  AttemptResult result;
+  result.outcome = AttemptOutcome::kAnswered;
+  result.latency = 10ms;
+  return result;
+}
+
+// Guards against an abort when calls end after a configuration change removed their endpoint and
+// added it again, and against forgetting that these calls still use its slots.
+TEST_CASE("calls outlive the removal of their endpoint", "[slot_holder_test]") {
+  Fixture fixture;
+  REQUIRE(fixture.Acquire(kStart));
+  REQUIRE(fixture.Acquire(kStart));
+  SECTION("removed and added again") {
+    fixture.holder.SetService(kStart, {kService, {}});
+  }
+  SECTION("the whole service removed and added again") {
+    fixture.holder.RemoveService(kStart, kService);
+  }
+  SECTION("removed, one call ends, added again") {
+    fixture.holder.SetService(kStart, {kService, {}});
+    fixture.holder.Release(kStart, kEndpoint, Answer());
+    fixture.holder.SetService(kStart, View(2));
+    CHECK(fixture.holder.in_flight(kEndpoint) == 1);
+    fixture.holder.Release(kStart, kEndpoint, Answer());
+    CHECK(fixture.holder.in_flight(kEndpoint) == 0);
+    return;
+  }
+  fixture.holder.SetService(kStart, View(2));
+  fixture.holder.SetOwner(kStart, PoolIdOf(kService, 0), kOwner, kRun);
+  CHECK(fixture.holder.in_flight(kEndpoint) == 2);
+  CHECK_FALSE(fixture.Acquire(kStart));
+  const auto requests = fixture.holder.TakeRequests(kStart);
+  REQUIRE(requests.size() == 1);
+  REQUIRE(requests[0].request.held.size() == 1);
+  CHECK(requests[0].request.held[0].held == 2);
+  CHECK(requests[0].request.held[0].in_flight == 2);
+  CHECK(requests[0].request.held[0].longest_left == 2s);
+  fixture.holder.Release(kStart, kEndpoint, Answer());
+  fixture.holder.Release(kStart, kEndpoint, Answer());
+  CHECK(fixture.holder.in_flight(kEndpoint) == 0);
+}
+
+}  // namespace
+}  // namespace jd
