Keep a leaving endpoint barred until it is told to serve

SlotHolder kept one flag for notices and for the endpoint's own reports, so the next warm report of the instance ended OnEndpointLeaving. The owner ended it with a new instance id and with each change of owner. Both now keep what they are told apart from what reports say; OnEndpointServing of holder and owner ends it, and so does removal from the configuration.

Before: with the flags as they were, slot_holder_test and slot_owner_test fail (broken variants on a scratch copy: a report that lifts the notice, an owner change that lifts it, a configuration change that lifts it). After: both pass, with slot_lending_test and endpoint_health_test. Conclusion: the node has to call OnEndpointServing when the VM list or a peer withdraws a notice.

--- a/cluster/endpoint_health.h
+++ b/cluster/endpoint_health.h
@@ -25,7 +25,6 @@
   /// Takes in a load report. @param known_in_flight calls that all holders are known to have there.
   /// @param may_eject whether the pool may eject one more endpoint. Returns nothing.
   void OnReport(MonoTime now, const LoadReport& report, int32_t known_in_flight);
-  void OnDraining() { draining_ = true; }
   /// Ejects the endpoint if enough failures followed each other. @return whether it was ejected.
   bool EjectIfDue(MonoTime now);
 
--- a/cluster/owned_pool.cc
+++ b/cluster/owned_pool.cc
@@ -24,6 +24,7 @@
     if (before != old.end()) {
       lendable.health = before->second.health;
       lendable.health.SetSlots(endpoint.slots);
+      lendable.leaving = before->second.leaving;
     }
     const auto share = zone_shares.find(endpoint.zone);
     lendable.zone_share = share == zone_shares.end() ? 1.0 : share->second;
@@ -135,7 +136,7 @@
     const double share = endpoint.zone_share;
     // A zone with any share keeps one slot per endpoint, or evidence for more could not arise.
     const int32_t zone = share <= 0 ? 0 : std::max(1, static_cast<int32_t>(slots * share));
-    endpoint.bound = endpoint.view.usable ? std::min({slots, zone, endpoint.health.bound(now)}) : 0;
+    endpoint.bound = endpoint.usable() ? std::min({slots, zone, endpoint.health.bound(now)}) : 0;
     if (roster_.empty()) {
       endpoint.room = endpoint.renew_room = endpoint.bound;
       continue;
--- a/cluster/owned_pool.h
+++ b/cluster/owned_pool.h
@@ -42,8 +42,9 @@
   /// Ends a gateway's demand; with `left` its loans too.
   void OnHolderGone(MonoTime now, const GatewayId& gateway, bool left);
   void OnProbeReport(MonoTime now, const EndpointId& endpoint, const LoadReport& report);
-  void OnEndpointLeaving(MonoTime now, const EndpointId& endpoint) {
-    endpoints_.at(endpoint).health.OnDraining();
+  /// Bars an endpoint or ends that. Holds also while another gateway owns the pool.
+  void SetLeaving(MonoTime now, const EndpointId& endpoint, bool leaving) {
+    endpoints_.at(endpoint).leaving = leaving;
     Update(now);
   }
   /// Appends the grants due now. @param sequence of the latest grant of the process; it never
@@ -107,11 +108,13 @@
     double zone_share = 1.0;
     std::vector<size_t> assigned;
     EndpointHealth health;
+    bool leaving = false;    ///< Until told otherwise; no report ends it.
     int32_t bound = 0;       ///< Over all gateways.
     int32_t room = 0;        ///< The part of the bound that reserves back.
     int32_t renew_room = 0;  ///< As room, with reserves whose former owner handed its loans over.
     int32_t lent = 0;        ///< Sum of the loans' totals.
     int32_t effective = 0;   ///< Sum of what holders may still use for new calls.
+    bool usable() const { return view.usable && !leaving; }
   };
 
   void Update(MonoTime now);
--- a/cluster/slot_owner.cc
+++ b/cluster/slot_owner.cc
@@ -66,9 +66,17 @@
 }
 
 void SlotOwner::OnEndpointLeaving(MonoTime now, const EndpointId& endpoint) {
+  SetLeaving(now, endpoint, true);
+}
+
+void SlotOwner::OnEndpointServing(MonoTime now, const EndpointId& endpoint) {
+  SetLeaving(now, endpoint, false);
+}
+
+void SlotOwner::SetLeaving(MonoTime now, const EndpointId& endpoint, bool leaving) {
   for (auto& [id, pool] : pools_) {
     if (pool.contains(endpoint)) {
-      pool.OnEndpointLeaving(now, endpoint);
+      pool.SetLeaving(now, endpoint, leaving);
     }
   }
 }
--- a/cluster/slot_owner.h
+++ b/cluster/slot_owner.h
@@ -37,6 +37,8 @@
   /// Takes in the answer of a probe.
   void OnProbeReport(MonoTime now, const EndpointId& endpoint, const LoadReport& report);
   void OnEndpointLeaving(MonoTime now, const EndpointId& endpoint);
+  /// Ends OnEndpointLeaving; nothing else does.
+  void OnEndpointServing(MonoTime now, const EndpointId& endpoint);
 
   /// Returns the grants due now, once per turn of the event loop.
   std::vector<OutgoingSlotGrant> TakeGrants(MonoTime now);
@@ -50,6 +52,7 @@
   int32_t lent(const EndpointId& endpoint) const;
 
  private:
+  void SetLeaving(MonoTime now, const EndpointId& endpoint, bool leaving);
   const OwnedPool* Find(const EndpointId& endpoint) const;
 
   Incarnation incarnation_;
--- a/policy/slot_holder.cc
+++ b/policy/slot_holder.cc
@@ -2,17 +2,10 @@
 
 #include <algorithm>
 #include <cassert>
-#include <cmath>
-
-#include "policy/slot_reserve.h"
 
 namespace jd {
 namespace {
 
-/// Without pressure a slot is kept this long idle, so that the next call finds it.
-constexpr Duration kIdleTime = 20ms;
-/// Time constant of the mean of busy slots; a few service times, so that bursts are followed.
-constexpr double kBusyMicros = 200'000;
 constexpr double kLatencyWeight = 0.1;
 
 }  // namespace
@@ -35,25 +28,10 @@
   return &(*pool)->slots.at(endpoint);
 }
 
-bool SlotHolder::OnReserve(MonoTime now, const Pool& pool) {
-  return pool.heard && now >= pool.last_heard + kReserveSilence && now >= pool.reserve_back_at &&
-         now >= pool.lease_end;
-}
-
-int32_t SlotHolder::Usable(MonoTime now, const Pool& pool, const Slot& slot) {
-  if (!slot.view.usable || slot.leaving) {
-    return 0;
-  }
-  if (OnReserve(now, pool)) {
-    return slot.reserve;
-  }
-  return now < pool.lease_end ? std::min(slot.held, slot.limit) : 0;
-}
-
 int32_t SlotHolder::usable(MonoTime now, const EndpointId& endpoint) const {
   const Pool* pool = nullptr;
   const Slot* slot = Find(endpoint, &pool);
-  return slot == nullptr ? 0 : Usable(now, *pool, *slot);
+  return slot == nullptr ? 0 : pool->usable(now, *slot);
 }
 
 int32_t SlotHolder::in_flight(const EndpointId& endpoint) const {
@@ -74,9 +52,9 @@
   std::pair<bool, double> best_cost;
   for (const PoolId& id : service->second) {
     Pool& pool = pools_.at(id);
-    Expire(now, &pool);
+    pool.Expire(now);
     for (auto& [endpoint, slot] : pool.slots) {
-      if (slot.in_flight >= Usable(now, pool, slot) ||
+      if (slot.in_flight >= pool.usable(now, slot) ||
           std::find(request.excluded.begin(), request.excluded.end(), endpoint) !=
               request.excluded.end()) {
         continue;
@@ -94,7 +72,7 @@
   if (best == nullptr) {
     return std::nullopt;
   }
-  UpdateBusy(now, best_pool);
+  best_pool->UpdateBusy(now);
   ++best->in_flight;
   best->held = std::max(best->held, best->in_flight);
   best->deadlines.emplace(request.deadline, 0);
@@ -116,7 +94,7 @@
     return;
   }
   assert(slot->in_flight > 0);
-  UpdateBusy(now, pool);
+  pool->UpdateBusy(now);
   --slot->in_flight;
   // Which call ended is unknown; keeping the later deadlines reserves the slot no shorter.
   slot->deadlines.erase(slot->deadlines.begin());
@@ -133,7 +111,7 @@
   } else if (result.outcome != AttemptOutcome::kCancelled) {
     ++evidence.failures;
   }
-  Expire(now, pool);
+  pool->Expire(now);
   if (slot->held > slot->limit) {
     slot->held = std::max(slot->limit, slot->in_flight);
     pool->urgent = true;
@@ -188,7 +166,7 @@
       pool_of_[endpoint.id] = pool_view.id;
     }
     pool.view = std::move(pool_view);
-    AssignPoolReserve(&pool);
+    pool.AssignSlotReserve(roster_, self_);
     std::erase(old_ids, found->first);
   }
   for (const PoolId& id : old_ids) {
@@ -222,9 +200,9 @@
   const int32_t part = (waiting_[service] + count - 1) / count;
   for (const PoolId& id : ids->second) {
     Pool& pool = pools_.at(id);
-    UpdateBusy(now, &pool);
+    pool.UpdateBusy(now);
     pool.waiting = part;
-    pool.urgent = pool.urgent || std::min(part, TotalSlots(pool)) > pool.asked;
+    pool.urgent = pool.urgent || std::min(part, pool.total_slots()) > pool.asked;
   }
 }
 
@@ -242,7 +220,7 @@
   slot->evidence.instance = report.instance;
   slot->evidence.reported = true;
   slot->instance = report.instance;
-  slot->leaving = report.state == EndpointState::kDraining;
+  slot->draining = report.state == EndpointState::kDraining;
   if (restarted || (report.state == EndpointState::kCold && slot->bound > 1)) {
     // Acts before the owner does: only one of the held slots is used until the owner answers.
     slot->bound = 1;
@@ -262,6 +240,14 @@
   }
 }
 
+void SlotHolder::OnEndpointServing(MonoTime, const EndpointId& endpoint) {
+  Pool* pool = nullptr;
+  Slot* slot = Find(endpoint, &pool);
+  if (slot != nullptr) {
+    slot->leaving = false;
+  }
+}
+
 void SlotHolder::SetOwner(MonoTime now,
                           const PoolId& id,
                           const GatewayId& owner,
@@ -295,20 +281,7 @@
     for (auto& [endpoint, slot] : pool.slots) {
       slot.assigned.clear();
     }
-    AssignPoolReserve(&pool);
-  }
-}
-
-void SlotHolder::AssignPoolReserve(Pool* pool) {
-  for (auto& [endpoint, slot] : pool->slots) {
-    if (slot.assigned.size() != static_cast<size_t>(slot.view.slots)) {
-      slot.assigned = AssignReserve(roster_, endpoint, slot.view.slots);
-    }
-    slot.reserve = 0;
-    for (size_t i = 0; i < slot.assigned.size(); ++i) {
-      const bool mine = roster_[slot.assigned[i]] == self_;
-      slot.reserve += mine && static_cast<int32_t>(i) < slot.bound ? 1 : 0;
-    }
+    pool.AssignSlotReserve(roster_, self_);
   }
 }
 
@@ -332,7 +305,7 @@
     return false;
   }
   Pool& pool = found->second;
-  Expire(now, &pool);
+  pool.Expire(now);
   pool.last_grant = grant.sequence;
   pool.last_heard = now;
   pool.heard = true;
@@ -362,76 +335,11 @@
       pool.urgent = true;
     }
   }
-  AssignPoolReserve(&pool);
+  pool.AssignSlotReserve(roster_, self_);
   pool.asked = std::min(pool.asked, pool.waiting);
   return added;
 }
 
-void SlotHolder::Expire(MonoTime now, Pool* pool) {
-  if (now < pool->lease_end) {
-    return;
-  }
-  for (auto& [endpoint, slot] : pool->slots) {
-    slot.held = slot.in_flight;
-  }
-}
-
-int32_t SlotHolder::TotalSlots(const Pool& pool) {
-  int32_t total = 0;
-  for (const auto& [endpoint, slot] : pool.slots) {
-    total += slot.view.slots;
-  }
-  return total;
-}
-
-int32_t SlotHolder::Busy(const Pool& pool) {
-  int32_t busy = pool.waiting;
-  for (const auto& [endpoint, slot] : pool.slots) {
-    busy += slot.in_flight;
-  }
-  return busy;
-}
-
-void SlotHolder::UpdateBusy(MonoTime now, Pool* pool) {
-  const double age = static_cast<double>((now - pool->busy_at).count());
-  const double keep = std::exp(-age / kBusyMicros);
-  pool->busy_mean = pool->busy_mean * keep + Busy(*pool) * (1 - keep);
-  pool->busy_at = now;
-}
-
-int32_t SlotHolder::Wanted(const Pool& pool) {
-  // By Little's law the mean of calls in flight is rate times latency; arrivals vary with its root.
-  return static_cast<int32_t>(std::ceil(pool.busy_mean + std::sqrt(pool.busy_mean)));
-}
-
-bool SlotHolder::ReturnIdle(MonoTime now, Pool* pool) {
-  bool any = false;
-  int32_t spare = -pool->waiting;
-  if (!pool->pressure) {
-    spare -= Wanted(*pool);
-    for (const auto& [endpoint, slot] : pool->slots) {
-      spare += slot.held;
-    }
-  } else {
-    for (const auto& [endpoint, slot] : pool->slots) {
-      spare += slot.held - slot.in_flight;
-    }
-  }
-  const Duration idle_time = pool->pressure ? Duration(0) : kIdleTime;
-  for (auto& [endpoint, slot] : pool->slots) {
-    const bool barred = !slot.view.usable || slot.leaving;
-    const int32_t idle = slot.held - slot.in_flight;
-    if (idle <= 0 || (!barred && (spare <= 0 || slot.idle_since + idle_time > now))) {
-      continue;
-    }
-    const int32_t returned = barred ? idle : std::min(idle, spare);
-    slot.held -= returned;
-    spare -= returned;
-    any = true;
-  }
-  return any;
-}
-
 SlotRequest SlotHolder::MakeRequest(MonoTime now, Pool* pool) {
   SlotRequest request;
   request.pool = pool->view.id;
@@ -440,8 +348,8 @@
   request.last_grant = pool->last_grant;
   request.sent = now;
   // More than the pool has is of no use to the owner.
-  request.demand = std::min(pool->waiting, TotalSlots(*pool));
-  request.wanted = std::min(Wanted(*pool), TotalSlots(*pool));
+  request.demand = std::min(pool->waiting, pool->total_slots());
+  request.wanted = std::min(pool->wanted(), pool->total_slots());
   request.reserve_in = std::max(Duration(0), pool->reserve_back_at - now);
   request.handed_over = pool->handed_over;
   request.zone = zone_;
@@ -469,11 +377,11 @@
     if (pool.owner.empty()) {
       continue;
     }
-    Expire(now, &pool);
-    UpdateBusy(now, &pool);
+    pool.Expire(now);
+    pool.UpdateBusy(now);
     const bool due = pool.urgent || now >= pool.next_request;
     // Under pressure an idle slot is worth a message of its own.
-    const bool returned = (due || pool.pressure) && ReturnIdle(now, &pool);
+    const bool returned = (due || pool.pressure) && pool.ReturnIdle(now);
     if (!due && !returned) {
       continue;
     }
--- a/policy/slot_holder.h
+++ b/policy/slot_holder.h
@@ -9,6 +9,7 @@
 #include "policy/pool.h"
 #include "policy/routing_policy.h"
 #include "policy/slot_message.h"
+#include "policy/slot_pool.h"
 
 namespace jd {
 
@@ -44,6 +45,8 @@
   bool OnGrant(MonoTime now, const GatewayId& from, const SlotGrant& grant);
   /// Stops using an endpoint that is draining or gone, as a peer or the VM list says.
   void OnEndpointLeaving(MonoTime now, const EndpointId& endpoint);
+  /// Ends OnEndpointLeaving; nothing else does.
+  void OnEndpointServing(MonoTime now, const EndpointId& endpoint);
   /// Returns the requests due now. Called once per turn of the event loop, so that several demands
   /// of a turn go in one message.
   std::vector<OutgoingSlotRequest> TakeRequests(MonoTime now);
@@ -55,61 +58,14 @@
   int32_t in_flight(const EndpointId& endpoint) const;
 
  private:
-  struct Slot {
-    EndpointView view;
-    int32_t held = 0;  ///< On loan, in use or idle; calls that outlive their loan are included.
-    int32_t in_flight = 0;
-    int32_t limit = kNoSlotLimit;
-    int32_t bound = kNoSlotLimit;
-    int32_t reserve = 0;  ///< Slots of this gateway's reserve below the bound.
-    std::vector<size_t> assigned;
-    std::multimap<MonoTime, int> deadlines;
-    double latency = 0;  ///< Recent mean in microseconds.
-    MonoTime idle_since;
-    bool leaving = false;
-    EndpointEvidence evidence;
-    InstanceId instance;
-    PoolId pool;  ///< Whose owner lent the slots; empty after the endpoint was removed.
-  };
-  struct Pool {
-    PoolView view;
-    std::map<EndpointId, Slot> slots;
-    GatewayId owner;
-    Incarnation incarnation;
-    GatewayId former;
-    Incarnation former_incarnation;
-    uint64_t former_last_grant = 0;
-    MonoTime reserve_floor;  ///< `reserve_back_at` before the latest change of owner.
-    uint64_t sequence = 0;
-    uint64_t last_grant = 0;
-    MonoTime lease_end;
-    MonoTime last_heard;       ///< Last grant from any owner.
-    MonoTime reserve_back_at;  ///< Until then a former owner may lend this gateway's reserve.
-    MonoTime next_request;
-    bool heard = false;  ///< Some owner was heard since the start; without, no reserve.
-    bool handed_over = false;
-    bool pressure = false;
-    bool urgent = false;
-    int32_t waiting = 0;
-    int32_t asked = 0;     ///< Demand in the last request.
-    double busy_mean = 0;  ///< Recent mean of calls in flight and waiting.
-    MonoTime busy_at;
-  };
+  using Slot = HeldSlot;
+  using Pool = HeldPool;
 
   void Park(Pool* pool);
   Slot Unpark(const EndpointView& endpoint, const PoolId& pool);
   Slot* Find(const EndpointId& endpoint, Pool** pool);
   const Slot* Find(const EndpointId& endpoint, const Pool** pool) const;
-  static int32_t Usable(MonoTime now, const Pool& pool, const Slot& slot);
-  static bool OnReserve(MonoTime now, const Pool& pool);
-  static int32_t TotalSlots(const Pool& pool);
-  static int32_t Wanted(const Pool& pool);
-  static int32_t Busy(const Pool& pool);
-  static void UpdateBusy(MonoTime now, Pool* pool);
-  static void Expire(MonoTime now, Pool* pool);
-  static bool ReturnIdle(MonoTime now, Pool* pool);
   SlotRequest MakeRequest(MonoTime now, Pool* pool);
-  void AssignPoolReserve(Pool* pool);
   void ShareWaiting(MonoTime now, const ServiceId& service);
 
   GatewayId self_;
--- a/tests/slot_holder_test.cc
+++ b/tests/slot_holder_test.cc
@@ -87,5 +87,21 @@
   CHECK(fixture.holder.in_flight(kEndpoint) == 0);
 }
 
+// Guards against new calls to an endpoint that is leaving although it still reports that it is warm
+// (P7).
+TEST_CASE("a leaving endpoint stays barred until told otherwise", "[slot_holder_test]") {
+  Fixture fixture;
+  const LoadReport warm{0, 2, EndpointState::kWarm, InstanceId("a")};
+  fixture.holder.OnLoadReport(kStart, kEndpoint, warm);
+  fixture.holder.OnEndpointLeaving(kStart, kEndpoint);
+  CHECK(fixture.holder.usable(kStart, kEndpoint) == 0);
+  fixture.holder.OnLoadReport(kStart, kEndpoint, warm);
+  CHECK(fixture.holder.usable(kStart, kEndpoint) == 0);
+  fixture.holder.OnLoadReport(kStart, kEndpoint, {0, 2, EndpointState::kWarm, InstanceId("b")});
+  CHECK(fixture.holder.usable(kStart, kEndpoint) == 0);
+  fixture.holder.OnEndpointServing(kStart, kEndpoint);
+  CHECK(fixture.holder.usable(kStart, kEndpoint) == 1);
+}
+
 }  // namespace
 }  // namespace jd
--- /dev/null
+++ b/tests/slot_owner_test.cc
@@ -0,0 +1,84 @@
+#include "cluster/slot_owner.h"
+
+#include <catch2/catch.hpp>
+
+namespace jd {
+namespace {
+
+const MonoTime kStart(1000s);
+const EndpointId kEndpoint("records/0");
+const PoolId kPool("records#0");
+const GatewayId kHolder("g1");
+const Incarnation kRun(7);
+
+/// An owner of one endpoint with three slots, without reserves, after its takeover.
+struct Fixture {
+  Fixture() {
+    PoolView view{kPool, ServiceId("records"), {{kEndpoint, ZoneId("z0"), 3, true}}};
+    owner.SetPool(kStart - 10s, view, {});
+    owner.TakeOwnership(kStart - 10s, kPool);
+    owner.TakeGrants(kStart);
+  }
+
+  /// Sends a request of the holder and returns the slots granted in answer.
+  int32_t Request(MonoTime now, HeldSlots held, int32_t demand) {
+    SlotRequest request;
+    request.pool = kPool;
+    request.owner = kRun;
+    request.sequence = ++sequence;
+    request.last_grant = acknowledged;
+    request.sent = now;
+    request.demand = demand;
+    held.endpoint = kEndpoint;
+    request.held = {held};
+    request.evidence = evidence;
+    owner.OnRequest(now, kHolder, Incarnation(1), request);
+    int32_t added = 0;
+    for (const OutgoingSlotGrant& out : owner.TakeGrants(now)) {
+      granted = out.grant.sequence;
+      for (const GrantedSlots& slots : out.grant.slots) {
+        added += slots.added;
+      }
+    }
+    return added;
+  }
+
+  SlotOwner owner{kRun};
+  uint64_t sequence = 0;
+  uint64_t granted = 0;
+  uint64_t acknowledged = 0;
+  std::vector<EndpointEvidence> evidence;
+};
+
+EndpointEvidence Warm() {
+  EndpointEvidence evidence;
+  evidence.endpoint = kEndpoint;
+  evidence.instance = InstanceId("a");
+  evidence.reported = true;
+  return evidence;
+}
+
+// Guards against lending slots of an endpoint that is leaving (P7): after a report that it is warm,
+// after a change of the configuration, and after the pool changed its owner there and back.
+TEST_CASE("a leaving endpoint is not lent until told otherwise", "[slot_owner_test]") {
+  Fixture fixture;
+  fixture.owner.OnEndpointLeaving(kStart, kEndpoint);
+  CHECK(fixture.owner.bound(kEndpoint) == 0);
+  fixture.evidence = {Warm()};
+  CHECK(fixture.Request(kStart, {}, 1) == 0);
+  fixture.owner.OnProbeReport(kStart, kEndpoint, {0, 3, EndpointState::kWarm, InstanceId("a")});
+  CHECK(fixture.owner.bound(kEndpoint) == 0);
+  fixture.owner.OnProbeReport(kStart, kEndpoint, {0, 3, EndpointState::kWarm, InstanceId("b")});
+  CHECK(fixture.owner.bound(kEndpoint) == 0);
+  PoolView view{kPool, ServiceId("records"), {{kEndpoint, ZoneId("z0"), 4, true}}};
+  fixture.owner.SetPool(kStart, view, {});
+  CHECK(fixture.owner.bound(kEndpoint) == 0);
+  fixture.owner.DropOwnership(kStart, kPool);
+  fixture.owner.TakeOwnership(kStart, kPool);
+  CHECK(fixture.owner.bound(kEndpoint) == 0);
+  fixture.owner.OnEndpointServing(kStart, kEndpoint);
+  CHECK(fixture.owner.bound(kEndpoint) == 4);
+}
+
+}  // namespace
+}  // namespace jd
