--- a/cluster/endpoint_health.h
+++ b/cluster/endpoint_health.h
@@ -24,7 +24,6 @@
   void OnEvidence(MonoTime now, const EndpointEvidence& evidence, Duration pool_median);
   /// Takes in a load report. @param known_in_flight calls that all holders are known to have there.
   void OnReport(MonoTime now, const LoadReport& report, int32_t known_in_flight);
-  void OnDraining() { draining_ = true; }
   /// Ejects the endpoint if enough failures followed each other. @return whether it was ejected.
   bool EjectIfDue(MonoTime now);
 
