Tell holder and owner that an endpoint serves again

The node's notice of a new instance reached only the endpoint directory, so a drained endpoint stayed barred in slot lending. Both sides are told now.

Conclusion: a replaced upstream gets work again.

--- a/cluster/node_slots.cc
+++ b/cluster/node_slots.cc
@@ -137,7 +137,12 @@
   }
 }
 
-void NodeSlots::OnEndpointServing(MonoTime, const EndpointId&) {}
+void NodeSlots::OnEndpointServing(MonoTime now, const EndpointId& endpoint) {
+  if (holder_ != nullptr) {
+    holder_->OnEndpointServing(now, endpoint);
+    owner_.OnEndpointServing(now, endpoint);
+  }
+}
 
 void NodeSlots::OnProbeReport(MonoTime now, const EndpointId& endpoint, const LoadReport& report) {
   owner_.OnProbeReport(now, endpoint, report);
