Use misleading reports only against an endpoint

EndpointHealth marked an endpoint whose report showed fewer calls than the holders have in flight, but nothing read the mark. While it holds, a report that says warm no longer ends a cold state that the endpoint reported, and an instance id in it no longer ends a drain. What a report says against the endpoint still acts at once, since a restart also shows fewer calls than were running.

Before: the new case of endpoint_health_test fails (bound 2 instead of 1 when cold, 1 instead of 0 when draining). After: it passes, with slot_lending_test. Conclusion: a page that lags cannot raise an endpoint's bound.

--- a/cluster/endpoint_health.cc
+++ b/cluster/endpoint_health.cc
@@ -43,17 +43,29 @@
   latencies_.clear();
 }
 
-void EndpointHealth::OnInstance(const InstanceId& instance) {
+void EndpointHealth::OnInstance(MonoTime now, const InstanceId& instance) {
   if (instance.empty() || instance == instance_) {
     return;
   }
   if (!instance_.empty()) {
     BecomeCold();
-    draining_ = false;
+    // A page that lags may name the instance before; that ends no drain.
+    draining_ = draining_ && misleading(now);
   }
   instance_ = instance;
 }
 
+void EndpointHealth::OnState(MonoTime now, EndpointState state) {
+  draining_ = draining_ || state == EndpointState::kDraining;
+  if (state == EndpointState::kCold) {
+    // The endpoint's own word keeps it at the first level until it says that it is warm.
+    BecomeCold();
+    reported_cold_ = true;
+  } else if (state == EndpointState::kWarm && !misleading(now)) {
+    reported_cold_ = false;
+  }
+}
+
 Duration EndpointHealth::latency() const {
   if (latencies_.empty()) {
     return Duration(0);
@@ -68,12 +80,8 @@
                                 const EndpointEvidence& evidence,
                                 Duration pool_median) {
   if (evidence.reported) {
-    OnInstance(evidence.instance);
-    draining_ = draining_ || evidence.state == EndpointState::kDraining;
-    if (evidence.state == EndpointState::kCold) {
-      // The endpoint's own word keeps it at the first level until it says that it is warm.
-      BecomeCold();
-    }
+    OnInstance(now, evidence.instance);
+    OnState(now, evidence.state);
   }
   OnLimit(now, evidence, pool_median);
   if (evidence.successes > 0) {
@@ -104,7 +112,7 @@
     ejections_ = 0;
     return;
   }
-  if (evidence.reported && evidence.state == EndpointState::kCold) {
+  if (reported_cold_) {
     return;
   }
   if (pool_median.count() > 0 && mean > kLatencyJump * pool_median) {
@@ -132,15 +140,11 @@
 }
 
 void EndpointHealth::OnReport(MonoTime now, const LoadReport& report, int32_t known_in_flight) {
-  OnInstance(report.instance);
   if (report.in_flight < known_in_flight) {
     misleading_until_ = now + kMisleadingTime;
   }
-  if (report.state == EndpointState::kDraining) {
-    draining_ = true;
-  } else if (report.state == EndpointState::kCold) {
-    BecomeCold();
-  }
+  OnInstance(now, report.instance);
+  OnState(now, report.state);
 }
 
 bool EndpointHealth::EjectIfDue(MonoTime now) {
--- a/cluster/endpoint_health.h
+++ b/cluster/endpoint_health.h
@@ -34,7 +34,7 @@
   bool ejected(MonoTime now) const { return now < ejected_until_; }
   bool cold() const { return cold_level_ < slots_; }
   bool draining() const { return draining_; }
-  /// Reports of the endpoint are discounted until then.
+  /// What a report says in the endpoint's favour is no evidence while this holds.
   bool misleading(MonoTime now) const { return now < misleading_until_; }
   /// Median latency of the last answers, or 0.
   Duration latency() const;
@@ -44,7 +44,8 @@
 
  private:
   void BecomeCold();
-  void OnInstance(const InstanceId& instance);
+  void OnInstance(MonoTime now, const InstanceId& instance);
+  void OnState(MonoTime now, EndpointState state);
   void OnAnswers(const EndpointEvidence& evidence, Duration pool_median);
   void OnLimit(MonoTime now, const EndpointEvidence& evidence, Duration pool_median);
 
@@ -55,6 +56,7 @@
   MonoTime lowered_at_;
   InstanceId instance_;
   bool draining_ = false;
+  bool reported_cold_ = false;  ///< Until a report that is believed says that it is warm.
   std::deque<Duration> latencies_;
   Duration warm_latency_{0};
   int32_t failures_in_row_ = 0;
--- a/tests/endpoint_health_test.cc
+++ b/tests/endpoint_health_test.cc
@@ -92,5 +92,36 @@
   CHECK_FALSE(health.misleading(kStart + 10s));
 }
 
+// Guards against a page that lags behind the calls lifting a limit, and against ignoring what it
+// says against the endpoint.
+TEST_CASE("a misleading report lifts nothing", "[endpoint_health_test]") {
+  EndpointHealth health(4, false);
+  const LoadReport warm{1, 4, EndpointState::kWarm, InstanceId("a")};
+  SECTION("cold") {
+    health.OnReport(kStart, LoadReport{2, 4, EndpointState::kCold, InstanceId("a")}, 2);
+    health.OnReport(kStart, warm, 2);
+    EndpointEvidence answers = Answers(2, 10ms);
+    answers.reported = false;
+    health.OnEvidence(kStart, answers, 10ms);
+    CHECK(health.bound(kStart) == 1);
+    health.OnReport(kStart + 10s, warm, 1);
+    health.OnEvidence(kStart + 10s, answers, 10ms);
+    CHECK(health.bound(kStart + 10s) == 2);
+  }
+  SECTION("draining") {
+    health.OnReport(kStart, LoadReport{2, 4, EndpointState::kDraining, InstanceId("b")}, 2);
+    health.OnReport(kStart, warm, 2);
+    CHECK(health.bound(kStart) == 0);
+    health.OnReport(kStart + 10s, LoadReport{1, 4, EndpointState::kWarm, InstanceId("c")}, 1);
+    CHECK(health.bound(kStart + 10s) == 1);
+  }
+  SECTION("what it says against the endpoint holds") {
+    health.OnReport(kStart, LoadReport{0, 4, EndpointState::kCold, InstanceId("a")}, 2);
+    CHECK(health.bound(kStart) == 1);
+    health.OnReport(kStart, LoadReport{0, 4, EndpointState::kDraining, InstanceId("a")}, 2);
+    CHECK(health.bound(kStart) == 0);
+  }
+}
+
 }  // namespace
 }  // namespace jd
