--- a/cluster/node_operator.cc
+++ b/cluster/node_operator.cc
@@ -48,6 +48,9 @@
   const std::string name = body.value("name", "");
   Json object = body.value("object", Json());
   if (kind == "workspace") {
+    if (object.is_object()) {
+      object = object.value("share", Json(1.0));
+    }
     if (!object.is_number() || object.get<double>() <= 0) {
       errors->push_back({"share", "is not a positive number", "a number above 0"});
       return std::nullopt;
