--- a/tests/lease_test.cc
+++ b/tests/lease_test.cc
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 #include <memory>
+#include <optional>
 
 #include "cluster/claim_row.h"
 #include "cluster/maintenance.h"
@@ -139,5 +140,45 @@
   CHECK_FALSE(first.lease().held(At(day + 60000).mono));
 }
 
+// Guards against a holder that paused between its own check and the write: without the lease's row
+// among the checks, the deletion would take effect.
+TEST_CASE("a deletion sent before the lease changed hands is refused", "[lease_test]") {
+  FakeTable table;
+  Maintenance first(GatewayId("a"));
+  ClaimRow claim;
+  claim.nonce = "n";
+  table.Do(TableTransaction{{}, {{std::string(kClaimPrefix) + "old", claim.ToJson()}}, {}});
+  std::optional<TableTransaction> deletion;
+  int64_t now = 25 * 3600 * 1000;
+  for (const int64_t end = now + 30000; !deletion && now < end; now += 500) {
+    TableCalls calls;
+    first.OnTimer(At(now), &calls);
+    while (!calls.empty()) {
+      for (const TableCall& call : std::exchange(calls, {})) {
+        const auto* write = std::get_if<TableTransaction>(&call.request);
+        if (write != nullptr && !write->deletes.empty()) {
+          deletion = *write;
+          continue;
+        }
+        first.OnTableReply(At(now), call.token, table.Do(call.request), &calls);
+      }
+    }
+  }
+  REQUIRE(deletion);
+  Lease second("maintenance", GatewayId("b"), 1);
+  for (const int64_t end = now + 60000; now < end; now += 500) {
+    TableCalls calls;
+    second.OnTimer(At(now).mono, &calls);
+    while (!calls.empty()) {
+      for (const TableCall& call : std::exchange(calls, {})) {
+        second.OnTableReply(At(now).mono, call.token, table.Do(call.request), &calls);
+      }
+    }
+  }
+  REQUIRE(second.fencing() == 2);
+  CHECK(table.Do(*deletion).status == TableStatus::kConflict);
+  CHECK(table.rows.contains(std::string(kClaimPrefix) + "old"));
+}
+
 }  // namespace
 }  // namespace jd
