Move the hex digits of claim keys to the namespace

Change: kHex stands in the file's namespace.

Before: clang-tidy cluster/request_claims.cc reported readability-identifier-naming.

Conclusion: the linter passes on that file.

--- a/cluster/request_claims.cc
+++ b/cluster/request_claims.cc
@@ -6,10 +6,11 @@
 namespace jd {
 namespace {
 
+constexpr const char* kHex = "0123456789abcdef";
+
 /// Writes all but printable ASCII as "%" and two digits: callers choose the bytes, and the platform
 /// takes JSON, which cannot hold every byte.
 std::string Escaped(const std::string& text) {
-  constexpr const char* kHex = "0123456789abcdef";
   std::string escaped;
   for (const char character : text) {
     const auto byte = static_cast<unsigned char>(character);
