Show objects by name and refuse zones that no endpoint is in

'profile show NAME' and 'service show NAME' never found anything, because the configuration's JSON has lists and the operator part looked for names. 'zone out' of a mistyped zone was answered with done and took nothing out; it is now refused.

--- a/cluster/node_operator.cc
+++ b/cluster/node_operator.cc
@@ -1,5 +1,6 @@
 #include "cluster/node_operator.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -37,10 +38,25 @@
   return kind == kinds.end() ? std::nullopt : std::optional(kind->second);
 }
 
-// Returns the section of a configuration's JSON that holds the objects of a kind.
+// Returns the objects of a kind by name.
 Json Objects(const Configuration& configuration, const std::string& kind) {
   const Json all = Json::parse(ToJson(configuration));
-  return all.value(kind + "s", Json::object());
+  Json objects = Json::object();
+  for (const Json& object : all.value(kind + "s", Json::array())) {
+    objects[object.value("id", "")] = object;
+  }
+  return objects;
+}
+
+// A zone is known once it is recorded or an endpoint is in it; any other name is a slip of the pen.
+bool IsKnownZone(const Configuration& configuration, const ZoneId& zone) {
+  const auto has_zone = [&](const Endpoint& endpoint) { return endpoint.zone == zone; };
+  return configuration.zones.contains(zone) ||
+         std::any_of(configuration.services.begin(), configuration.services.end(),
+                     [&](const auto& entry) {
+                       return std::any_of(entry.second.endpoints.begin(),
+                                          entry.second.endpoints.end(), has_zone);
+                     });
 }
 
 std::optional<ConfigChange> ParsePut(const Json& body, ConfigErrors* errors) {
@@ -188,6 +204,10 @@
   if (configuration == nullptr) {
     return Refuse(request, "the gateway has no configuration yet");
   }
+  if (const std::string zone = body.value("zone", "");
+      command == "zone" && !IsKnownZone(*configuration, ZoneId(zone))) {
+    return Refuse(request, "no endpoint is in a zone named '" + zone + "'");
+  }
   if (command == "put" || command == "zone" || command == "rollback") {
     return Change(now, request, body, output);
   }
--- /dev/null
+++ b/tests/node_operator_test.cc
@@ -0,0 +1,68 @@
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "cluster/node.h"
+
+namespace jd {
+namespace {
+
+// A node without a platform, whose configuration has one profile and one endpoint.
+struct Fixture {
+  Fixture() : node(Settings()) {
+    Configuration configuration;
+    configuration.profiles[ProfileId("p")].id = ProfileId("p");
+    Service service;
+    service.id = ServiceId("s");
+    service.profile = ProfileId("p");
+    service.endpoints = {{EndpointId("e"), ZoneId("z"), "127.0.0.1", 1, 1, 1}};
+    configuration.services[service.id] = service;
+    NodeActions actions;
+    node.Start(Now(), std::make_shared<const Configuration>(configuration), &actions);
+  }
+  static NodeSettings Settings() {
+    NodeSettings settings;
+    settings.id = GatewayId("g");
+    settings.zone = ZoneId("z");
+    settings.policy = "slots";
+    settings.seed = 1;
+    return settings;
+  }
+  OperatorReply Ask(const std::string& command, const nlohmann::json& body) {
+    NodeActions actions;
+    node.OnOperatorRequest(Now(), {7, command, body.dump(), 1s}, &actions);
+    for (const NodeAction& action : actions) {
+      if (const auto* reply = std::get_if<SendOperatorReply>(&action)) {
+        return reply->reply;
+      }
+    }
+    FAIL("no reply");
+    return {};
+  }
+
+  Node node;
+};
+
+TEST_CASE("objects are listed and shown by name", "[node_operator_test]") {
+  // Guards against 'profile show' that finds nothing although the profile exists.
+  Fixture f;
+  const OperatorReply shown = f.Ask("show", {{"kind", "profile"}, {"name", "p"}});
+  REQUIRE(shown.status == OperatorStatus::kDone);
+  CHECK(nlohmann::json::parse(shown.body).at("deadline_ms") == 2000.0);
+  const OperatorReply listed = f.Ask("list", {{"kind", "service"}});
+  CHECK(nlohmann::json::parse(listed.body).at("s").at("profile") == "p");
+  CHECK(f.Ask("show", {{"kind", "profile"}, {"name", "q"}}).status == OperatorStatus::kRefused);
+}
+
+TEST_CASE("a zone that no endpoint is in is refused by name", "[node_operator_test]") {
+  // Guards against a mistyped name that is answered with 'done' and takes nothing out.
+  Fixture f;
+  const OperatorReply typo = f.Ask("zone", {{"zone", "y"}, {"out", true}});
+  CHECK(typo.status == OperatorStatus::kRefused);
+  CHECK(typo.body.find("no endpoint is in a zone named 'y'") != std::string::npos);
+  // The known zone is refused for another reason: without a platform nothing can be recorded.
+  const OperatorReply known = f.Ask("zone", {{"zone", "z"}, {"out", true}});
+  CHECK(known.body.find("takes its configuration from its settings file") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace jd
