Keep a configuration file's sections alive while they are put

The loop ran over the items of a temporary, so 'config load' read freed memory and refused the first workspace. The section is now held in a variable.

--- a/control/operator_commands.cc
+++ b/control/operator_commands.cc
@@ -210,8 +210,8 @@
   reply.status = OperatorStatus::kDone;
   reply.body = "{}";
   for (const char* kind : {"workspace", "zone", "profile", "service"}) {
-    for (const auto& [name, object] :
-         objects.value(kind + std::string("s"), Json::object()).items()) {
+    const Json section = objects.value(kind + std::string("s"), Json::object());
+    for (const auto& [name, object] : section.items()) {
       const Json put = {{"kind", kind}, {"name", name}, {"object", object}, {"author", author}};
       reply = CallOperator(target, {0, "put", put.dump(), {}}, timeout);
       if (reply.status != OperatorStatus::kDone) {
