Send the shared key once per connection and settle keys of abandoned calls

Cause: a gateway at rest sent 9.3 KB/s to 12 peers, with the key in each message. Change: the first envelope of a connection carries the key. The node remembers which keyed calls were sent; node_test covers both ends of a claim.

--- a/cluster/node.cc
+++ b/cluster/node.cc
@@ -138,12 +138,15 @@
   }
   CallActions out;
   dispatcher_.OnCallerGone(now.mono, call, &out);
-  // Cancelled attempts may have run, so the claim stays unresolved unless none was sent.
-  EndKeyed(now, call, out.empty() ? Verdict::kNotRun : Verdict::kMayHaveRun, actions);
+  // A call that was sent may have run, also if its attempts have ended, so its claim stays
+  // unresolved; only a call that no attempt was started for gives its key back.
+  EndKeyed(now, call, sent_keyed_.contains(call) ? Verdict::kMayHaveRun : Verdict::kNotRun,
+           actions);
   Append(now, out, actions);
 }
 
 void Node::EndKeyed(Now now, CallId call, Verdict verdict, NodeActions* actions) {
+  sent_keyed_.erase(call);
   if (keyed_.erase(call) == 0) {
     return;
   }
--- a/cluster/node.h
+++ b/cluster/node.h
@@ -114,6 +114,7 @@
   NodeOperator operator_;
   std::unordered_map<CallId, CallRequest> claiming_;  ///< Calls that wait for their key.
   std::unordered_map<CallId, MonoTime> keyed_;        ///< Calls that run under a claimed key.
+  std::set<CallId> sent_keyed_;                       ///< Those that an attempt was started for.
   std::unordered_map<AttemptId, EndpointId> attempts_;
   std::map<EndpointId, InstanceId> drained_instances_;
   std::map<EndpointId, bool> listed_leaving_;  ///< As the latest VM list says.
--- a/cluster/node_effects.cc
+++ b/cluster/node_effects.cc
@@ -36,9 +36,13 @@
       SendToAll(now, CrashNotice{crash->fingerprint}, to);
     } else if (const auto* send = std::get_if<SendAttempt>(&action)) {
       attempts_[send->attempt] = send->endpoint;
+      if (keyed_.contains(send->call)) {
+        sent_keyed_.insert(send->call);
+      }
       to->push_back(*send);
     } else if (const auto* answer = std::get_if<AnswerCall>(&action)) {
       const bool keyed = keyed_.erase(answer->call) > 0;
+      sent_keyed_.erase(answer->call);
       to->push_back(AnswerCall{answer->call, answer->attempt, keyed});
     } else if (const auto* refuse = std::get_if<RefuseCall>(&action)) {
       EndKeyed(now, refuse->call, refuse->refusal.verdict, to);
--- a/gateway/frame_link.h
+++ b/gateway/frame_link.h
@@ -32,6 +32,9 @@
   /// Stops both directions; no signal is emitted any more.
   void Close();
 
+  /// The other side has shown the shared key on this connection.
+  bool authenticated() const { return authenticated_; }
+  void set_authenticated() { authenticated_ = true; }
   /// The connection has been established at some time.
   bool connected() const { return connected_; }
   uint64_t bytes_received() const { return bytes_received_; }
@@ -51,6 +54,7 @@
   uint64_t bytes_received_ = 0;
   bool connected_ = false;
   bool is_closed_ = false;
+  bool authenticated_ = false;
   sigc::signal<void(const wire::Envelope&)> envelope_received_;
   sigc::signal<void()> closed_;
 };
--- a/gateway/peer_links.cc
+++ b/gateway/peer_links.cc
@@ -24,6 +24,12 @@
   return out;
 }
 
+// Returns whether an envelope only carries the key.
+bool IsGreeting(const wire::Envelope& envelope) {
+  return envelope.sender.empty() && !envelope.body.__isset.operator_request &&
+         !envelope.body.__isset.operator_reply;
+}
+
 }  // namespace
 
 PeerLinks::PeerLinks(event_base* base, Settings settings)
@@ -83,7 +89,7 @@
 }
 
 void PeerLinks::Send(const SendPeer& action) {
-  std::string frame = EncodeFrame(ToEnvelope(action.message, settings_.key));
+  std::string frame = EncodeFrame(ToEnvelope(action.message, std::string()));
   if (settings_.added_delay == Duration(0)) {
     SendFrame(action.to, frame);
     return;
@@ -101,7 +107,7 @@
   }
   OperatorReply out = reply;
   out.id = pending->second.client_id;
-  pending->second.link->Send(EncodeFrame(ToEnvelope(out, settings_.key)));
+  pending->second.link->Send(EncodeFrame(ToEnvelope(out, std::string())));
   pending_replies_.erase(pending);
 }
 
@@ -115,9 +121,15 @@
 }
 
 void PeerLinks::OnEnvelope(FrameLink* link, const wire::Envelope& envelope) {
-  if (!SameKey(envelope.key, settings_.key)) {
-    ++traffic_.rejected;
-    CloseInbound(link);
+  if (!link->authenticated()) {
+    if (!SameKey(envelope.key, settings_.key)) {
+      ++traffic_.rejected;
+      CloseInbound(link);
+      return;
+    }
+    link->set_authenticated();
+  }
+  if (IsGreeting(envelope)) {
     return;
   }
   Incoming incoming;
@@ -182,6 +194,12 @@
     return nullptr;  // A peer announced a malformed address; its next heartbeat may correct it.
   }
   peer->link->closed().connect([this, id] { OnOutboundClosed(id); });
+  // The key opens the connection; repeating it in each message cost a sixth of the bytes at rest.
+  wire::Envelope greeting;
+  greeting.key = settings_.key;
+  const std::string frame = EncodeFrame(greeting);
+  traffic_.bytes_sent += frame.size();
+  peer->link->Send(frame);
   return peer->link.get();
 }
 
--- a/rpc/gen-cpp/jackdawdeck_types.h
+++ b/rpc/gen-cpp/jackdawdeck_types.h
@@ -1270,7 +1270,8 @@
 
   virtual ~Envelope() noexcept;
   /**
-   * Shared key of the deployment; a receiver closes the connection when it differs.
+   * Shared key of the deployment, in the first envelope of a connection, which may carry nothing else.
+   * A receiver closes the connection when it differs.
    */
   std::string key;
   std::string sender;
--- a/rpc/jackdawdeck.thrift
+++ b/rpc/jackdawdeck.thrift
@@ -141,7 +141,10 @@
 }
 
 struct Envelope {
-  /** Shared key of the deployment; a receiver closes the connection when it differs. */
+  /**
+   * Shared key of the deployment, in the first envelope of a connection, which may carry nothing else.
+   * A receiver closes the connection when it differs.
+   */
   1: string key
   2: string sender
   3: i64 incarnation
--- /dev/null
+++ b/tests/node_test.cc
@@ -0,0 +1,105 @@
+#include "cluster/node.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <memory>
+
+namespace jd {
+namespace {
+
+const Now kStart{MonoTime(1000s), WallTime(1'700'000'000s)};
+
+// One node with a platform whose table answers nothing until the test does.
+class KeyedCall {
+ public:
+  KeyedCall() : node_(Settings()) {
+    node_.Start(kStart, nullptr, &actions_);
+    AnswerReads();
+  }
+
+  Node& node() { return node_; }
+  NodeActions& actions() { return actions_; }
+
+  void Call() {
+    CallRequest request;
+    request.id = CallId(1);
+    request.service = ServiceId("orders");
+    request.method = "POST";
+    request.request_key = "k";
+    actions_.clear();
+    node_.OnCall(kStart, request, &actions_);
+  }
+
+  // Returns the table transactions among the actions, and answers them as committed.
+  size_t Commit() {
+    const NodeActions pending = std::exchange(actions_, {});
+    size_t count = 0;
+    for (const NodeAction& action : pending) {
+      const auto* call = std::get_if<CallTable>(&action);
+      if (call != nullptr && std::holds_alternative<TableTransaction>(call->request)) {
+        TableReply reply;
+        reply.status = TableStatus::kDone;
+        node_.OnTableReply(kStart, call->id, reply, &actions_);
+        ++count;
+      }
+    }
+    return count;
+  }
+
+ private:
+  static NodeSettings Settings() {
+    NodeSettings settings;
+    settings.id = GatewayId("g1");
+    settings.zone = ZoneId("gasabo");
+    settings.incarnation = Incarnation(1);
+    settings.has_platform = true;
+    return settings;
+  }
+
+  void AnswerReads() {
+    for (int round = 0; round < 3; ++round) {
+      for (const NodeAction& action : std::exchange(actions_, {})) {
+        if (const auto* call = std::get_if<CallTable>(&action)) {
+          TableReply reply;
+          reply.status = TableStatus::kDone;
+          node_.OnTableReply(kStart, call->id, reply, &actions_);
+        }
+      }
+    }
+  }
+
+  NodeActions actions_;
+  Node node_;
+};
+
+// Guards against a key that stays unresolved for a day although nothing was sent: the claim must be
+// removed, so that the caller's resend runs.
+TEST_CASE("a refused keyed call that was never sent gives its key back", "[node_test]") {
+  KeyedCall test;
+  test.Call();
+  REQUIRE(test.Commit() == 1);
+  // The service is unknown, so the call is refused after its key was claimed; the claim's row is
+  // looked up in order to be removed.
+  const auto refused = std::find_if(
+      test.actions().begin(), test.actions().end(),
+      [](const NodeAction& action) { return std::holds_alternative<RefuseCall>(action); });
+  REQUIRE(refused != test.actions().end());
+  CHECK(std::get<RefuseCall>(*refused).refusal.verdict == Verdict::kNotRun);
+  CHECK(std::any_of(test.actions().begin(), test.actions().end(), [](const NodeAction& action) {
+    return std::holds_alternative<CallTable>(action);
+  }));
+}
+
+// Guards against a keyed request that runs before its key is claimed.
+TEST_CASE("a keyed call is not sent while its key is being claimed", "[node_test]") {
+  KeyedCall test;
+  test.Call();
+  CHECK(std::none_of(test.actions().begin(), test.actions().end(), [](const NodeAction& action) {
+    return std::holds_alternative<SendAttempt>(action) ||
+           std::holds_alternative<RefuseCall>(action);
+  }));
+  CHECK(test.node().calls() == 1);
+}
+
+}  // namespace
+}  // namespace jd
