--- a/bench/decision_cost.cc
+++ b/bench/decision_cost.cc
@@ -80,7 +80,10 @@
 double TimeChoices(const std::string& name, size_t endpoints, std::chrono::milliseconds budget) {
   Subject subject = MakeSubject(name, endpoints);
   RandomEngine random(1);
-  AcquireRequest request{kService, ZoneId("zone-0"), subject.now + 2s, {}};
+  AcquireRequest request;
+  request.service = kService;
+  request.zone = ZoneId("zone-0");
+  request.deadline = subject.now + 2s;
   AttemptResult answered;
   answered.outcome = AttemptOutcome::kAnswered;
   answered.status = 200;
--- /dev/null
+++ b/cluster/catalog.cc
@@ -0,0 +1,69 @@
+#include "cluster/catalog.h"
+
+#include "common/route_table.h"
+
+namespace jd {
+
+bool Catalog::Apply(const DiscoveryUpdate& update) {
+  bool changed = false;
+  if (update.configuration) {
+    changed = TakeConfiguration(*update.configuration);
+  }
+  if (update.zones_out && *update.zones_out != zones_out_) {
+    zones_out_ = *update.zones_out;
+    changed = true;
+  }
+  for (const EndpointRecord& record : update.endpoints) {
+    const auto [known, added] = endpoints_.emplace(record.endpoint.id, record);
+    if (added || known->second != record) {
+      known->second = record;
+      changed = true;
+    }
+  }
+  for (const EndpointId& id : update.removed) {
+    changed = endpoints_.erase(id) > 0 || changed;
+  }
+  endpoints_known_ = endpoints_known_ || update.endpoints_known;
+  if (changed && operators_) {
+    configuration_ = Build();
+  }
+  return changed && operators_;
+}
+
+bool Catalog::TakeConfiguration(const OperatorConfiguration& configuration) {
+  if (operators_ && configuration.version <= operators_->version) {
+    return false;
+  }
+  operators_ = configuration;
+  routes_ = std::make_shared<const RouteTable>(std::move(operators_->routes));
+  operators_->routes.clear();
+  return true;
+}
+
+ConfigurationPtr Catalog::Build() const {
+  auto configuration = std::make_shared<Configuration>();
+  configuration->version = operators_->version;
+  configuration->routes = routes_;
+  configuration->caller_limits = operators_->limits;
+  for (const Service& service : operators_->services) {
+    configuration->services.emplace(service.id, service);
+  }
+  for (const ZoneId& zone : zones_out_) {
+    configuration->zones[zone] = {zone, ZoneState::kOut};
+  }
+  for (const auto& [id, record] : endpoints_) {
+    const auto service = configuration->services.find(record.service);
+    if (record.leaving || service == configuration->services.end()) {
+      continue;
+    }
+    Endpoint endpoint = record.endpoint;
+    endpoint.max_connections = service->second.endpoint_connections;
+    service->second.endpoints.push_back(std::move(endpoint));
+    // The zone control knows a zone from the configuration.
+    configuration->zones.try_emplace(record.endpoint.zone,
+                                     Zone{record.endpoint.zone, ZoneState::kIn});
+  }
+  return configuration;
+}
+
+}  // namespace jd
--- a/cluster/node.cc
+++ b/cluster/node.cc
@@ -232,6 +232,9 @@
 }
 
 void Node::OnProbeResult(Now now, const ProbeResult& result, NodeActions* actions) {
+  CallActions out;
+  dispatcher_.OnProbeResult(now.mono, result, &out);
+  Append(now, out, actions);
   if (!result.answered || !result.report) {
     return;
   }
@@ -261,6 +264,17 @@
   }
 }
 
+void Node::OnDiscovery(Now now, const DiscoveryUpdate& update, NodeActions* actions) {
+  const bool was_complete = catalog_.complete();
+  const bool changed = catalog_.Apply(update);
+  if (!catalog_.complete() || (was_complete && !changed)) {
+    return;
+  }
+  NodeConfig::Output output = ConfigOutputFor(actions);
+  config_.SetEmbedded(now, catalog_.configuration(), &output);
+  TakeConfig(now, &output, actions);
+}
+
 void Node::OnTableReply(Now now, uint64_t id, const TableReply& reply, NodeActions* actions) {
   const std::optional<TableRouter::Route> route = router_.Take(id);
   if (!route) {
--- a/cluster/node.h
+++ b/cluster/node.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "cluster/catalog.h"
 #include "cluster/endpoint_directory.h"
 #include "cluster/latency_book.h"
 #include "cluster/membership.h"
@@ -22,18 +23,10 @@
 #include "common/vm_list.h"
 #include "policy/dispatcher.h"
 #include "policy/policy_variant.h"
+#include "policy/probe_result.h"
 
 namespace jd {
 
-/// The answer of an endpoint's health page.
-struct ProbeResult {
-  EndpointId endpoint;
-  bool answered = false;
-  int status = 0;
-  Duration latency{0};
-  std::optional<LoadReport> report;
-};
-
 /// A response as stored under its request key.
 struct StoredResponse {
   int status = 0;
@@ -60,6 +53,8 @@
   void OnPeerMessage(Now now, const PeerMessage& message, NodeActions* actions);
   void OnTableReply(Now now, uint64_t id, const TableReply& reply, NodeActions* actions);
   void OnVmList(Now now, const VmList& vms, NodeActions* actions);
+  /// Takes in what operators and upstreams have written to the platform's store.
+  void OnDiscovery(Now now, const DiscoveryUpdate& update, NodeActions* actions);
   void OnProbeResult(Now now, const ProbeResult& result, NodeActions* actions);
   void OnOperatorRequest(Now now, const OperatorRequest& request, NodeActions* actions);
   void OnTimer(Now now, NodeActions* actions);
@@ -105,6 +100,7 @@
   Dispatcher<PolicyVariant> dispatcher_;
   TableRouter router_;
   NodeConfig config_;
+  Catalog catalog_;
   Membership membership_;
   NodeSlots slots_;
   EndpointDirectory directory_;
--- a/cluster/node_action.h
+++ b/cluster/node_action.h
@@ -34,12 +34,6 @@
 /// Reads the platform's VM list; answered by Node::OnVmList, if at all.
 struct FetchVmList {};
 
-/// Asks an endpoint's health page; answered by Node::OnProbeResult.
-struct SendProbe {
-  EndpointId endpoint;
-  Duration timeout{0};
-};
-
 /// Answers a caller with a response stored earlier under its request key; ends the call.
 struct ReplayCall {
   CallId call;
--- a/cluster/node_config.cc
+++ b/cluster/node_config.cc
@@ -24,12 +24,8 @@
                        const std::vector<GatewayId>& peers,
                        Output* output) {
   if (!has_platform_) {
-    embedded_ = std::move(initial);
-    if (embedded_ != nullptr) {
-      output->configuration_changed = true;
-      ZoneOutput zones;
-      zones_.OnConfiguration(now.mono, *embedded_, &zones);
-      TakeZones(now, zones, output);
+    if (initial != nullptr) {
+      SetEmbedded(now, std::move(initial), output);
     }
     return;
   }
@@ -38,6 +34,14 @@
   TakeKeeper(now, std::move(out), output);
 }
 
+void NodeConfig::SetEmbedded(Now now, ConfigurationPtr configuration, Output* output) {
+  embedded_ = std::move(configuration);
+  output->configuration_changed = true;
+  ZoneOutput zones;
+  zones_.OnConfiguration(now.mono, *embedded_, &zones);
+  TakeZones(now, zones, output);
+}
+
 void NodeConfig::TakeKeeper(Now now, ConfigOutput from, Output* output) {
   router_->Send(TableClient::kKeeper, 0, std::move(from.calls), output->actions);
   for (auto& [to, entries] : from.answers) {
--- a/cluster/node_config.h
+++ b/cluster/node_config.h
@@ -42,6 +42,8 @@
              ConfigurationPtr initial,
              const std::vector<GatewayId>& peers,
              Output* output);
+  /// Puts a configuration in use that comes from elsewhere than the configuration log.
+  void SetEmbedded(Now now, ConfigurationPtr configuration, Output* output);
   void OnTimer(Now now, Output* output);
   /// Takes an answer of the table for any client but kClaims.
   void OnTableReply(Now now,
--- a/cluster/node_effects.cc
+++ b/cluster/node_effects.cc
@@ -51,6 +51,8 @@
       to->push_back(*cancel);
     } else if (const auto* close = std::get_if<CloseConnections>(&action)) {
       to->push_back(*close);
+    } else if (const auto* probe = std::get_if<SendProbe>(&action)) {
+      to->push_back(*probe);
     }
   }
 }
--- a/common/configuration.h
+++ b/common/configuration.h
@@ -20,6 +20,9 @@
   uint16_t port = 0;
   int32_t slots = 1;  ///< Requests it serves at the same time.
   int32_t max_connections = 0;
+  /// Run of the upstream process that requests are meant for, because its address may be given to
+  /// another one; empty if any run will do.
+  InstanceId instance = {};
   bool operator==(const Endpoint&) const = default;
 };
 
@@ -39,6 +42,9 @@
   Duration probe_cost = 1ms;
   Duration connect_cost = 1ms;
   std::string health_path = "/health";
+  int32_t endpoint_connections = 0;  ///< Of one gateway to one endpoint; 0: no limit.
+  /// Calls per second that a cold endpoint bears from all gateways together; 0 if unknown.
+  double cold_rate = 0;
   bool operator==(const Service&) const = default;
 };
 
@@ -52,6 +58,8 @@
   /// Path prefixes whose requests may run more than once whatever the method.
   std::vector<std::string> idempotent_paths;
   Duration deadline = 2s;
+  /// Time within which an answer is worth most to its caller; 0 if nothing is known of it.
+  Duration target_latency{0};
   int32_t max_attempts = 3;
   bool hedge = false;
   Duration hedge_after = 50ms;
@@ -62,6 +70,34 @@
   bool operator==(const Profile&) const = default;
 };
 
+/// One of the services that the calls of a route are split among.
+struct RouteTarget {
+  ServiceId service;
+  double weight = 1.0;  ///< Relative to the other targets.
+  bool operator==(const RouteTarget&) const = default;
+};
+
+/// The calls to one host whose path starts with a prefix.
+struct Route {
+  RouteId id;
+  std::string host;
+  std::string prefix;  ///< Begins and ends with a slash.
+  Profile profile;     ///< How these calls are treated, whatever their service's profile says.
+  std::vector<RouteTarget> targets;  ///< Never empty.
+  bool operator==(const Route&) const = default;
+};
+
+/// What callers may send and how long they may take, where operators decide it.
+struct CallerLimits {
+  int64_t header_bytes = 0;
+  int64_t body_bytes = 0;
+  Duration header_timeout{0};
+  Duration idle_timeout{0};
+  bool operator==(const CallerLimits&) const = default;
+};
+
+class RouteTable;
+
 enum class ZoneState : uint8_t { kIn, kOut, kReturning };
 
 struct Zone {
@@ -77,6 +113,9 @@
   std::map<ProfileId, Profile> profiles;
   std::map<ServiceId, Service> services;
   std::map<ZoneId, Zone> zones;
+  /// Routes to services by host and path; null if callers name the service themselves.
+  std::shared_ptr<const RouteTable> routes;
+  std::optional<CallerLimits> caller_limits;
   /// Version that last changed each object, by "kind/name".
   std::map<std::string, ConfigVersion> object_versions;
   bool operator==(const Configuration&) const = default;
--- a/common/ids.h
+++ b/common/ids.h
@@ -43,6 +43,7 @@
 using WorkspaceId = NameId<struct WorkspaceTag>;
 using ServiceId = NameId<struct ServiceTag>;
 using ProfileId = NameId<struct ProfileTag>;
+using RouteId = NameId<struct RouteTag>;
 /// Unique over all services, by convention "service/name".
 using EndpointId = NameId<struct EndpointTag>;
 /// Identifies one run of an upstream process; a new value means a restart.
--- a/common/load_report.h
+++ b/common/load_report.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "common/ids.h"
+#include "common/units.h"
 
 namespace jd {
 
@@ -12,10 +13,15 @@
 
 /// What an upstream says about itself in a response header or on its health page.
 struct LoadReport {
+  static constexpr int32_t kUsualSpeed = 100;
+
   int32_t in_flight = 0;
   int32_t slots = 0;
   EndpointState state = EndpointState::kWarm;
   InstanceId instance;
+  int32_t waiting = 0;                     ///< Calls in the upstream's own queue.
+  int32_t slowdown_percent = kUsualSpeed;  ///< Time that work takes now; 100 is usual.
+  Duration cold_for{0};  ///< How much longer the upstream stays cold, if it says so.
   bool operator==(const LoadReport&) const = default;
 };
 
--- a/common/text_rules.cc
+++ b/common/text_rules.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <charconv>
+#include <cstdint>
 #include <string_view>
 
 namespace jd {
@@ -23,4 +25,15 @@
          inet_pton(AF_INET6, text.c_str(), bytes.data()) == 1;
 }
 
+bool IsSocketAddress(const std::string& text) {
+  const size_t colon = text.rfind(':');
+  if (colon == std::string::npos || !IsIpNumber(text.substr(0, colon))) {
+    return false;
+  }
+  uint16_t port = 0;
+  const char* end = text.data() + text.size();
+  const auto [rest, error] = std::from_chars(text.data() + colon + 1, end, port);
+  return error == std::errc() && rest == end && port > 0;
+}
+
 }  // namespace jd
--- a/common/text_rules.h
+++ b/common/text_rules.h
@@ -18,4 +18,7 @@
 /// Returns whether a text is an IPv4 or IPv6 number.
 bool IsIpNumber(const std::string& text);
 
+/// Returns whether a text is an IP number and a port with a colon between them.
+bool IsSocketAddress(const std::string& text);
+
 }  // namespace jd
--- a/control/gateway_command.cc
+++ b/control/gateway_command.cc
@@ -1,16 +1,21 @@
 #include "control/gateway_command.h"
 
 #include <docopt/docopt.h>
-#include <csignal>
 
+#include <csignal>
+#include <cstdlib>
 #include <iostream>
+#include <map>
+#include <memory>
 
 #include "control/command.h"
 #include "gateway/gateway.h"
 #include "gateway/log.h"
 #include "gateway/peer_links.h"
 #include "gateway/settings.h"
-#include "platform/event_loop.h"
+#include "net/event_loop.h"
+#include "platform/platform_dialect.h"
+#include "platform/platform_discovery.h"
 
 namespace jd {
 
@@ -28,13 +33,29 @@
       [gateway](const OperatorRequest& request) { gateway->OnOperatorRequest(request); });
 }
 
+std::unique_ptr<const HttpDialect> DialectFor(const Settings& settings) {
+  if (settings.discovery) {
+    return std::make_unique<PlatformDialect>();
+  }
+  return std::make_unique<NativeDialect>();
+}
+
+std::string SettingsFile(const std::map<std::string, docopt::value>& options) {
+  const docopt::value& file = options.at("--config");
+  if (file) {
+    return file.asString();
+  }
+  const char* variable = std::getenv("JACKDAWDECK_NODE_FILE");
+  return variable == nullptr ? std::string() : std::string(variable);
+}
+
 }  // namespace
 
 int RunGatewayCommand(const std::vector<std::string>& arguments) {
   const auto options = docopt::docopt_parse(kGatewayUsage, arguments, true, false);
   Settings settings;
   try {
-    settings = LoadSettings(options.at("--config").asString());
+    settings = LoadSettings(SettingsFile(options));
   } catch (const SettingsError& error) {
     std::cerr << error.what() << "\n";
     return kCommandUsage;
@@ -44,12 +65,22 @@
     SetUpLog(settings.log_level);
     PeerLinks links(loop.base(), {settings.peers.address, settings.peers.port, settings.shared_key,
                                   settings.peer_delay});
-    Gateway gateway(&loop, settings, links.port());
+    const std::unique_ptr<const HttpDialect> dialect = DialectFor(settings);
+    Gateway gateway(&loop, settings, links.port(), dialect.get());
     Connect(&links, &gateway);
+    std::unique_ptr<PlatformDiscovery> discovery;
+    if (settings.discovery) {
+      discovery = std::make_unique<PlatformDiscovery>(&loop, settings.platform.address,
+                                                      settings.platform.port);
+      discovery->updated().connect(sigc::mem_fun(gateway, &Gateway::OnDiscovery));
+    }
     const SignalWatch terminate(&loop, SIGTERM, [&gateway] { gateway.Stop(); });
     const SignalWatch interrupt(&loop, SIGINT, [&gateway] { gateway.Stop(); });
     gateway.stopped().connect([&loop] { loop.Stop(); });
     gateway.Start();
+    if (discovery != nullptr) {
+      discovery->Start();
+    }
     loop.Run();
   } catch (const std::exception& error) {
     std::cerr << "jackdawdeck: " << error.what() << "\n";
--- a/control/operator_client.cc
+++ b/control/operator_client.cc
@@ -8,7 +8,7 @@
 #include <variant>
 
 #include "gateway/frame_link.h"
-#include "platform/libevent_ptr.h"
+#include "net/libevent_ptr.h"
 #include "rpc/convert.h"
 
 namespace jd {
--- a/gateway/caller_server.cc
+++ b/gateway/caller_server.cc
@@ -48,18 +48,19 @@
 
 }  // namespace
 
-CallerServer::CallerServer(EventLoop* loop, const Settings& settings, uint64_t seed)
+CallerServer::CallerServer(EventLoop* loop,
+                           const Settings& settings,
+                           uint64_t seed,
+                           const HttpDialect* dialect)
     : loop_(loop),
       limits_(settings.limits),
+      dialect_(dialect),
       random_(seed),
       http_(NewHttpServer(loop, settings.callers, &port_)),
       adopt_(loop, [this] { AdoptConnections(); }),
       sweep_(loop, [this] { Sweep(); }),
       close_broken_(loop, [this] { CloseBroken(); }) {
-  evhttp_set_max_headers_size(http_.get(), limits_.header_bytes);
-  evhttp_set_max_body_size(http_.get(), limits_.body_bytes);
-  const timeval idle = ToTimeval(limits_.idle_timeout);
-  evhttp_set_timeout_tv(http_.get(), &idle);
+  ApplyLimits();
   evhttp_set_allowed_methods(http_.get(), EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
                                               EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
                                               EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH);
@@ -68,6 +69,21 @@
   sweep_.Schedule(kSweepInterval);
 }
 
+void CallerServer::ApplyLimits() {
+  evhttp_set_max_headers_size(http_.get(), limits_.header_bytes);
+  evhttp_set_max_body_size(http_.get(), limits_.body_bytes);
+  const timeval idle = ToTimeval(limits_.idle_timeout);
+  evhttp_set_timeout_tv(http_.get(), &idle);
+}
+
+void CallerServer::SetLimits(const CallerLimits& limits) {
+  limits_.header_bytes = limits.header_bytes;
+  limits_.body_bytes = limits.body_bytes;
+  limits_.header_timeout = limits.header_timeout;
+  limits_.idle_timeout = limits.idle_timeout;
+  ApplyLimits();
+}
+
 CallerServer::~CallerServer() {
   for (const auto& [http, connection] : connections_) {
     evhttp_connection_set_closecb(http, nullptr, nullptr);
@@ -161,10 +177,8 @@
     fault = "A HEAD request cannot have a body.";
   }
   CallRequest call;
-  const std::string deadline = HeaderValue(headers, "x-deadline-ms");
-  call.timeout = ParseDeadline(deadline);
-  if (fault.empty() && !deadline.empty() && !call.timeout) {
-    fault = "x-deadline-ms is not a whole number of milliseconds up to one day.";
+  if (fault.empty()) {
+    fault = dialect_->ReadCall(headers, &call);
   }
   if (!fault.empty()) {
     Reject(connection, request, fault);
@@ -179,7 +193,6 @@
   bufferevent_setwatermark(connection->stream, EV_READ, 0, kMaxPipelinedBytes);
   bufferevent_enable(connection->stream, EV_READ);
   call.id = connection->call = CallId(next_call_++);
-  call.request = RequestId(HeaderValue(headers, "x-request-id"));
   if (call.request.empty()) {
     std::array<char, 33> text{};
     std::snprintf(text.data(), text.size(), "%016llx%016llx",
@@ -187,8 +200,6 @@
                   static_cast<unsigned long long>(random_()));
     call.request.value = text.data();
   }
-  call.workspace = WorkspaceId(HeaderValue(headers, "x-workspace"));
-  call.service = ServiceId(HeaderValue(headers, "x-service"));
   call.method = MethodName(method);
   call.path = target;
   call.fingerprint = HashRequest(call.method, call.path, evhttp_request_get_input_buffer(request));
@@ -237,17 +248,14 @@
   const evkeyvalq* input = evhttp_request_get_input_headers(response);
   bool has_id = false;
   for (const auto& [name, value] : EndToEndHeaders(input)) {
-    // Only this gateway's own verdict may reach its caller: an upstream that relays the verdict of
-    // a call of its own would have a request repeated that has run.
-    if (SameHeader(name, "x-verdict") || SameHeader(name, "x-refusal") ||
-        SameHeader(name, "x-refused")) {
+    if (dialect_->HidesHeader(name)) {
       continue;
     }
-    has_id = has_id || SameHeader(name, "x-request-id");
+    has_id = has_id || SameHeader(name, dialect_->request_id_header());
     evhttp_add_header(output, name.c_str(), value.c_str());
   }
   if (!has_id) {
-    evhttp_add_header(output, "x-request-id", id.value.c_str());
+    evhttp_add_header(output, dialect_->request_id_header(), id.value.c_str());
   }
   const char* length = evhttp_find_header(input, "Content-Length");
   if (evhttp_request_get_command(request) == EVHTTP_REQ_HEAD && length != nullptr) {
@@ -260,20 +268,14 @@
 void CallerServer::Refuse(CallId call, const RequestId& id, const Refusal& refusal) {
   evhttp_request* request = EndCall(call);
   evkeyvalq* headers = evhttp_request_get_output_headers(request);
-  const std::string reason(RefusalReasonName(refusal.reason));
-  const std::string verdict(VerdictName(refusal.verdict));
-  evhttp_add_header(headers, "x-verdict", verdict.c_str());
-  evhttp_add_header(headers, "x-refusal", reason.c_str());
-  evhttp_add_header(headers, "x-request-id", id.value.c_str());
-  if (refusal.retry_after > Duration(0)) {
-    // The header has whole seconds; rounding down would invite callers back too early.
-    const auto seconds = std::chrono::ceil<std::chrono::seconds>(refusal.retry_after).count();
-    evhttp_add_header(headers, "retry-after", std::to_string(seconds).c_str());
-  }
+  dialect_->AddRefusal(refusal, headers);
+  evhttp_add_header(headers, dialect_->request_id_header(), id.value.c_str());
   const BufferPtr body(evbuffer_new());
   AddJson(headers, body.get(),
-          {{"verdict", verdict}, {"refusal", reason}, {"message", refusal.text}});
-  Reply(request, RefusalStatus(refusal.reason, refusal.verdict), body.get());
+          {{"verdict", std::string(VerdictName(refusal.verdict))},
+           {"refusal", std::string(RefusalReasonName(refusal.reason))},
+           {"message", refusal.text}});
+  Reply(request, dialect_->StatusOf(refusal), body.get());
 }
 
 void CallerServer::Replay(CallId call,
@@ -283,7 +285,7 @@
                           const std::string& text) {
   evhttp_request* request = EndCall(call);
   evkeyvalq* headers = evhttp_request_get_output_headers(request);
-  evhttp_add_header(headers, "x-request-id", id.value.c_str());
+  evhttp_add_header(headers, dialect_->request_id_header(), id.value.c_str());
   if (!content_type.empty()) {
     evhttp_add_header(headers, "Content-Type", content_type.c_str());
   }
--- a/gateway/caller_server.h
+++ b/gateway/caller_server.h
@@ -10,10 +10,11 @@
 
 #include "common/random.h"
 #include "gateway/caller_connection.h"
+#include "gateway/http_dialect.h"
 #include "gateway/http_server.h"
 #include "gateway/settings.h"
-#include "platform/event_loop.h"
-#include "platform/http_connection.h"
+#include "net/event_loop.h"
+#include "net/http_connection.h"
 #include "policy/call_request.h"
 #include "policy/refusal.h"
 
@@ -24,7 +25,10 @@
 class CallerServer {
  public:
   /// @throws std::runtime_error if the port cannot be opened.
-  CallerServer(EventLoop* loop, const Settings& settings, uint64_t seed);
+  CallerServer(EventLoop* loop,
+               const Settings& settings,
+               uint64_t seed,
+               const HttpDialect* dialect);
   ~CallerServer();
   CallerServer(const CallerServer&) = delete;
   CallerServer& operator=(const CallerServer&) = delete;
@@ -51,6 +55,8 @@
   /// Asks callers to open no further requests on their connections; idle ones are kept.
   void AnnounceClose() { closing_ = true; }
   void CloseIdle();
+  /// Replaces the limits of the settings; open connections keep the sizes they began with.
+  void SetLimits(const CallerLimits& limits);
 
   bool quiet() const { return busy() == 0; }
   size_t connections() const { return connections_.size(); }
@@ -63,6 +69,7 @@
   static void OnInput(evbuffer* buffer, const evbuffer_cb_info* info, void* argument);
   static void OnAnswered(evhttp_request* request, void* argument);
 
+  void ApplyLimits();
   void AdoptConnections();
   void Follow(CallerConnection* connection, size_t offset);
   void CloseBroken();
@@ -76,6 +83,7 @@
 
   EventLoop* loop_;
   Limits limits_;
+  const HttpDialect* dialect_;
   RandomEngine random_;
   uint16_t port_ = 0;
   HttpServerPtr http_;
--- a/gateway/frame_link.h
+++ b/gateway/frame_link.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <string>
 
-#include "platform/libevent_ptr.h"
+#include "net/libevent_ptr.h"
 #include "rpc/frame.h"
 
 namespace jd {
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -27,19 +27,15 @@
   node.peer_port = peer_port;
   node.seeds = settings.seeds;
   node.policy = settings.policy;
-  node.has_platform = !settings.platform.address.empty();
+  node.has_platform = !settings.platform.address.empty() && !settings.discovery;
   node.event_capacity = static_cast<size_t>(settings.event_ring);
   node.seed = SeedOf(settings);
   return node;
 }
 
-// Headers that the gateway writes itself.
-HttpHeaders UpstreamHeaders(evhttp_request* request, const RequestId& id) {
+HttpHeaders UpstreamHeaders(evhttp_request* request, const HttpDialect& dialect) {
   HttpHeaders headers = EndToEndHeaders(evhttp_request_get_input_headers(request));
-  std::erase_if(headers, [](const auto& header) {
-    return SameHeader(header.first, "x-request-id") || SameHeader(header.first, "x-deadline-ms");
-  });
-  headers.emplace_back("x-request-id", id.value);
+  std::erase_if(headers, [&](const auto& header) { return dialect.ReplacesHeader(header.first); });
   return headers;
 }
 
@@ -55,15 +51,20 @@
 
 }  // namespace
 
-Gateway::Gateway(EventLoop* loop, const Settings& settings, uint16_t peer_port)
+Gateway::Gateway(EventLoop* loop,
+                 const Settings& settings,
+                 uint16_t peer_port,
+                 const HttpDialect* dialect)
     : loop_(loop),
       settings_(settings),
+      dialect_(dialect),
       node_(ToNodeSettings(settings, peer_port, *loop)),
-      callers_(loop, settings, SeedOf(settings)),
-      upstreams_(loop, {settings.limits.header_bytes, settings.limits.response_bytes}),
+      callers_(loop, settings, SeedOf(settings), dialect),
+      upstreams_(loop, {settings.limits.header_bytes, settings.limits.response_bytes}, dialect),
       status_(
           loop,
           settings.status,
+          dialect->ready_path(),
           [this] { return ready(); },
           [this] { return metrics_.Serialize(levels()); }),
       node_timer_(loop,
@@ -78,7 +79,7 @@
         turn_scheduled_ = false;
         Execute(&actions);
       }) {
-  if (!settings.platform.address.empty()) {
+  if (!settings.platform.address.empty() && !settings.discovery) {
     platform_ =
         std::make_unique<PlatformClient>(loop, settings.platform.address, settings.platform.port);
   }
@@ -137,17 +138,7 @@
   executing_ = true;
   while (true) {
     if (node_.configuration() != configuration_) {
-      configuration_ = node_.configuration();
-      upstreams_.SetConfiguration(configuration_);
-      if (configuration_ != nullptr) {
-        std::set<WorkspaceId> workspaces;
-        for (const auto& [id, share] : configuration_->workspaces) {
-          workspaces.insert(id);
-        }
-        metrics_.SetWorkspaces(std::move(workspaces));
-        LogInfo(LogPart::kConfig,
-                "Version " + std::to_string(configuration_->version.value) + " is in use.");
-      }
+      TakeConfiguration();
     }
     if (pending_.empty()) {
       break;
@@ -161,6 +152,30 @@
   FinishIfDrained();
 }
 
+void Gateway::TakeConfiguration() {
+  const ConfigVersion previous =
+      configuration_ == nullptr ? ConfigVersion() : configuration_->version;
+  configuration_ = node_.configuration();
+  upstreams_.SetConfiguration(configuration_);
+  if (configuration_ == nullptr || configuration_->version == previous) {
+    return;
+  }
+  std::set<WorkspaceId> workspaces;
+  for (const auto& [id, share] : configuration_->workspaces) {
+    workspaces.insert(id);
+  }
+  metrics_.SetWorkspaces(std::move(workspaces));
+  if (configuration_->caller_limits) {
+    callers_.SetLimits(*configuration_->caller_limits);
+  }
+  LogInfo(LogPart::kConfig,
+          "Version " + std::to_string(configuration_->version.value) + " is in use.");
+}
+
+void Gateway::OnDiscovery(const DiscoveryUpdate& update) {
+  Drive([&](Now now, NodeActions* out) { node_.OnDiscovery(now, update, out); });
+}
+
 void Gateway::ScheduleTurnEnd() {
   if (!turn_scheduled_) {
     turn_scheduled_ = true;
@@ -203,7 +218,8 @@
   call.arrived = loop_->ReadClocks().mono;
   call.upstream.method = evhttp_request_get_command(http);
   call.upstream.target = request.path;
-  call.upstream.headers = UpstreamHeaders(http, request.request);
+  call.upstream.request = request.request;
+  call.upstream.headers = UpstreamHeaders(http, *dialect_);
   call.upstream.body = evhttp_request_get_input_buffer(http);
   calls_.emplace(request.id, std::move(call));
   Drive([&](Now now, NodeActions* out) { node_.OnCall(now, request, out); });
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -14,13 +14,14 @@
 
 #include "cluster/node.h"
 #include "gateway/caller_server.h"
+#include "gateway/http_dialect.h"
 #include "gateway/metrics.h"
 #include "gateway/peer_links.h"
+#include "gateway/platform_client.h"
 #include "gateway/settings.h"
 #include "gateway/status_server.h"
 #include "gateway/upstream_pool.h"
-#include "platform/event_loop.h"
-#include "platform/platform_client.h"
+#include "net/event_loop.h"
 
 namespace jd {
 
@@ -31,7 +32,11 @@
   /// Opens the ports for callers and status.
   /// @param peer_port the port that peers are told; the links to peers are a part of their own.
   /// @throws std::runtime_error if a port cannot be opened.
-  Gateway(EventLoop* loop, const Settings& settings, uint16_t peer_port);
+  /// @param dialect outlives the gateway.
+  Gateway(EventLoop* loop,
+          const Settings& settings,
+          uint16_t peer_port,
+          const HttpDialect* dialect);
   Gateway(const Gateway&) = delete;
   Gateway& operator=(const Gateway&) = delete;
 
@@ -45,6 +50,8 @@
   sigc::signal<void(const SendPeer&)>& send_peer() { return send_peer_; }
   sigc::signal<void(const SetPeerAddress&)>& set_peer_address() { return set_peer_address_; }
   sigc::signal<void(const OperatorReply&)>& operator_reply() { return operator_reply_; }
+  /// Takes in what operators and upstreams have written to the platform's store.
+  void OnDiscovery(const DiscoveryUpdate& update);
   void OnPeerMessage(const PeerMessage& message);
   void OnOperatorRequest(const OperatorRequest& request);
   /// Sets where the metrics page takes the counters of the peer links from.
@@ -81,6 +88,7 @@
   }
 
   void Execute(NodeActions* actions);
+  void TakeConfiguration();
   void OnCall(const CallRequest& arrived);
   void OnCallerGone(CallId call);
   void OnAttemptEnded(const AttemptResult& result, HttpRequestPtr& response);
@@ -108,6 +116,7 @@
 
   EventLoop* loop_;
   Settings settings_;
+  const HttpDialect* dialect_;
   Node node_;
   Metrics metrics_;
   CallerServer callers_;
--- a/gateway/header_rules.h
+++ b/gateway/header_rules.h
@@ -7,7 +7,7 @@
 #include <string_view>
 
 #include "common/units.h"
-#include "platform/http_connection.h"
+#include "net/http_connection.h"
 
 namespace jd {
 
--- a/gateway/http_server.h
+++ b/gateway/http_server.h
@@ -7,8 +7,8 @@
 #include <string>
 
 #include "gateway/settings.h"
-#include "platform/event_loop.h"
-#include "platform/libevent_ptr.h"
+#include "net/event_loop.h"
+#include "net/libevent_ptr.h"
 
 namespace jd {
 
--- a/gateway/log.cc
+++ b/gateway/log.cc
@@ -25,7 +25,7 @@
 void SetUpLog(const std::string& level) {
   const auto layout = std::make_shared<log4cxx::PatternLayout>("%d %-5p %c: %m%n");
   const auto appender =
-      std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+      std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemOut());
   log4cxx::BasicConfigurator::resetConfiguration();
   log4cxx::BasicConfigurator::configure(appender);
   log4cxx::Logger::getRootLogger()->setLevel(
--- a/gateway/metrics.cc
+++ b/gateway/metrics.cc
@@ -39,6 +39,8 @@
       return "connect-failed";
     case AttemptOutcome::kConnectionLost:
       return "connection-lost";
+    case AttemptOutcome::kInvalid:
+      return "invalid";
     case AttemptOutcome::kTimedOut:
       return "timed-out";
     case AttemptOutcome::kCancelled:
--- a/gateway/peer_links.h
+++ b/gateway/peer_links.h
@@ -12,7 +12,7 @@
 
 #include "cluster/node_action.h"
 #include "gateway/frame_link.h"
-#include "platform/libevent_ptr.h"
+#include "net/libevent_ptr.h"
 
 namespace jd {
 
--- a/gateway/setting_field.cc
+++ b/gateway/setting_field.cc
@@ -17,12 +17,18 @@
                              list.find("|" + text + "|") != std::string::npos);
 }
 
+bool IsEmptyDefault(std::string_view fallback) {
+  return fallback.empty() || fallback == "\"\"";
+}
+
 bool IsTextAccepted(const std::string& text, const SettingRule& rule) {
   switch (rule.kind) {
     case SettingKind::kName:
       return IsName(text);
+    case SettingKind::kSocket:
+      return text.empty() || IsSocketAddress(text);
     case SettingKind::kAddress:
-      return (text.empty() && rule.fallback != nullptr && *rule.fallback == '\0') ||
+      return (text.empty() && rule.fallback != nullptr && IsEmptyDefault(rule.fallback)) ||
              IsIpNumber(text);
     default:
       return text.size() >= static_cast<size_t>(rule.min) && IsChoice(text, rule.choices);
@@ -62,6 +68,8 @@
                           : "a text";
     case SettingKind::kAddress:
       return "an IP number";
+    case SettingKind::kSocket:
+      return "an IP number and a port with a colon between them";
     case SettingKind::kInteger:
       return "a whole number";
     case SettingKind::kNumber:
@@ -116,6 +124,7 @@
     case SettingKind::kName:
     case SettingKind::kText:
     case SettingKind::kAddress:
+    case SettingKind::kSocket:
       value->text = node.value_exact<std::string>().value_or(std::string());
       return node.is_string() && IsTextAccepted(value->text, rule);
     case SettingKind::kInteger:
--- a/gateway/setting_field.h
+++ b/gateway/setting_field.h
@@ -16,6 +16,7 @@
   kName,     ///< See IsName.
   kText,     ///< Any text; `choices` restricts it to a list.
   kAddress,  ///< IP number.
+  kSocket,   ///< IP number and port with a colon between them.
   kInteger,
   kNumber,
   kFlag,
--- a/gateway/setting_table.cc
+++ b/gateway/setting_table.cc
@@ -10,6 +10,16 @@
   return text == "high" ? Priority::kHigh : Priority::kNormal;
 }
 
+// An empty text leaves the address as it is.
+void SetSocket(const std::string& text, ListenAddress* address) {
+  const size_t colon = text.rfind(':');
+  if (colon == std::string::npos) {
+    return;
+  }
+  address->address = text.substr(0, colon);
+  address->port = static_cast<uint16_t>(std::stoi(text.substr(colon + 1)));
+}
+
 // Columns: name, kind, unit, least, greatest, choices, default, sentence.
 
 constexpr SettingField<Settings> kGatewayFields[] = {
@@ -19,8 +29,9 @@
     {{"zone", SettingKind::kName, "", 0, 0, "", nullptr, "Availability zone that the VM is in."},
      [](Settings& object, const SettingValue& value) { object.zone.value = value.text; }},
     {{"policy", SettingKind::kText, "", 0, 0,
-      "slots|pooled|round_robin|least_request|reported_load", "\"slots\"",
-      "Routing policy; all but slots are baselines for comparison."},
+      "slots|pooled|round_robin|least_request|reported_load|fresh_load", "\"slots\"",
+      "Routing policy: slots lends slots among gateways, fresh_load probes before each call; the "
+      "others are baselines for comparison."},
      [](Settings& object, const SettingValue& value) { object.policy = value.text; }},
     {{"log_level", SettingKind::kText, "", 0, 0, "debug|info|warn|error", "\"info\"",
       "Least severe level that is logged."},
@@ -48,6 +59,9 @@
      [](ListenAddress& object, const SettingValue& value) {
        object.port = static_cast<uint16_t>(value.integer);
      }},
+    {{"listen", SettingKind::kSocket, "", 0, 0, "", "\"\"",
+      "Both of the above in one, as \"IP:PORT\"; if given, it replaces them."},
+     [](ListenAddress& object, const SettingValue& value) { SetSocket(value.text, &object); }},
 };
 
 constexpr SettingField<ListenAddress> kStatusFields[] = {
@@ -59,6 +73,9 @@
      [](ListenAddress& object, const SettingValue& value) {
        object.port = static_cast<uint16_t>(value.integer);
      }},
+    {{"listen", SettingKind::kSocket, "", 0, 0, "", "\"\"",
+      "Both of the above in one, as \"IP:PORT\"; if given, it replaces them."},
+     [](ListenAddress& object, const SettingValue& value) { SetSocket(value.text, &object); }},
 };
 
 constexpr SettingField<Settings> kPeersFields[] = {
@@ -94,13 +111,22 @@
      }},
 };
 
-constexpr SettingField<ListenAddress> kPlatformFields[] = {
-    {{"address", SettingKind::kAddress, "", 0, 0, "", nullptr,
+constexpr SettingField<Settings> kPlatformFields[] = {
+    {{"address", SettingKind::kAddress, "", 0, 0, "", "\"\"",
       "IP number of the platform's table and VM list."},
-     [](ListenAddress& object, const SettingValue& value) { object.address = value.text; }},
-    {{"port", SettingKind::kInteger, "", 1, 65535, "", nullptr, "Its port."},
-     [](ListenAddress& object, const SettingValue& value) {
-       object.port = static_cast<uint16_t>(value.integer);
+     [](Settings& object, const SettingValue& value) { object.platform.address = value.text; }},
+    {{"port", SettingKind::kInteger, "", 1, 65535, "", "0", "Its port."},
+     [](Settings& object, const SettingValue& value) {
+       object.platform.port = static_cast<uint16_t>(value.integer);
+     }},
+    {{"server", SettingKind::kSocket, "", 0, 0, "", "\"\"",
+      "Both of the above in one, as \"IP:PORT\"; if given, it replaces them."},
+     [](Settings& object, const SettingValue& value) { SetSocket(value.text, &object.platform); }},
+    {{"source", SettingKind::kText, "", 0, 0, "log|discovery", "\"log\"",
+      "Where configuration and endpoints come from: the gateways' own configuration log, or what "
+      "operators and upstreams write to the platform's store."},
+     [](Settings& object, const SettingValue& value) {
+       object.discovery = value.text == "discovery";
      }},
 };
 
@@ -280,7 +306,7 @@
   return kSeedFields;
 }
 
-std::span<const SettingField<ListenAddress>> PlatformFields() {
+std::span<const SettingField<Settings>> PlatformFields() {
   return kPlatformFields;
 }
 
--- a/gateway/settings.cc
+++ b/gateway/settings.cc
@@ -120,7 +120,11 @@
   ReadSeeds(root, &settings, &faults);
   CheckPorts(root, settings, &faults);
   if (root.contains("platform")) {
-    ReadSection(root, "platform", PlatformFields(), {}, &settings.platform, &faults);
+    ReadSection(root, "platform", PlatformFields(), {}, &settings, &faults);
+    if (settings.platform.address.empty() || settings.platform.port == 0) {
+      faults.Add(root.get("platform")->source(),
+                 "'platform' names no server; accepted: 'address' and 'port', or 'server'");
+    }
     RejectConfiguration(root, &faults);
   } else {
     settings.configuration = ReadConfiguration(root, &faults);
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -46,6 +46,9 @@
   Duration peer_delay{0};
   std::vector<PeerSeed> seeds;
   ListenAddress platform;  ///< An empty address: there is no platform.
+  /// Operators and upstreams write configuration and endpoints to the platform's store; without it
+  /// they are in the gateways' own configuration log.
+  bool discovery = false;
   Limits limits;
   /// The embedded configuration, at version 1, or null if there is a platform.
   ConfigurationPtr configuration;
--- a/gateway/status_server.cc
+++ b/gateway/status_server.cc
@@ -4,15 +4,17 @@
 
 #include <utility>
 
-#include "platform/http_connection.h"
+#include "net/http_connection.h"
 
 namespace jd {
 
 StatusServer::StatusServer(EventLoop* loop,
                            const ListenAddress& address,
+                           std::string ready_path,
                            std::function<bool()> ready,
                            std::function<std::string()> metrics)
-    : ready_(std::move(ready)),
+    : ready_path_(std::move(ready_path)),
+      ready_(std::move(ready)),
       metrics_(std::move(metrics)),
       http_(NewHttpServer(loop, address, &port_)) {
   evhttp_set_allowed_methods(http_.get(), EVHTTP_REQ_GET | EVHTTP_REQ_HEAD);
@@ -27,7 +29,7 @@
   const std::string name = path == nullptr ? "" : path;
   int status = 200;
   std::string text;
-  if (name == "/ready") {
+  if (name == self->ready_path_) {
     status = self->ready_() ? 200 : 503;
     text = status == 200 ? "ready\n" : "not ready\n";
   } else if (name == "/live") {
--- a/gateway/status_server.h
+++ b/gateway/status_server.h
@@ -6,7 +6,7 @@
 
 #include "gateway/http_server.h"
 #include "gateway/settings.h"
-#include "platform/event_loop.h"
+#include "net/event_loop.h"
 
 namespace jd {
 
@@ -17,6 +17,7 @@
   /// @throws std::runtime_error if the port cannot be opened.
   StatusServer(EventLoop* loop,
                const ListenAddress& address,
+               std::string ready_path,
                std::function<bool()> ready,
                std::function<std::string()> metrics);
   StatusServer(const StatusServer&) = delete;
@@ -28,6 +29,7 @@
   static void OnRequest(evhttp_request* request, void* argument);
 
   uint16_t port_ = 0;
+  std::string ready_path_;
   std::function<bool()> ready_;
   std::function<std::string()> metrics_;
   HttpServerPtr http_;
--- a/platform/table_codec.cc
+++ b/gateway/table_codec.cc
@@ -1,4 +1,4 @@
-#include "platform/table_codec.h"
+#include "gateway/table_codec.h"
 
 #include <event2/http.h>
 
@@ -51,17 +51,17 @@
 
 }  // namespace
 
-PlatformQuery ToPlatformQuery(const TableRequest& request) {
+HttpCall ToPlatformQuery(const TableRequest& request) {
   if (const auto* get = std::get_if<TableGet>(&request)) {
-    return {false, "/table/row?key=" + Escape(get->key), {}};
+    return {EVHTTP_REQ_GET, "/table/row?key=" + Escape(get->key), {}};
   }
   if (const auto* range = std::get_if<TableRange>(&request)) {
-    return {false,
+    return {EVHTTP_REQ_GET,
             "/table/range?prefix=" + Escape(range->prefix) + "&after=" + Escape(range->after) +
                 "&limit=" + std::to_string(range->limit),
             {}};
   }
-  return {true, "/table/txn", WriteTransaction(std::get<TableTransaction>(request))};
+  return {EVHTTP_REQ_POST, "/table/txn", WriteTransaction(std::get<TableTransaction>(request))};
 }
 
 bool IsWrite(const TableRequest& request) {
--- a/platform/table_codec.h
+++ b/gateway/table_codec.h
@@ -4,18 +4,12 @@
 
 #include "common/table.h"
 #include "common/vm_list.h"
+#include "net/http_client.h"
 
 namespace jd {
 
-/// A request to the platform's HTTP interface.
-struct PlatformQuery {
-  bool is_post = false;
-  std::string target;  ///< Path and query.
-  std::string body;    ///< JSON of a transaction, else empty.
-};
-
 /// Returns the HTTP form of a table request.
-PlatformQuery ToPlatformQuery(const TableRequest& request);
+HttpCall ToPlatformQuery(const TableRequest& request);
 
 /// Returns whether the request may change the table.
 bool IsWrite(const TableRequest& request);
--- a/gateway/upstream_pool.cc
+++ b/gateway/upstream_pool.cc
@@ -11,31 +11,13 @@
 // Separates the ids of probes from those of attempts, which the dispatcher counts from 1.
 constexpr uint64_t kProbeBit = 1ULL << 63;
 
-std::optional<LoadReport> ReadReport(evhttp_request* response) {
-  const evkeyvalq* headers = evhttp_request_get_input_headers(response);
-  return ParseLoadReport(HeaderValue(headers, "x-load"),
-                         InstanceId(HeaderValue(headers, "x-instance-id")));
-}
+// An upstream that says when it closes an idle connection is not sent a request shortly before.
+constexpr Duration kIdleMargin = 1s;
+// Upstreams that do not say it close idle connections at times too.
+constexpr Duration kAssumedIdleTimeout = 5s;
 
-AttemptOutcome OutcomeOf(const HttpExchange& done) {
-  if (done.response == nullptr) {
-    return done.request_written ? AttemptOutcome::kConnectionLost : AttemptOutcome::kConnectFailed;
-  }
-  const evkeyvalq* headers = evhttp_request_get_input_headers(done.response.get());
-  return evhttp_request_get_response_code(done.response.get()) == 503 &&
-                 HeaderValue(headers, "x-refused") == "not-run"
-             ? AttemptOutcome::kRefused
-             : AttemptOutcome::kAnswered;
-}
-
-HttpHeaders HeadersOf(const UpstreamRequest& request,
-                      Duration timeout,
-                      const std::string& address) {
-  HttpHeaders headers = request.headers;
-  // The upstream is told whole milliseconds; rounding down keeps it within the caller's deadline,
-  // but 0 would tell it that the deadline has passed.
-  const int64_t millis = std::chrono::floor<std::chrono::milliseconds>(timeout).count();
-  headers.emplace_back("x-deadline-ms", std::to_string(std::max<int64_t>(millis, 1)));
+HttpHeaders HeadersOf(const HttpHeaders& callers, const std::string& address) {
+  HttpHeaders headers = callers;
   if (std::none_of(headers.begin(), headers.end(),
                    [](const auto& header) { return SameHeader(header.first, "Host"); })) {
     headers.emplace_back("Host", address);
@@ -45,9 +27,12 @@
 
 }  // namespace
 
-UpstreamPool::UpstreamPool(EventLoop* loop, const HttpConnection::Limits& limits)
+UpstreamPool::UpstreamPool(EventLoop* loop,
+                           const HttpConnection::Limits& limits,
+                           const HttpDialect* dialect)
     : loop_(loop),
       limits_(limits),
+      dialect_(dialect),
       deadline_timer_(loop, [this] { CheckDeadlines(); }),
       discard_timer_(loop, [this] { discarded_.clear(); }) {}
 
@@ -56,8 +41,9 @@
   if (configuration != nullptr) {
     for (const auto& [id, service] : configuration->services) {
       for (const Endpoint& endpoint : service.endpoints) {
-        targets[endpoint.id] = {endpoint.address, endpoint.port, endpoint.max_connections,
-                                service.health_path, id};
+        targets[endpoint.id] = {
+            endpoint.address, endpoint.port, endpoint.max_connections, service.health_path, id,
+            endpoint.instance};
       }
     }
   }
@@ -88,7 +74,8 @@
   while (!peer.idle.empty()) {
     LinkPtr link = std::move(peer.idle.back());
     peer.idle.pop_back();
-    if (link->http->usable() && !link->http->PeerClosed()) {
+    if (link->http->usable() && !link->http->PeerClosed() &&
+        loop_->ReadClocks().mono < link->idle_until) {
       return link;
     }
     Discard(std::move(link));
@@ -119,9 +106,7 @@
   request.target = "/";
   if (peer != peers_.end()) {
     request.target = peer->second.target.health_path;
-    // A server of several services needs the name, and its log shows which requests are probes.
-    request.headers = {{"x-service", peer->second.target.service.value},
-                       {"x-request-id", "probe-" + std::to_string(id)}};
+    request.headers = dialect_->ProbeHeaders(peer->second.target.service, id);
   }
   SendAttempt attempt;
   attempt.endpoint = probe.endpoint;
@@ -135,6 +120,7 @@
                          bool probe) {
   const MonoTime now = loop_->ReadClocks().mono;
   Exchange exchange;
+  exchange.request = request.request;
   exchange.is_probe = probe;
   exchange.sent = now;
   exchange.deadline = now + attempt.timeout;
@@ -142,15 +128,16 @@
   if (exchange.link == nullptr) {
     exchange.link = std::make_unique<Link>();
     exchange.link->endpoint = attempt.endpoint;
-    Report(id, exchange, {}, AttemptOutcome::kConnectFailed);
+    Report(id, exchange, {}, {AttemptOutcome::kConnectFailed, std::nullopt, std::nullopt});
     return;
   }
   HttpConnection* http = exchange.link->http.get();
   deadlines_.emplace(exchange.deadline, id);
   exchanges_.emplace(id, std::move(exchange));
   ScheduleDeadline();
-  const HttpHeaders headers =
-      HeadersOf(request, attempt.timeout, exchanges_.at(id).link->target.address);
+  const Target& target = exchanges_.at(id).link->target;
+  HttpHeaders headers = HeadersOf(request.headers, target.address);
+  dialect_->AddToAttempt({request.request, attempt.timeout, target.instance}, &headers);
   BufferPtr body;
   if (request.body != nullptr && evbuffer_get_length(request.body) > 0) {
     body.reset(evbuffer_new());
@@ -165,18 +152,28 @@
   assert(!node.empty());
   Exchange exchange = std::move(node.mapped());
   deadlines_.erase({exchange.deadline, id});
-  const AttemptOutcome outcome = OutcomeOf(done);
+  UpstreamReply reply;
+  if (done.response != nullptr) {
+    reply = dialect_->ReadReply(exchange.request, done.response.get());
+  } else {
+    reply.outcome =
+        done.request_written ? AttemptOutcome::kConnectionLost : AttemptOutcome::kConnectFailed;
+  }
   const EndpointId endpoint = exchange.link->endpoint;
   LinkPtr link = std::move(exchange.link);
   exchange.link = std::make_unique<Link>();
   exchange.link->endpoint = endpoint;
   exchange.link->opened = link->opened;
-  if (done.response != nullptr && link->http->usable()) {
+  // Bytes of an invalid response may belong to another request, so nothing else is read there.
+  if (done.response != nullptr && link->http->usable() &&
+      reply.outcome != AttemptOutcome::kInvalid) {
+    link->idle_until = loop_->ReadClocks().mono +
+                       reply.idle_timeout.value_or(kAssumedIdleTimeout + kIdleMargin) - kIdleMargin;
     ReturnLink(std::move(link));
   } else {
     Discard(std::move(link));
   }
-  Report(id, exchange, std::move(done), outcome);
+  Report(id, exchange, std::move(done), reply);
 }
 
 void UpstreamPool::ReturnLink(LinkPtr link) {
@@ -209,7 +206,7 @@
   exchange.link->endpoint = link->endpoint;
   exchange.link->opened = link->opened;
   Discard(std::move(link));
-  Report(id, exchange, std::move(done), outcome);
+  Report(id, exchange, std::move(done), {outcome, std::nullopt, std::nullopt});
 }
 
 void UpstreamPool::Cancel(AttemptId attempt) {
@@ -249,29 +246,25 @@
 void UpstreamPool::Report(uint64_t id,
                           const Exchange& exchange,
                           HttpExchange done,
-                          AttemptOutcome outcome) {
+                          const UpstreamReply& reply) {
   const Duration latency = loop_->ReadClocks().mono - exchange.sent;
   const int status =
       done.response == nullptr ? 0 : evhttp_request_get_response_code(done.response.get());
-  std::optional<LoadReport> report;
-  if (done.response != nullptr) {
-    report = ReadReport(done.response.get());
-  }
   if (exchange.is_probe) {
     probe_ended_.emit(
-        {exchange.link->endpoint, done.response != nullptr, status, latency, std::move(report)});
+        {exchange.link->endpoint, done.response != nullptr, status, latency, reply.report});
     return;
   }
   AttemptResult result;
   result.attempt = AttemptId(id);
-  result.outcome = outcome;
+  result.outcome = reply.outcome;
   result.status = status;
   result.latency = latency;
   result.request_written = done.request_written;
   result.response_started = done.response_started;
   result.new_connection = exchange.new_connection;
   result.connection_opened = exchange.link->opened;
-  result.report = std::move(report);
+  result.report = reply.report;
   attempt_ended_.emit(result, done.response);
 }
 
--- a/gateway/upstream_pool.h
+++ b/gateway/upstream_pool.h
@@ -14,8 +14,9 @@
 
 #include "cluster/node.h"
 #include "common/configuration.h"
-#include "platform/event_loop.h"
-#include "platform/http_connection.h"
+#include "gateway/http_dialect.h"
+#include "net/event_loop.h"
+#include "net/http_connection.h"
 #include "policy/attempt_result.h"
 #include "policy/call_action.h"
 
@@ -25,14 +26,15 @@
 struct UpstreamRequest {
   evhttp_cmd_type method = EVHTTP_REQ_GET;
   std::string target;
-  HttpHeaders headers;       ///< End to end, without x-deadline-ms.
+  RequestId request;
+  HttpHeaders headers;       ///< End to end, without those that the gateway writes itself.
   evbuffer* body = nullptr;  ///< Shared, not consumed; may be null.
 };
 
 /// The upstream side: connections to endpoints, one attempt at a time on each.
 class UpstreamPool {
  public:
-  UpstreamPool(EventLoop* loop, const HttpConnection::Limits& limits);
+  UpstreamPool(EventLoop* loop, const HttpConnection::Limits& limits, const HttpDialect* dialect);
 
   /// One per SendAttempt, also after CancelAttempt; the response is null unless one arrived whole.
   /// May be emitted before Send or Cancel returns.
@@ -59,12 +61,15 @@
     int32_t max_connections = 0;
     std::string health_path;
     ServiceId service;
+    InstanceId instance;
     bool operator==(const Target&) const = default;
   };
   struct Link {
     EndpointId endpoint;
     Target target;
     MonoTime opened;
+    /// No request is sent on it after this time, because the upstream is about to close it.
+    MonoTime idle_until = MonoTime::max();
     std::unique_ptr<HttpConnection> http;
   };
   using LinkPtr = std::unique_ptr<Link>;
@@ -76,6 +81,7 @@
   /// An attempt or a probe under way.
   struct Exchange {
     LinkPtr link;
+    RequestId request;
     bool is_probe = false;
     bool new_connection = false;
     MonoTime sent;
@@ -88,12 +94,13 @@
   void Discard(LinkPtr link);
   void OnDone(uint64_t id, HttpExchange done);
   void Abandon(uint64_t id, AttemptOutcome outcome);
-  void Report(uint64_t id, const Exchange& exchange, HttpExchange done, AttemptOutcome outcome);
+  void Report(uint64_t id, const Exchange& exchange, HttpExchange done, const UpstreamReply& reply);
   void CheckDeadlines();
   void ScheduleDeadline();
 
   EventLoop* loop_;
   HttpConnection::Limits limits_;
+  const HttpDialect* dialect_;
   std::map<EndpointId, Peer> peers_;
   std::unordered_map<uint64_t, Exchange> exchanges_;  ///< By attempt, or probe with kProbeBit.
   std::set<std::pair<MonoTime, uint64_t>> deadlines_;
--- a/platform/event_loop.cc
+++ b/net/event_loop.cc
@@ -1,4 +1,4 @@
-#include "platform/event_loop.h"
+#include "net/event_loop.h"
 
 #include <algorithm>
 #include <csignal>
--- a/platform/event_loop.h
+++ b/net/event_loop.h
@@ -5,7 +5,7 @@
 #include <functional>
 
 #include "common/now.h"
-#include "platform/libevent_ptr.h"
+#include "net/libevent_ptr.h"
 
 namespace jd {
 
--- /dev/null
+++ b/net/http_client.cc
@@ -0,0 +1,94 @@
+#include "net/http_client.h"
+
+#include <utility>
+
+namespace jd {
+namespace {
+
+// Enough for the requests of one gateway; more connections only cost the server memory.
+constexpr size_t kMaxIdle = 4;
+// A page of rows stays below this.
+constexpr int64_t kMaxReplyBytes = 64 << 20;
+constexpr int64_t kMaxHeaderBytes = 65536;
+
+std::string BodyText(evhttp_request* response) {
+  evbuffer* buffer = evhttp_request_get_input_buffer(response);
+  std::string text(evbuffer_get_length(buffer), '\0');
+  evbuffer_copyout(buffer, text.data(), text.size());
+  return text;
+}
+
+}  // namespace
+
+HttpClient::HttpClient(EventLoop* loop, std::string address, uint16_t port)
+    : loop_(loop),
+      address_(std::move(address)),
+      port_(port),
+      discard_timer_(loop, [this] { discarded_.clear(); }) {}
+
+std::unique_ptr<HttpConnection> HttpClient::TakeConnection() {
+  while (!idle_.empty()) {
+    std::unique_ptr<HttpConnection> connection = std::move(idle_.back());
+    idle_.pop_back();
+    if (connection->usable() && !connection->PeerClosed()) {
+      return connection;
+    }
+    Discard({std::move(connection), nullptr, nullptr});
+  }
+  auto connection = std::make_unique<HttpConnection>(
+      loop_->base(), address_, port_, HttpConnection::Limits{kMaxHeaderBytes, kMaxReplyBytes});
+  connection->KeepAlive();
+  return connection;
+}
+
+void HttpClient::Send(const HttpCall& call, Duration timeout, Done done) {
+  const uint64_t id = next_id_++;
+  Pending pending;
+  pending.connection = TakeConnection();
+  pending.timer = std::make_unique<Timer>(loop_, [this, id] { TimeOut(id); });
+  pending.timer->Schedule(timeout);
+  pending.done = std::move(done);
+  HttpConnection* connection = pending.connection.get();
+  pending_.emplace(id, std::move(pending));
+  HttpHeaders headers = {{"Host", address_ + ":" + std::to_string(port_)}};
+  BufferPtr body;
+  if (call.method != EVHTTP_REQ_GET) {
+    headers.emplace_back("Content-Type", "application/json");
+    body.reset(evbuffer_new());
+    evbuffer_add(body.get(), call.body.data(), call.body.size());
+  }
+  connection->Send(call.method, call.target, headers, body.get(),
+                   [this, id](const HttpExchange& exchange) { Finish(id, exchange); });
+}
+
+void HttpClient::Finish(uint64_t id, const HttpExchange& exchange) {
+  Pending pending = std::move(pending_.extract(id).mapped());
+  const Done done = std::move(pending.done);
+  pending.timer->Cancel();
+  if (exchange.response != nullptr && pending.connection->usable() && idle_.size() < kMaxIdle) {
+    idle_.push_back(std::move(pending.connection));
+  } else {
+    Discard(std::move(pending));
+  }
+  if (exchange.response == nullptr) {
+    done(0, {}, exchange.request_written);
+    return;
+  }
+  done(evhttp_request_get_response_code(exchange.response.get()), BodyText(exchange.response.get()),
+       true);
+}
+
+void HttpClient::TimeOut(uint64_t id) {
+  Pending pending = std::move(pending_.extract(id).mapped());
+  const Done done = std::move(pending.done);
+  const bool written = pending.connection->Abandon().request_written;
+  Discard(std::move(pending));
+  done(0, {}, written);
+}
+
+void HttpClient::Discard(Pending pending) {
+  discarded_.push_back(std::move(pending));
+  discard_timer_.ScheduleNow();
+}
+
+}  // namespace jd
--- a/platform/http_connection.cc
+++ b/net/http_connection.cc
@@ -1,4 +1,4 @@
-#include "platform/http_connection.h"
+#include "net/http_connection.h"
 
 #include <event2/bufferevent.h>
 #include <event2/http_struct.h>
@@ -11,6 +11,13 @@
 #include <stdexcept>
 
 namespace jd {
+namespace {
+
+// A silent peer is given up after about kKeepAliveSeconds * (1 + kKeepAliveProbes).
+constexpr int kKeepAliveSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
+
+}  // namespace
 
 std::string HeaderValue(const evkeyvalq* headers, const char* name) {
   const char* value = evhttp_find_header(headers, name);
@@ -69,6 +76,21 @@
   }
 }
 
+void HttpConnection::SetSocketOptions() {
+  const int descriptor = bufferevent_getfd(evhttp_connection_get_bufferevent(connection_.get()));
+  const auto set = [descriptor](int level, int option, int value) {
+    setsockopt(descriptor, level, option, &value, sizeof(value));
+  };
+  set(IPPROTO_TCP, TCP_NODELAY, 1);
+  if (keep_alive_) {
+    set(SOL_SOCKET, SO_KEEPALIVE, 1);
+    set(IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveSeconds);
+    set(IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveSeconds);
+    set(IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+    set(IPPROTO_TCP, TCP_USER_TIMEOUT, kKeepAliveSeconds * kKeepAliveProbes * 1000);
+  }
+}
+
 HttpExchange HttpConnection::Abandon() {
   done_ = nullptr;
   response_.reset();
@@ -124,9 +146,7 @@
   if (info->n_added > 0 && !self->opened_) {
     // Without this, Nagle's algorithm delays the second segment of a request by up to 40 ms.
     self->opened_ = true;
-    const int on = 1;
-    setsockopt(bufferevent_getfd(evhttp_connection_get_bufferevent(self->connection_.get())),
-               IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    self->SetSocketOptions();
   }
   // Bytes leave the buffer when the socket takes them, or when a failed connection is reset; the
   // second case counts as written too, which is the safe side.
--- a/platform/http_connection.h
+++ b/net/http_connection.h
@@ -11,7 +11,7 @@
 #include <utility>
 #include <vector>
 
-#include "platform/libevent_ptr.h"
+#include "net/libevent_ptr.h"
 
 namespace jd {
 
@@ -57,6 +57,8 @@
   /// @return what had happened so far.
   HttpExchange Abandon();
 
+  /// Lets the system find out within seconds that the peer no longer answers.
+  void KeepAlive() { keep_alive_ = true; }
   bool request_written() const { return request_written_; }
   bool response_started() const { return response_started_; }
   /// May carry another request: open, or not yet opened.
@@ -66,6 +68,7 @@
 
  private:
   void Finish(HttpExchange exchange);
+  void SetSocketOptions();
   static void OnResponse(evhttp_request* request, void* argument);
   static void OnReady(evutil_socket_t, short, void* argument);
   static void OnClose(evhttp_connection* connection, void* argument);
@@ -76,6 +79,7 @@
   HttpRequestPtr response_;  ///< Has arrived, and `done` is still to be called.
   LibeventPtr<event> ready_;
   bool opened_ = false;
+  bool keep_alive_ = false;
   bool usable_ = true;
   bool request_written_ = false;
   bool response_started_ = false;
--- a/policy/attempt.cc
+++ b/policy/attempt.cc
@@ -21,6 +21,8 @@
       return "connect_failed";
     case AttemptOutcome::kConnectionLost:
       return "connection_lost";
+    case AttemptOutcome::kInvalid:
+      return "invalid";
     case AttemptOutcome::kTimedOut:
       return "timed_out";
     case AttemptOutcome::kCancelled:
--- a/policy/attempt_result.h
+++ b/policy/attempt_result.h
@@ -15,6 +15,7 @@
   kRefused,         ///< The upstream said that it refused before running.
   kConnectFailed,   ///< No byte of the request was written.
   kConnectionLost,  ///< The connection ended after the request was written.
+  kInvalid,         ///< A response arrived that must not be relayed; the upstream may have run it.
   kTimedOut,        ///< The time limit passed without a whole response.
   kCancelled,       ///< The gateway gave the attempt up.
 };
@@ -37,6 +38,9 @@
   if (result.outcome == AttemptOutcome::kAnswered) {
     return Verdict::kRan;
   }
+  if (result.outcome == AttemptOutcome::kInvalid) {
+    return Verdict::kMayHaveRun;
+  }
   if (result.outcome == AttemptOutcome::kRefused || !result.request_written) {
     return Verdict::kNotRun;
   }
--- a/policy/call.cc
+++ b/policy/call.cc
@@ -28,6 +28,7 @@
               const Service& service,
               const Profile& profile,
               const Configuration& configuration,
+              Duration age,
               uint64_t sequence) {
   Call call;
   call.request = request;
@@ -39,6 +40,9 @@
                  profile.priority};
   call.arrival = now;
   call.deadline = now + std::min(profile.deadline, request.timeout.value_or(profile.deadline));
+  call.target = profile.target_latency == Duration(0)
+                    ? call.deadline
+                    : std::min(call.deadline, now + profile.target_latency - age);
   call.weight = ShareOf(request.workspace, service, configuration);
   call.idempotent = IsIdempotent(profile, request.method, request.path);
   call.sequence = sequence;
--- a/policy/call.h
+++ b/policy/call.h
@@ -28,6 +28,9 @@
   CallLimits limits;
   MonoTime arrival;
   MonoTime deadline;
+  /// An answer after this time is worth little to the caller; at most the deadline.
+  MonoTime target;
+  int stage = 0;        ///< Of measuring, see MeasuringPolicy.
   double weight = 1.0;  ///< Share of the caller's workspace.
   bool idempotent = false;
   uint64_t sequence = 0;  ///< Order of arrival.
@@ -49,13 +52,15 @@
   }
 };
 
-/// Makes a call under the service's profile.
+/// Makes a call under a profile.
+/// @param age how long the caller has waited before this call, in calls that were refused.
 /// @param sequence rises with each call of the gateway.
 Call MakeCall(MonoTime now,
               const CallRequest& request,
               const Service& service,
               const Profile& profile,
               const Configuration& configuration,
+              Duration age,
               uint64_t sequence);
 
 }  // namespace jd
--- a/policy/call_action.h
+++ b/policy/call_action.h
@@ -47,6 +47,12 @@
   MonoTime sent_before;
 };
 
+/// Asks an endpoint's health page; answered by one ProbeResult.
+struct SendProbe {
+  EndpointId endpoint;
+  Duration timeout{0};
+};
+
 /// Adds an event to the process's time line; the stamp and the gateway are filled in by the
 /// receiver.
 struct RecordEvent {
@@ -63,6 +69,7 @@
                                 AnswerCall,
                                 RefuseCall,
                                 CloseConnections,
+                                SendProbe,
                                 RecordEvent,
                                 AnnounceCrash>;
 using CallActions = std::vector<CallAction>;
--- a/policy/call_book.cc
+++ b/policy/call_book.cc
@@ -1,13 +1,27 @@
 #include "policy/call_book.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cassert>
 
+#include "common/route_table.h"
+
 namespace jd {
 namespace {
 
 /// Callers of a service without a usable endpoint, or whose attempts failed, may try again then.
 constexpr Duration kRetryAfterFailure = 1s;
+/// Before an upstream has answered, a call is taken to need this share of its target latency.
+constexpr double kAssumedWorkShare = 0.35;
+/// Refused callers are told to return after a share of the time they have left, drawn between
+/// these, so that they do not return together; callers ignore a longer time than the upper one.
+constexpr double kMinReturnShare = 0.15;
+constexpr double kMaxReturnShare = 0.33;
+
+uint64_t HashOf(const RequestId& request) {
+  return XXH3_64bits(request.value.data(), request.value.size());
+}
 
 void Record(EventKind kind,
             const RequestId& request,
@@ -57,6 +71,7 @@
   }
   for (const auto& [id, service] : configuration_->services) {
     ServiceState& state = services_[id];
+    state.budget.SetRate(retry_rate_);
     if (!state.viewed) {
       state.SetUsable(now, UsableOf(service, *configuration_));
     }
@@ -98,6 +113,13 @@
   state->second.SetUsable(now, std::move(usable));
 }
 
+void CallBook::SetRetryRate(double per_second) {
+  retry_rate_ = per_second;
+  for (auto& [id, state] : services_) {
+    state.budget.SetRate(per_second);
+  }
+}
+
 void CallBook::SetDegraded(const ServiceId& service, bool degraded) {
   const auto state = services_.find(service);
   if (state != services_.end()) {
@@ -116,23 +138,22 @@
               "The gateway has no configuration yet.", actions);
     return nullptr;
   }
-  const auto service = configuration_->services.find(request.service);
-  const auto profile = service == configuration_->services.end()
-                           ? configuration_->profiles.end()
-                           : configuration_->profiles.find(service->second.profile);
-  if (profile == configuration_->profiles.end()) {
-    RefuseNew(request, RefusalReason::kUnknownService, Duration(0), "No such service.", actions);
+  CallRequest resolved = request;
+  const Profile* profile = FindProfile(&resolved, actions);
+  if (profile == nullptr) {
     return nullptr;
   }
+  const Duration age =
+      request.timeout ? history_.AgeOf(resolved.profile, *request.timeout) : Duration(0);
   const auto [entry, added] = calls_.emplace(
-      request.id,
-      MakeCall(now, request, service->second, profile->second, *configuration_, next_sequence_++));
+      request.id, MakeCall(now, resolved, configuration_->services.at(resolved.service), *profile,
+                           *configuration_, age, next_sequence_++));
   assert(added);
   Call* call = &entry->second;
   ServiceState& state = StateOf(*call);
   ++state.calls;
   timers_.emplace(call->deadline, request.id, TimerKind::kDeadline);
-  Record(EventKind::kCallStarted, request.request, {}, request.service.value, actions);
+  Record(EventKind::kCallStarted, request.request, {}, resolved.service.value, actions);
   if (!MaySend(now, call, actions)) {
     return nullptr;
   }
@@ -140,6 +161,63 @@
   return call;
 }
 
+const Profile* CallBook::FindProfile(CallRequest* request, CallActions* actions) {
+  if (configuration_->routes != nullptr) {
+    const Route* route = configuration_->routes->Find(request->host, request->path);
+    if (route == nullptr) {
+      RefuseNew(*request, RefusalReason::kUnknownRoute, Duration(0), "No route matches.", actions);
+      return nullptr;
+    }
+    request->service = ChooseTarget(*route, HashOf(request->request));
+    request->profile = route->profile.id;
+    if (configuration_->services.contains(request->service)) {
+      return &route->profile;
+    }
+  } else {
+    const auto service = configuration_->services.find(request->service);
+    if (service != configuration_->services.end()) {
+      request->profile = service->second.profile;
+      const auto profile = configuration_->profiles.find(request->profile);
+      if (profile != configuration_->profiles.end()) {
+        return &profile->second;
+      }
+    }
+  }
+  RefuseNew(*request, RefusalReason::kUnknownService, Duration(0), "No such service.", actions);
+  return nullptr;
+}
+
+Duration CallBook::WorkOf(const Call& call) const {
+  const std::optional<Duration> work = history_.WorkOf(call.request.profile);
+  return work.value_or(Scale(call.target - call.arrival, kAssumedWorkShare));
+}
+
+void CallBook::BeginMeasuring(MonoTime now, Call* call) {
+  if (call->queued) {
+    StateOf(*call).load.OnDequeued(now);
+    Dequeue(call);
+  }
+}
+
+void CallBook::RefuseForLoad(MonoTime now, Call* call, RandomEngine& random, CallActions* actions) {
+  if (call->attempts > 0) {
+    Refuse(call, RefusalReason::kUpstreamFailed, kRetryAfterFailure,
+           "The attempt failed and no other endpoint has room.", actions);
+    return;
+  }
+  if (StateOf(*call).usable.empty()) {
+    Refuse(call, RefusalReason::kNoEndpoint, kRetryAfterFailure,
+           "The service has no usable endpoint.", actions);
+    return;
+  }
+  const Duration left =
+      call->arrival + call->request.timeout.value_or(call->deadline - call->arrival) - now;
+  const double share =
+      std::uniform_real_distribution<double>(kMinReturnShare, kMaxReturnShare)(random);
+  Refuse(call, RefusalReason::kOverload, Scale(left, share),
+         "No measured endpoint can finish the call in time.", actions);
+}
+
 void CallBook::Enqueue(MonoTime now, Call* call, CallActions* actions) {
   ServiceState& state = StateOf(*call);
   const QueuedCall queued = call->ToQueued();
@@ -261,6 +339,10 @@
   const auto state = services_.find(origin.service);
   if (state != services_.end() && result.outcome == AttemptOutcome::kAnswered) {
     state->second.load.OnAnswered(now, result.latency);
+    const Call* call = Find(origin.call);
+    if (call != nullptr && result.status < 300) {
+      history_.OnAnswered(call->request.profile, result.latency);
+    }
   }
   Record(EventKind::kAttemptEnded, origin.request, origin.endpoint,
          std::string(VerdictName(ended->verdict)), actions);
--- a/policy/call_book.h
+++ b/policy/call_book.h
@@ -10,9 +10,11 @@
 #include <vector>
 
 #include "common/configuration.h"
+#include "common/random.h"
 #include "policy/attempt_book.h"
 #include "policy/call.h"
 #include "policy/call_action.h"
+#include "policy/call_history.h"
 #include "policy/routing_policy.h"
 #include "policy/service_state.h"
 
@@ -35,6 +37,15 @@
   /// Lets a call wait for its next attempt. It was admitted before, so the queue's limit does not
   /// apply.
   void Requeue(Call* call);
+  /// Takes a call out of its queue while endpoints are measured for it.
+  void BeginMeasuring(MonoTime now, Call* call);
+  /// Refuses a call for which no measured endpoint has room, or lets the attempts that it made
+  /// speak for themselves.
+  void RefuseForLoad(MonoTime now, Call* call, RandomEngine& random, CallActions* actions);
+  /// Returns the time that an upstream at its usual speed needs for such a call.
+  Duration WorkOf(const Call& call) const;
+  /// Returns the call, or null if it has ended.
+  Call* Find(CallId id);
   /// Returns the next waiting call of a service that is not skipped, or null.
   Call* NextWaiting(const ServiceId& service, const std::vector<CallId>& skipped);
   bool HasWaiting(const ServiceId& service) const;
@@ -49,6 +60,8 @@
   std::optional<EndedAttempt> EndAttempt(MonoTime now,
                                          const AttemptResult& result,
                                          CallActions* actions);
+  /// Sets the retries per second that each service has besides its share of calls.
+  void SetRetryRate(double per_second);
   /// Draws the consequences for the attempt's call. @return the call if it is to be sent again.
   Call* Resolve(MonoTime now, const EndedAttempt& ended, CallActions* actions);
   void CallerGone(CallId id, CallActions* actions);
@@ -72,7 +85,10 @@
 
   /// Drops what is known of endpoints that the present configuration no longer has.
   void ForgetEndpoints(const Configuration& previous);
-  Call* Find(CallId id);
+  /// Finds the service and the profile of a new call.
+  /// @param request its service and profile are set.
+  /// @return null if the call was refused.
+  const Profile* FindProfile(CallRequest* request, CallActions* actions);
   ServiceState& StateOf(const Call& call) { return services_.at(call.request.service); }
   const ServiceState& StateOf(const Call& call) const { return services_.at(call.request.service); }
   void Push(Call* call);
@@ -98,11 +114,13 @@
 
   ConfigurationPtr configuration_;
   bool stopping_ = false;
+  double retry_rate_ = RetryBudget::kPerSecond;
   uint64_t next_sequence_ = 1;
   std::unordered_map<CallId, Call> calls_;
   std::map<ServiceId, ServiceState> services_;
   std::set<Timer> timers_;
   std::set<ServiceId> queue_changed_;
+  CallHistory history_;
   AttemptBook attempts_;
 };
 
--- /dev/null
+++ b/policy/call_history.cc
@@ -0,0 +1,40 @@
+#include "policy/call_history.h"
+
+#include <algorithm>
+
+namespace jd {
+namespace {
+
+// Fast answers count more than slow ones, which include time in an upstream's queue.
+constexpr double kFasterWeight = 0.2;
+constexpr double kSlowerWeight = 0.05;
+// Differences below this come from clocks and transport, not from a caller that came back.
+constexpr Duration kMinAge = 20ms;
+
+}  // namespace
+
+void CallHistory::OnAnswered(const ProfileId& profile, Duration latency) {
+  Duration& work = known_[profile].work;
+  if (work == Duration(0)) {
+    work = latency;
+    return;
+  }
+  work += Scale(latency - work, latency < work ? kFasterWeight : kSlowerWeight);
+}
+
+std::optional<Duration> CallHistory::WorkOf(const ProfileId& profile) const {
+  const auto known = known_.find(profile);
+  if (known == known_.end() || known->second.work == Duration(0)) {
+    return std::nullopt;
+  }
+  return known->second.work;
+}
+
+Duration CallHistory::AgeOf(const ProfileId& profile, Duration left) {
+  Duration& longest = known_[profile].longest;
+  longest = std::max(longest, left);
+  const Duration age = longest - left;
+  return age < kMinAge ? Duration(0) : age;
+}
+
+}  // namespace jd
--- a/policy/call_request.h
+++ b/policy/call_request.h
@@ -13,7 +13,9 @@
   CallId id;
   RequestId request;
   WorkspaceId workspace;
-  ServiceId service;
+  ServiceId service;  ///< Empty if it follows from host and path.
+  ProfileId profile;  ///< Set on admission.
+  std::string host;
   std::string method;
   std::string path;
   /// Hash of method, path and body, for recognising a request that crashes upstreams.
--- a/policy/dispatcher.h
+++ b/policy/dispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <utility>
@@ -11,6 +12,7 @@
 #include "policy/call_action.h"
 #include "policy/call_book.h"
 #include "policy/call_request.h"
+#include "policy/probe_rounds.h"
 #include "policy/routing_policy.h"
 
 namespace jd {
@@ -45,6 +47,8 @@
   /// The caller closed its connection; the call's attempts are cancelled.
   void OnCallerGone(MonoTime now, CallId call, CallActions* actions);
   void OnAttemptResult(MonoTime now, const AttemptResult& result, CallActions* actions);
+  /// Takes in the end of a probe that SendProbe asked for.
+  void OnProbeResult(MonoTime now, const ProbeResult& result, CallActions* actions);
   /// Sends waiting calls for which the policy has a slot now; called after grants and view changes.
   void OnCapacity(MonoTime now, CallActions* actions);
   /// Handles deadlines and hedges that are due.
@@ -53,19 +57,31 @@
   void Stop() { book_.Stop(); }
 
   /// Returns when OnTimer is due next, or nothing.
-  std::optional<MonoTime> next_timer() const { return book_.next_timer(); }
+  std::optional<MonoTime> next_timer() const;
+  /// Sets the retries per second that each service has besides its share of calls.
+  void SetRetryRate(double per_second) { book_.SetRetryRate(per_second); }
   size_t calls() const { return book_.calls(); }
   /// Returns the attempts whose result is still to come, including those of calls that have ended.
   size_t attempts() const { return book_.attempts(); }
 
  private:
-  enum class SendOutcome : uint8_t { kSent, kNoSlot, kCallEnded };
+  enum class SendOutcome : uint8_t { kSent, kMeasuring, kNoSlot, kCallEnded };
+  /// Of measuring: the own zone first, then the others.
+  static constexpr int kStages = 2;
+  /// A measuring probe that takes longer says that the endpoint is no good choice now.
+  static constexpr Duration kProbeTimeout = 150ms;
   /// Calls that are sent again may find only endpoints that they must avoid; this many are passed
   /// over in favour of calls behind them.
   static constexpr size_t kMaxSkipped = 8;
 
   SendOutcome TrySend(MonoTime now, Call* call, CallActions* actions);
   void Hedge(MonoTime now, Call* call, CallActions* actions);
+  bool Measures() const;
+  AcquireRequest RequestFor(const Call& call) const;
+  /// Probes candidates for a call, or ends it if there are none.
+  void Measure(MonoTime now, Call* call, CallActions* actions);
+  /// Sends a call by what was measured, measures further endpoints, or refuses it.
+  void Decide(MonoTime now, CallId id, CallActions* actions);
   void Serve(MonoTime now, const ServiceId& service, CallActions* actions);
   /// Tells the policy about queues that changed.
   void TellWaiting(MonoTime now);
@@ -74,6 +90,7 @@
   Policy* policy_;
   RandomEngine random_;
   CallBook book_;
+  ProbeRounds rounds_;
 };
 
 template <RoutingPolicy Policy>
@@ -83,12 +100,13 @@
     return;
   }
   // A new call never overtakes waiting ones, but it may be the next in order among them.
-  const bool waiting = book_.HasWaiting(request.service);
+  const bool waiting = book_.HasWaiting(call->request.service);
+  const ServiceId service = call->request.service;
   if (waiting || TrySend(now, call, actions) == SendOutcome::kNoSlot) {
     book_.Enqueue(now, call, actions);
   }
   if (waiting) {
-    Serve(now, request.service, actions);
+    Serve(now, service, actions);
   }
   TellWaiting(now);
 }
@@ -134,6 +152,9 @@
   while (Call* call = book_.TakeDue(now, actions)) {
     Hedge(now, call, actions);
   }
+  for (const CallId id : rounds_.TakeDue(now)) {
+    Decide(now, id, actions);
+  }
   TellWaiting(now);
 }
 
@@ -142,8 +163,12 @@
   if (!book_.MaySend(now, call, actions)) {
     return SendOutcome::kCallEnded;
   }
-  const AcquireRequest request{call->request.service, zone_, call->deadline, book_.Excluded(*call)};
-  const std::optional<EndpointId> endpoint = policy_->Acquire(now, request, random_);
+  if (Measures()) {
+    call->stage = 0;
+    Measure(now, call, actions);
+    return SendOutcome::kMeasuring;
+  }
+  const std::optional<EndpointId> endpoint = policy_->Acquire(now, RequestFor(*call), random_);
   if (!endpoint) {
     return SendOutcome::kNoSlot;
   }
@@ -151,9 +176,80 @@
   return SendOutcome::kSent;
 }
 
+template <RoutingPolicy Policy>
+bool Dispatcher<Policy>::Measures() const {
+  if constexpr (requires { policy_->measures(); }) {
+    return policy_->measures();
+  } else {
+    return MeasuringPolicy<Policy>;
+  }
+}
+
+template <RoutingPolicy Policy>
+AcquireRequest Dispatcher<Policy>::RequestFor(const Call& call) const {
+  return {call.request.service, zone_, call.deadline, call.target, book_.WorkOf(call),
+          book_.Excluded(call)};
+}
+
+template <RoutingPolicy Policy>
+void Dispatcher<Policy>::Measure(MonoTime now, Call* call, CallActions* actions) {
+  if constexpr (MeasuringPolicy<Policy>) {
+    book_.BeginMeasuring(now, call);
+    const AcquireRequest request = RequestFor(*call);
+    std::vector<EndpointId> candidates;
+    for (; call->stage < kStages && candidates.empty(); ++call->stage) {
+      candidates = policy_->Candidates(now, request, call->stage, random_);
+    }
+    if (candidates.empty()) {
+      book_.RefuseForLoad(now, call, random_, actions);
+      return;
+    }
+    rounds_.Start(now, call->request.id, candidates);
+    for (const EndpointId& endpoint : candidates) {
+      actions->push_back(SendProbe{endpoint, kProbeTimeout});
+    }
+  }
+}
+
+template <RoutingPolicy Policy>
+void Dispatcher<Policy>::Decide(MonoTime now, CallId id, CallActions* actions) {
+  Call* call = book_.Find(id);
+  if (call == nullptr || !book_.MaySend(now, call, actions)) {
+    return;
+  }
+  const std::optional<EndpointId> endpoint = policy_->Acquire(now, RequestFor(*call), random_);
+  if (endpoint) {
+    book_.Send(now, call, *endpoint, actions);
+  } else {
+    Measure(now, call, actions);
+  }
+}
+
+template <RoutingPolicy Policy>
+void Dispatcher<Policy>::OnProbeResult(MonoTime now,
+                                       const ProbeResult& result,
+                                       CallActions* actions) {
+  if constexpr (MeasuringPolicy<Policy>) {
+    const bool decides = policy_->OnProbe(now, result);
+    for (const CallId id : rounds_.OnProbe(result.endpoint, result.answered, decides)) {
+      Decide(now, id, actions);
+    }
+  }
+}
+
+template <RoutingPolicy Policy>
+std::optional<MonoTime> Dispatcher<Policy>::next_timer() const {
+  std::optional<MonoTime> next = book_.next_timer();
+  if (const std::optional<MonoTime> round = rounds_.next_timer()) {
+    next = std::min(next.value_or(*round), *round);
+  }
+  return next;
+}
+
 template <RoutingPolicy Policy>
 void Dispatcher<Policy>::Hedge(MonoTime now, Call* call, CallActions* actions) {
-  const AcquireRequest request{call->request.service, zone_, call->deadline, call->tried};
+  AcquireRequest request = RequestFor(*call);
+  request.excluded = call->tried;
   const std::optional<EndpointId> endpoint = policy_->Acquire(now, request, random_);
   if (!endpoint) {
     book_.AbandonHedge(call);
--- /dev/null
+++ b/policy/fresh_load.cc
@@ -0,0 +1,236 @@
+#include "policy/fresh_load.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace jd {
+namespace {
+
+// Many upstreams slow down once more than this share of their slots is busy.
+constexpr double kNearlyFull = 0.8;
+constexpr double kNearlyFullFactor = 1.7;
+// The speed of an upstream changes several times a second, so a slow phase delays a call by no more
+// than about this.
+constexpr Duration kSlowPhase = 150ms;
+// An upstream that failed is asked again after this time, which doubles with each further failure.
+constexpr Duration kFirstBackoff = 250ms;
+constexpr int32_t kMaxBackoffDoublings = 3;
+// Failures in a row before an endpoint is passed over; one may be the request's fault.
+constexpr int32_t kToleratedFailures = 1;
+
+bool IsFailure(const AttemptResult& result) {
+  switch (result.outcome) {
+    case AttemptOutcome::kConnectFailed:
+    case AttemptOutcome::kConnectionLost:
+    case AttemptOutcome::kInvalid:
+    case AttemptOutcome::kTimedOut:
+      return true;
+    case AttemptOutcome::kAnswered:
+      return result.status >= 500;
+    case AttemptOutcome::kRefused:
+    case AttemptOutcome::kCancelled:
+      return false;
+  }
+  return false;
+}
+
+}  // namespace
+
+std::vector<EndpointId> FreshLoad::Candidates(MonoTime now,
+                                              const AcquireRequest& request,
+                                              int stage,
+                                              RandomEngine& random) {
+  struct Ranked {
+    double rank;
+    const EndpointView* endpoint;
+  };
+  const auto service = services_.find(request.service);
+  if (service == services_.end()) {
+    return {};
+  }
+  std::vector<Ranked> ranked;
+  for (const EndpointView& endpoint : service->second.endpoints) {
+    const bool own_zone = endpoint.zone == request.zone;
+    if (own_zone != (stage == 0) || !Usable(now, endpoint) ||
+        std::find(request.excluded.begin(), request.excluded.end(), endpoint.id) !=
+            request.excluded.end()) {
+      continue;
+    }
+    const double jitter = std::uniform_real_distribution<double>(0, 0.2)(random);
+    ranked.push_back({RankOf(now, seen_.at(endpoint.id)) + jitter, &endpoint});
+  }
+  const size_t count = std::min(kCandidates, ranked.size());
+  std::partial_sort(ranked.begin(), ranked.begin() + static_cast<ptrdiff_t>(count), ranked.end(),
+                    [](const Ranked& a, const Ranked& b) { return a.rank < b.rank; });
+  std::vector<EndpointId> candidates;
+  for (size_t i = 0; i < count; ++i) {
+    candidates.push_back(ranked[i].endpoint->id);
+  }
+  return candidates;
+}
+
+bool FreshLoad::OnProbe(MonoTime now, const ProbeResult& result) {
+  const auto found = seen_.find(result.endpoint);
+  if (found == seen_.end()) {
+    return false;
+  }
+  Seen& seen = found->second;
+  if (!result.answered) {
+    Fail(now, &seen);
+    return false;
+  }
+  seen.healthy = result.status >= 200 && result.status < 300;
+  if (seen.healthy && seen.failures <= kToleratedFailures) {
+    seen.failures = 0;
+  }
+  if (!result.report) {
+    return false;
+  }
+  OnLoadReport(now, result.endpoint, *result.report);
+  const LoadReport& report = *result.report;
+  return seen.healthy && report.cold_for == Duration(0) && report.waiting == 0 &&
+         report.slowdown_percent <= LoadReport::kUsualSpeed &&
+         report.in_flight + 1 <= kNearlyFull * std::max(report.slots, 1);
+}
+
+std::optional<EndpointId> FreshLoad::Acquire(MonoTime now,
+                                             const AcquireRequest& request,
+                                             RandomEngine& random) {
+  const auto service = services_.find(request.service);
+  if (service == services_.end()) {
+    return std::nullopt;
+  }
+  const EndpointView* best = nullptr;
+  Duration best_finish{0};
+  int ties = 0;
+  for (const EndpointView& endpoint : service->second.endpoints) {
+    const Seen& seen = seen_.at(endpoint.id);
+    if (!Usable(now, endpoint) || !seen.has_report || !seen.healthy || now - seen.at > kFreshFor ||
+        now < seen.cold_until ||
+        std::find(request.excluded.begin(), request.excluded.end(), endpoint.id) !=
+            request.excluded.end()) {
+      continue;
+    }
+    const Duration finish = FinishOf(seen, endpoint, request.work);
+    const bool in_time = now + finish <= request.target;
+    const bool free_slot = seen.report.in_flight + seen.sent_since < endpoint.slots;
+    if (!in_time && !(free_slot && now + finish <= request.deadline)) {
+      continue;
+    }
+    if (best == nullptr || finish < best_finish) {
+      best = &endpoint;
+      best_finish = finish;
+      ties = 1;
+    } else if (finish == best_finish && random() % static_cast<uint64_t>(++ties) == 0) {
+      best = &endpoint;
+    }
+  }
+  if (best == nullptr) {
+    return std::nullopt;
+  }
+  Seen& seen = seen_.at(best->id);
+  ++seen.sent_since;
+  ++seen.in_flight;
+  return best->id;
+}
+
+void FreshLoad::Release(MonoTime now, const EndpointId& endpoint, const AttemptResult& result) {
+  const auto found = seen_.find(endpoint);
+  if (found == seen_.end()) {
+    return;
+  }
+  Seen& seen = found->second;
+  seen.in_flight = std::max(seen.in_flight - 1, 0);
+  if (IsFailure(result)) {
+    Fail(now, &seen);
+  } else if (result.outcome == AttemptOutcome::kAnswered) {
+    seen.failures = 0;
+  }
+}
+
+void FreshLoad::SetService(MonoTime, const ServiceView& view) {
+  ServiceView& known = services_[view.id];
+  for (const EndpointView& endpoint : known.endpoints) {
+    const bool stays =
+        std::any_of(view.endpoints.begin(), view.endpoints.end(),
+                    [&](const EndpointView& other) { return other.id == endpoint.id; });
+    if (!stays) {
+      seen_.erase(endpoint.id);
+    }
+  }
+  known = view;
+  for (const EndpointView& endpoint : view.endpoints) {
+    seen_.try_emplace(endpoint.id);
+  }
+}
+
+void FreshLoad::RemoveService(MonoTime, const ServiceId& service) {
+  const auto known = services_.extract(service);
+  if (known.empty()) {
+    return;
+  }
+  for (const EndpointView& endpoint : known.mapped().endpoints) {
+    seen_.erase(endpoint.id);
+  }
+}
+
+void FreshLoad::OnLoadReport(MonoTime now, const EndpointId& endpoint, const LoadReport& report) {
+  const auto found = seen_.find(endpoint);
+  if (found == seen_.end()) {
+    return;
+  }
+  Seen& seen = found->second;
+  seen.report = report;
+  seen.has_report = true;
+  seen.at = now;
+  seen.sent_since = 0;
+  seen.cold_until = now + report.cold_for;
+}
+
+bool FreshLoad::Usable(MonoTime now, const EndpointView& endpoint) const {
+  const Seen& seen = seen_.at(endpoint.id);
+  return endpoint.usable && now >= seen.retry_at;
+}
+
+double FreshLoad::RankOf(MonoTime now, const Seen& seen) const {
+  double rank = static_cast<double>(seen.in_flight) + static_cast<double>(seen.failures);
+  if (!seen.healthy) {
+    rank += 4.0;
+  }
+  if (now < seen.cold_until) {
+    rank += 8.0;
+  }
+  if (seen.has_report && now - seen.at < kSlowPhase) {
+    rank += static_cast<double>(seen.report.slowdown_percent) / LoadReport::kUsualSpeed - 1.0;
+    rank += static_cast<double>(seen.report.in_flight + seen.report.waiting) /
+            std::max(seen.report.slots, 1);
+  }
+  return rank;
+}
+
+Duration FreshLoad::FinishOf(const Seen& seen, const EndpointView& endpoint, Duration work) const {
+  const int32_t slots = std::max(endpoint.slots, 1);
+  const int32_t ahead = seen.report.in_flight + seen.report.waiting + seen.sent_since;
+  const double slowdown =
+      static_cast<double>(std::max(seen.report.slowdown_percent, 1)) / LoadReport::kUsualSpeed;
+  Duration finish = std::min(Scale(work, slowdown), work + kSlowPhase);
+  if (ahead + 1 > kNearlyFull * slots) {
+    finish = Scale(finish, kNearlyFullFactor);
+  }
+  if (ahead >= slots) {
+    finish += Scale(work, static_cast<double>(ahead - slots + 1) / slots);
+  }
+  // Of two free endpoints the emptier one is better, though both would start at once.
+  return finish + Scale(work, 0.1 * ahead / slots);
+}
+
+void FreshLoad::Fail(MonoTime now, Seen* seen) {
+  ++seen->failures;
+  if (seen->failures > kToleratedFailures) {
+    const int32_t doublings =
+        std::min(seen->failures - kToleratedFailures - 1, kMaxBackoffDoublings);
+    seen->retry_at = now + kFirstBackoff * (1 << doublings);
+  }
+}
+
+}  // namespace jd
--- a/policy/policy_variant.cc
+++ b/policy/policy_variant.cc
@@ -56,6 +56,38 @@
   std::visit([&](auto& policy) { policy.OnLoadReport(now, endpoint, report); }, policy_);
 }
 
+bool PolicyVariant::measures() const {
+  return std::visit(
+      [](const auto& policy) { return MeasuringPolicy<std::decay_t<decltype(policy)>>; }, policy_);
+}
+
+std::vector<EndpointId> PolicyVariant::Candidates(MonoTime now,
+                                                  const AcquireRequest& request,
+                                                  int stage,
+                                                  RandomEngine& random) {
+  return std::visit(
+      [&](auto& policy) -> std::vector<EndpointId> {
+        if constexpr (MeasuringPolicy<std::decay_t<decltype(policy)>>) {
+          return policy.Candidates(now, request, stage, random);
+        } else {
+          return {};
+        }
+      },
+      policy_);
+}
+
+bool PolicyVariant::OnProbe(MonoTime now, const ProbeResult& result) {
+  return std::visit(
+      [&](auto& policy) {
+        if constexpr (MeasuringPolicy<std::decay_t<decltype(policy)>>) {
+          return policy.OnProbe(now, result);
+        } else {
+          return false;
+        }
+      },
+      policy_);
+}
+
 std::string_view PolicyVariant::name() const {
   return std::visit([](const auto& policy) { return std::decay_t<decltype(policy)>::kName; },
                     policy_);
--- a/policy/policy_variant.h
+++ b/policy/policy_variant.h
@@ -5,6 +5,7 @@
 #include <utility>
 #include <variant>
 
+#include "policy/fresh_load.h"
 #include "policy/least_request.h"
 #include "policy/local_slots.h"
 #include "policy/reported_load.h"
@@ -17,7 +18,8 @@
 /// One of the routing policies, chosen at run time by name.
 class PolicyVariant {
  public:
-  using Alternatives = std::variant<LocalSlots, RoundRobin, LeastRequest, ReportedLoad, SlotHolder>;
+  using Alternatives =
+      std::variant<LocalSlots, RoundRobin, LeastRequest, ReportedLoad, SlotHolder, FreshLoad>;
   static constexpr std::string_view kName = "variant";
 
   explicit PolicyVariant(Alternatives policy) : policy_(std::move(policy)) {}
@@ -33,6 +35,15 @@
   void SetWaiting(MonoTime now, const ServiceId& service, int32_t waiting);
   void OnLoadReport(MonoTime now, const EndpointId& endpoint, const LoadReport& report);
 
+  /// Returns whether the policy held probes endpoints before each call; if not, Candidates returns
+  /// none.
+  bool measures() const;
+  std::vector<EndpointId> Candidates(MonoTime now,
+                                     const AcquireRequest& request,
+                                     int stage,
+                                     RandomEngine& random);
+  bool OnProbe(MonoTime now, const ProbeResult& result);
+
   /// Returns the name of the policy held.
   std::string_view name() const;
   /// Returns the policy held if it is a P, otherwise null.
@@ -45,6 +56,6 @@
   Alternatives policy_;
 };
 
-static_assert(RoutingPolicy<PolicyVariant>);
+static_assert(MeasuringPolicy<PolicyVariant>);
 
 }  // namespace jd
--- a/policy/refusal.cc
+++ b/policy/refusal.cc
@@ -6,6 +6,8 @@
   switch (reason) {
     case RefusalReason::kUnknownService:
       return "unknown-service";
+    case RefusalReason::kUnknownRoute:
+      return "unknown-route";
     case RefusalReason::kNotReady:
       return "not-ready";
     case RefusalReason::kShuttingDown:
@@ -31,6 +33,7 @@
 int RefusalStatus(RefusalReason reason, Verdict verdict) {
   switch (reason) {
     case RefusalReason::kUnknownService:
+    case RefusalReason::kUnknownRoute:
       return 404;
     case RefusalReason::kOverload:
       return 429;
--- a/policy/refusal.h
+++ b/policy/refusal.h
@@ -11,6 +11,7 @@
 
 enum class RefusalReason : uint8_t {
   kUnknownService,    ///< No such service, or its profile is missing.
+  kUnknownRoute,      ///< No route matches the host and path.
   kNotReady,          ///< The gateway has no configuration yet.
   kShuttingDown,      ///< The gateway is stopping.
   kOverload,          ///< The queue is full or the workspace exceeds its share.
--- a/policy/retry_budget.cc
+++ b/policy/retry_budget.cc
@@ -13,7 +13,8 @@
   const double seconds = static_cast<double>((now - last_).count()) / 1e6;
   last_ = now;
   recent_ *= std::exp(-seconds * 1e6 / static_cast<double>(kMemory.count()));
-  tokens_ = std::min(tokens_ + seconds * kPerSecond, kPerSecond + recent_);
+  // A rate below one per second must still allow a whole retry at times.
+  tokens_ = std::min(tokens_ + seconds * per_second_, std::max(per_second_, 1.0) + recent_);
 }
 
 void RetryBudget::OnCall(MonoTime now, double share) {
--- a/policy/retry_budget.h
+++ b/policy/retry_budget.h
@@ -17,6 +17,8 @@
   void OnCall(MonoTime now, double share);
   /// Takes one retry or hedge. @return false if the budget is used up.
   bool TryTake(MonoTime now);
+  /// Sets the retries per second besides the share of calls; kPerSecond at first.
+  void SetRate(double per_second) { per_second_ = per_second; }
   /// Gives back one that was taken but not sent.
   void Return() { tokens_ += 1.0; }
 
@@ -25,6 +27,7 @@
 
   MonoTime last_;
   bool started_ = false;
+  double per_second_ = kPerSecond;
   double tokens_ = kPerSecond;
   double recent_ = 0;  ///< Tokens earned by calls, decaying over kMemory.
 };
--- a/policy/routing_policy.h
+++ b/policy/routing_policy.h
@@ -10,6 +10,7 @@
 #include "common/random.h"
 #include "common/units.h"
 #include "policy/attempt_result.h"
+#include "policy/probe_result.h"
 
 namespace jd {
 
@@ -34,8 +35,10 @@
   ServiceId service;
   ZoneId zone;  ///< The gateway's own zone, preferred.
   MonoTime deadline;
+  MonoTime target;   ///< An answer after this time is worth little; at most the deadline.
+  Duration work{0};  ///< Usual time that an upstream needs for such a call.
   /// Endpoints that this call has already tried.
-  std::vector<EndpointId> excluded;
+  std::vector<EndpointId> excluded = {};
 };
 
 /// Chooses endpoints and accounts for their slots on one gateway.
@@ -64,4 +67,19 @@
   { P::kName } -> std::convertible_to<std::string_view>;
 };
 
+/// A routing policy that has endpoints probed before each call: Candidates names them, OnProbe
+/// takes in each answer, and Acquire then decides.
+template <typename P>
+concept MeasuringPolicy = RoutingPolicy<P> && requires(P policy,
+                                                       MonoTime now,
+                                                       const AcquireRequest& request,
+                                                       int stage,
+                                                       RandomEngine& random,
+                                                       const ProbeResult& result) {
+  /// Returns the endpoints to ask in this stage; none if the stage has none.
+  { policy.Candidates(now, request, stage, random) } -> std::same_as<std::vector<EndpointId>>;
+  /// Returns whether a call may be sent on this answer alone.
+  { policy.OnProbe(now, result) } -> std::same_as<bool>;
+};
+
 }  // namespace jd
--- a/tests/call_world.h
+++ b/tests/call_world.h
@@ -87,6 +87,7 @@
   void Take(const RefuseCall& refuse);
   void Take(const CloseConnections& close) { closed.push_back(close); }
   void Take(const RecordEvent&) {}
+  void Take(const SendProbe&) {}
   void Take(const AnnounceCrash& crash) { announced.push_back(crash.fingerprint); }
 
   int endpoints_;
--- a/tests/caller_server_test.cc
+++ b/tests/caller_server_test.cc
@@ -10,7 +10,7 @@
 
 // The callers' side alone; the test decides how each call ends.
 struct Fixture {
-  Fixture() : server(&loop, Parse(), 1) {
+  Fixture() : server(&loop, Parse(), 1, &dialect) {
     server.call_arrived().connect([this](const CallRequest& call) { calls.push_back(call); });
   }
   static Settings Parse() {
@@ -40,6 +40,7 @@
   }
 
   EventLoop loop;
+  NativeDialect dialect;
   CallerServer server;
   std::vector<CallRequest> calls;
 };
--- a/tests/fuzz.cc
+++ b/tests/fuzz.cc
@@ -21,7 +21,7 @@
 #include "common/state_chart.h"
 #include "gateway/header_rules.h"
 #include "gateway/settings.h"
-#include "platform/table_codec.h"
+#include "gateway/table_codec.h"
 #include "rpc/convert.h"
 #include "rpc/frame.h"
 
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -11,7 +11,8 @@
 struct GatewayFixture {
   /// @param extra TOML, for example the table [limits].
   explicit GatewayFixture(const std::string& extra = "")
-      : upstream(&loop), gateway(&loop, ParseSettings(SettingsText(extra), "test.toml"), 1) {
+      : upstream(&loop),
+        gateway(&loop, ParseSettings(SettingsText(extra), "test.toml"), 1, &dialect) {
     gateway.stopped().connect([this] { stopped = true; });
     gateway.Start();
   }
@@ -58,6 +59,7 @@
 
   EventLoop loop;
   TextServer upstream;
+  NativeDialect dialect;
   Gateway gateway;
   bool stopped = false;
 };
--- a/tests/http_harness.h
+++ b/tests/http_harness.h
@@ -13,7 +13,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/event_loop.h"
+#include "net/event_loop.h"
 
 namespace jd {
 
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "platform/platform_client.h"
+#include "gateway/platform_client.h"
 #include "tests/http_harness.h"
 
 namespace jd {
--- a/tests/process_test.cc
+++ b/tests/process_test.cc
@@ -49,7 +49,7 @@
     const char* arguments[] = {program.c_str(), "gateway", "--config", settings.c_str(), nullptr};
     posix_spawn_file_actions_t files;
     posix_spawn_file_actions_init(&files);
-    posix_spawn_file_actions_addopen(&files, STDERR_FILENO, log.c_str(),
+    posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log.c_str(),
                                      O_WRONLY | O_CREAT | O_TRUNC, 0600);
     const int error = posix_spawn(&pid_, program.c_str(), &files, nullptr,
                                   const_cast<char* const*>(arguments), environ);
--- a/tests/upstream_test.cc
+++ b/tests/upstream_test.cc
@@ -8,7 +8,7 @@
 
 // A pool with one endpoint "e" at a server that the test answers by hand.
 struct Fixture {
-  Fixture() : server(&loop), pool(&loop, HttpConnection::Limits()) {
+  Fixture() : server(&loop), pool(&loop, HttpConnection::Limits(), &dialect) {
     Configure(4);
     pool.attempt_ended().connect([this](const AttemptResult& result, HttpRequestPtr&) {
       results[result.attempt.value].push_back(result);
@@ -21,7 +21,7 @@
     service.id = ServiceId("s");
     service.health_path = "/healthy";
     service.endpoints = {
-        {EndpointId("e"), ZoneId("z"), "127.0.0.1", server.port, 4, max_connections}};
+        {EndpointId("e"), ZoneId("z"), "127.0.0.1", server.port, 4, max_connections, {}}};
     configuration.services[service.id] = service;
     pool.SetConfiguration(std::make_shared<const Configuration>(configuration));
   }
@@ -51,6 +51,7 @@
 
   EventLoop loop;
   TextServer server;
+  NativeDialect dialect;
   UpstreamPool pool;
   std::map<uint64_t, std::vector<AttemptResult>> results;
   std::vector<ProbeResult> probes;
