Bound retries over all gateways and learn the cost of full endpoints

Endpoints that slow down when nearly full were filled to the last slot; gateways of a zone whose endpoints are out of service said that they are not ready.

FillCost compares the latency of calls at nearly full endpoints with others and limits their useful slots. Callers refused for load are told to return while their target can still be met.

--- a/cluster/node.cc
+++ b/cluster/node.cc
@@ -36,7 +36,11 @@
       slots_(settings, policy_.get_if<SlotHolder>()),
       claims_(settings.id, settings.incarnation),
       timeline_(settings.id, settings.event_capacity),
-      operator_({&settings_, &config_, &membership_, &slots_, &timeline_}) {}
+      operator_({&settings_, &config_, &membership_, &slots_, &timeline_}) {
+  if (settings_.retry_limits) {
+    dispatcher_.SetRetryLimits(*settings_.retry_limits);
+  }
+}
 
 void Node::Start(Now now, ConfigurationPtr initial, NodeActions* actions) {
   MembershipOutput members;
@@ -348,7 +352,7 @@
 }
 
 bool Node::ready() const {
-  return config_.ready() && !stopping_ && !config_.zones().own_zone_out();
+  return config_.ready() && !stopping_ && !(settings_.leaves_with_zone && config_.zones().own_zone_out());
 }
 
 bool Node::drained() const {
--- a/cluster/node_settings.h
+++ b/cluster/node_settings.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "common/ids.h"
+#include "policy/retry_budget.h"
 
 namespace jd {
 
@@ -26,6 +28,10 @@
   std::string policy =
       "slots";  ///< "slots", "pooled", "round_robin", "least_request", "reported_load".
   bool has_platform = false;  ///< False: the configuration comes from the settings file alone.
+  /// Bound of all gateways together on the calls that are sent again, if there is one.
+  std::optional<RetryBudget::Limits> retry_limits;
+  /// The gateways of a zone that is out of service are not ready.
+  bool leaves_with_zone = true;
   size_t event_capacity = 4096;
   uint64_t seed = 0;
 };
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -28,6 +28,11 @@
   node.seeds = settings.seeds;
   node.policy = settings.policy;
   node.has_platform = !settings.platform.address.empty() && !settings.discovery;
+  if (settings.retry_share > 0) {
+    node.retry_limits = RetryBudget::SharedLimits(settings.retry_share, settings.retry_window);
+  }
+  // What operators take out of service on the platform are the zone's upstreams alone.
+  node.leaves_with_zone = !settings.discovery;
   node.event_capacity = static_cast<size_t>(settings.event_ring);
   node.seed = SeedOf(settings);
   return node;
--- a/gateway/setting_table.cc
+++ b/gateway/setting_table.cc
@@ -130,6 +130,17 @@
      }},
 };
 
+constexpr SettingField<Settings> kRetriesFields[] = {
+    {{"share", SettingKind::kNumber, "", 0, 1, "", "0",
+      "Greatest share of a service's calls that all gateways together send again in any window; 0 "
+      "leaves it to each profile's retry_budget."},
+     [](Settings& object, const SettingValue& value) { object.retry_share = value.number; }},
+    {{"window_s", SettingKind::kInteger, "s", 1, 3600, "", "10", "Length of that window."},
+     [](Settings& object, const SettingValue& value) {
+       object.retry_window = std::chrono::seconds(value.integer);
+     }},
+};
+
 constexpr SettingField<Limits> kLimitsFields[] = {
     {{"header_bytes", SettingKind::kInteger, "bytes", 1024, 1048576, "", "65536",
       "Longest header of a request or response."},
@@ -310,6 +321,10 @@
   return kPlatformFields;
 }
 
+std::span<const SettingField<Settings>> RetriesFields() {
+  return kRetriesFields;
+}
+
 std::span<const SettingField<Limits>> LimitsFields() {
   return kLimitsFields;
 }
--- a/gateway/settings.cc
+++ b/gateway/settings.cc
@@ -92,6 +92,7 @@
   Describe("peers", PeersFields(), &infos);
   Describe("peers.seeds[]", SeedFields(), &infos);
   Describe("platform", PlatformFields(), &infos);
+  Describe("retries", RetriesFields(), &infos);
   Describe("limits", LimitsFields(), &infos);
   Describe("zones[]", ZoneFields(), &infos);
   Describe("workspaces[]", WorkspaceFields(), &infos);
@@ -116,6 +117,7 @@
   ReadSection(root, "callers", CallersFields(), {}, &settings.callers, &faults);
   ReadSection(root, "status", StatusFields(), {}, &settings.status, &faults);
   ReadSection(root, "peers", PeersFields(), {"seeds"}, &settings, &faults);
+  ReadSection(root, "retries", RetriesFields(), {}, &settings, &faults);
   ReadSection(root, "limits", LimitsFields(), {}, &settings.limits, &faults);
   ReadSeeds(root, &settings, &faults);
   CheckPorts(root, settings, &faults);
@@ -130,8 +132,8 @@
     settings.configuration = ReadConfiguration(root, &faults);
   }
   ReportUnknownKeys(root, "",
-                    {"gateway", "callers", "status", "peers", "platform", "limits", "zones",
-                     "workspaces", "profiles", "services"},
+                    {"gateway", "callers", "status", "peers", "platform", "retries", "limits",
+                     "zones", "workspaces", "profiles", "services"},
                     &faults);
   if (!faults.empty()) {
     throw SettingsError(faults.Sorted());
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -49,6 +49,10 @@
   /// Operators and upstreams write configuration and endpoints to the platform's store; without it
   /// they are in the gateways' own configuration log.
   bool discovery = false;
+  /// All gateways together send at most this share of the calls of a service again in each window;
+  /// 0: each profile's own budget alone holds.
+  double retry_share = 0;
+  Duration retry_window{0};
   Limits limits;
   /// The embedded configuration, at version 1, or null if there is a platform.
   ConfigurationPtr configuration;
--- a/policy/call_book.cc
+++ b/policy/call_book.cc
@@ -14,10 +14,15 @@
 constexpr Duration kRetryAfterFailure = 1s;
 /// Before an upstream has answered, a call is taken to need this share of its target latency.
 constexpr double kAssumedWorkShare = 0.35;
-/// Refused callers are told to return after a share of the time they have left, drawn between
-/// these, so that they do not return together; callers ignore a longer time than the upper one.
-constexpr double kMinReturnShare = 0.15;
+/// Callers wait no longer than this share of the time they have left before they return.
 constexpr double kMaxReturnShare = 0.33;
+/// The time of a return is drawn from this share of the longest useful one upwards, so that refused
+/// callers do not return together.
+constexpr double kMinReturnShare = 0.3;
+/// With less time than this to spare, a caller that returns cannot be answered in time.
+constexpr Duration kMinSpare = 40ms;
+/// An upstream with room that refused a call may take it a moment later.
+constexpr Duration kReturnAfterRefusal = 10ms;
 
 uint64_t HashOf(const RequestId& request) {
   return XXH3_64bits(request.value.data(), request.value.size());
@@ -71,7 +76,7 @@
   }
   for (const auto& [id, service] : configuration_->services) {
     ServiceState& state = services_[id];
-    state.budget.SetRate(retry_rate_);
+    state.budget.SetLimits(retry_limits_);
     if (!state.viewed) {
       state.SetUsable(now, UsableOf(service, *configuration_));
     }
@@ -113,10 +118,10 @@
   state->second.SetUsable(now, std::move(usable));
 }
 
-void CallBook::SetRetryRate(double per_second) {
-  retry_rate_ = per_second;
+void CallBook::SetRetryLimits(const RetryBudget::Limits& limits) {
+  retry_limits_ = limits;
   for (auto& [id, state] : services_) {
-    state.budget.SetRate(per_second);
+    state.budget.SetLimits(limits);
   }
 }
 
@@ -201,7 +206,7 @@
 
 void CallBook::RefuseForLoad(MonoTime now, Call* call, RandomEngine& random, CallActions* actions) {
   if (call->attempts > 0) {
-    Refuse(call, RefusalReason::kUpstreamFailed, kRetryAfterFailure,
+    Refuse(call, RefusalReason::kUpstreamFailed, kReturnAfterRefusal,
            "The attempt failed and no other endpoint has room.", actions);
     return;
   }
@@ -210,14 +215,20 @@
            "The service has no usable endpoint.", actions);
     return;
   }
-  const Duration left =
-      call->arrival + call->request.timeout.value_or(call->deadline - call->arrival) - now;
-  const double share =
-      std::uniform_real_distribution<double>(kMinReturnShare, kMaxReturnShare)(random);
-  Refuse(call, RefusalReason::kOverload, Scale(left, share),
+  Refuse(call, RefusalReason::kOverload, ReturnAfter(now, *call, random),
          "No measured endpoint can finish the call in time.", actions);
 }
 
+Duration CallBook::ReturnAfter(MonoTime now, const Call& call, RandomEngine& random) const {
+  const Duration patience = call.request.timeout.value_or(call.deadline - call.arrival);
+  const Duration longest = Scale(call.arrival + patience - now, kMaxReturnShare);
+  // A caller that comes back soon enough may still get its answer in time.
+  const Duration spare = call.target - now - WorkOf(call);
+  const Duration until = spare > kMinSpare ? std::min(spare, longest) : longest;
+  const double share = std::uniform_real_distribution<double>(kMinReturnShare, 1.0)(random);
+  return Scale(until, share);
+}
+
 void CallBook::Enqueue(MonoTime now, Call* call, CallActions* actions) {
   ServiceState& state = StateOf(*call);
   const QueuedCall queued = call->ToQueued();
@@ -382,7 +393,9 @@
     text = "The attempt failed and the retry budget of the service is used up.";
   }
   if (text != nullptr) {
-    Refuse(call, RefusalReason::kUpstreamFailed, kRetryAfterFailure, text, actions);
+    const bool refused = ended.result.outcome == AttemptOutcome::kRefused;
+    Refuse(call, RefusalReason::kUpstreamFailed,
+           refused ? kReturnAfterRefusal : kRetryAfterFailure, text, actions);
     return nullptr;
   }
   return call;
--- a/policy/call_book.h
+++ b/policy/call_book.h
@@ -60,8 +60,7 @@
   std::optional<EndedAttempt> EndAttempt(MonoTime now,
                                          const AttemptResult& result,
                                          CallActions* actions);
-  /// Sets the retries per second that each service has besides its share of calls.
-  void SetRetryRate(double per_second);
+  void SetRetryLimits(const RetryBudget::Limits& limits);
   /// Draws the consequences for the attempt's call. @return the call if it is to be sent again.
   Call* Resolve(MonoTime now, const EndedAttempt& ended, CallActions* actions);
   void CallerGone(CallId id, CallActions* actions);
@@ -91,6 +90,8 @@
   const Profile* FindProfile(CallRequest* request, CallActions* actions);
   ServiceState& StateOf(const Call& call) { return services_.at(call.request.service); }
   const ServiceState& StateOf(const Call& call) const { return services_.at(call.request.service); }
+  /// Returns when a caller that is refused for load should come back.
+  Duration ReturnAfter(MonoTime now, const Call& call, RandomEngine& random) const;
   void Push(Call* call);
   void Dequeue(Call* call);
   void ClearHedge(Call* call);
@@ -114,7 +115,7 @@
 
   ConfigurationPtr configuration_;
   bool stopping_ = false;
-  double retry_rate_ = RetryBudget::kPerSecond;
+  RetryBudget::Limits retry_limits_;
   uint64_t next_sequence_ = 1;
   std::unordered_map<CallId, Call> calls_;
   std::map<ServiceId, ServiceState> services_;
--- a/policy/dispatcher.h
+++ b/policy/dispatcher.h
@@ -58,8 +58,7 @@
 
   /// Returns when OnTimer is due next, or nothing.
   std::optional<MonoTime> next_timer() const;
-  /// Sets the retries per second that each service has besides its share of calls.
-  void SetRetryRate(double per_second) { book_.SetRetryRate(per_second); }
+  void SetRetryLimits(const RetryBudget::Limits& limits) { book_.SetRetryLimits(limits); }
   size_t calls() const { return book_.calls(); }
   /// Returns the attempts whose result is still to come, including those of calls that have ended.
   size_t attempts() const { return book_.attempts(); }
@@ -187,8 +186,15 @@
 
 template <RoutingPolicy Policy>
 AcquireRequest Dispatcher<Policy>::RequestFor(const Call& call) const {
-  return {call.request.service, zone_, call.deadline, call.target, book_.WorkOf(call),
-          book_.Excluded(call)};
+  AcquireRequest request;
+  request.service = call.request.service;
+  request.zone = zone_;
+  request.deadline = call.deadline;
+  request.target = call.target;
+  request.priority = call.limits.priority;
+  request.work = book_.WorkOf(call);
+  request.excluded = book_.Excluded(call);
+  return request;
 }
 
 template <RoutingPolicy Policy>
--- a/policy/fresh_load.cc
+++ b/policy/fresh_load.cc
@@ -6,12 +6,11 @@
 namespace jd {
 namespace {
 
-// Many upstreams slow down once more than this share of their slots is busy.
-constexpr double kNearlyFull = 0.8;
-constexpr double kNearlyFullFactor = 1.7;
 // The speed of an upstream changes several times a second, so a slow phase delays a call by no more
 // than about this.
 constexpr Duration kSlowPhase = 150ms;
+// Share of a call's work by which a full upstream is ranked behind an empty one.
+constexpr double kFillPreference = 0.1;
 // An upstream that failed is asked again after this time, which doubles with each further failure.
 constexpr Duration kFirstBackoff = 250ms;
 constexpr int32_t kMaxBackoffDoublings = 3;
@@ -90,7 +89,7 @@
   const LoadReport& report = *result.report;
   return seen.healthy && report.cold_for == Duration(0) && report.waiting == 0 &&
          report.slowdown_percent <= LoadReport::kUsualSpeed &&
-         report.in_flight + 1 <= kNearlyFull * std::max(report.slots, 1);
+         !FillCost::IsNearlyFull(report.in_flight + 1, std::max(report.slots, 1));
 }
 
 std::optional<EndpointId> FreshLoad::Acquire(MonoTime now,
@@ -112,9 +111,7 @@
       continue;
     }
     const Duration finish = FinishOf(seen, endpoint, request.work);
-    const bool in_time = now + finish <= request.target;
-    const bool free_slot = seen.report.in_flight + seen.sent_since < endpoint.slots;
-    if (!in_time && !(free_slot && now + finish <= request.deadline)) {
+    if (!HasRoom(now, request, seen, endpoint, finish)) {
       continue;
     }
     if (best == nullptr || finish < best_finish) {
@@ -130,7 +127,7 @@
   }
   Seen& seen = seen_.at(best->id);
   ++seen.sent_since;
-  ++seen.in_flight;
+  seen.sent.push_back({now, FillCost::IsNearlyFull(AheadOf(seen), best->slots)});
   return best->id;
 }
 
@@ -140,14 +137,31 @@
     return;
   }
   Seen& seen = found->second;
-  seen.in_flight = std::max(seen.in_flight - 1, 0);
+  const std::optional<SentCall> sent = TakeSent(&seen, now - result.latency);
   if (IsFailure(result)) {
     Fail(now, &seen);
   } else if (result.outcome == AttemptOutcome::kAnswered) {
     seen.failures = 0;
+    if (sent) {
+      fill_costs_[seen.service].OnAnswered(sent->nearly_full, result.latency);
+    }
   }
 }
 
+std::optional<FreshLoad::SentCall> FreshLoad::TakeSent(Seen* seen, MonoTime sent) {
+  const auto nearest =
+      std::min_element(seen->sent.begin(), seen->sent.end(),
+                       [sent](const SentCall& a, const SentCall& b) {
+                         return std::chrono::abs(a.sent - sent) < std::chrono::abs(b.sent - sent);
+                       });
+  if (nearest == seen->sent.end()) {
+    return std::nullopt;
+  }
+  const SentCall taken = *nearest;
+  seen->sent.erase(nearest);
+  return taken;
+}
+
 void FreshLoad::SetService(MonoTime, const ServiceView& view) {
   ServiceView& known = services_[view.id];
   for (const EndpointView& endpoint : known.endpoints) {
@@ -160,12 +174,13 @@
   }
   known = view;
   for (const EndpointView& endpoint : view.endpoints) {
-    seen_.try_emplace(endpoint.id);
+    seen_[endpoint.id].service = view.id;
   }
 }
 
 void FreshLoad::RemoveService(MonoTime, const ServiceId& service) {
   const auto known = services_.extract(service);
+  fill_costs_.erase(service);
   if (known.empty()) {
     return;
   }
@@ -193,7 +208,7 @@
 }
 
 double FreshLoad::RankOf(MonoTime now, const Seen& seen) const {
-  double rank = static_cast<double>(seen.in_flight) + static_cast<double>(seen.failures);
+  double rank = static_cast<double>(seen.sent.size()) + static_cast<double>(seen.failures);
   if (!seen.healthy) {
     rank += 4.0;
   }
@@ -210,18 +225,47 @@
 
 Duration FreshLoad::FinishOf(const Seen& seen, const EndpointView& endpoint, Duration work) const {
   const int32_t slots = std::max(endpoint.slots, 1);
-  const int32_t ahead = seen.report.in_flight + seen.report.waiting + seen.sent_since;
+  const int32_t ahead = AheadOf(seen);
   const double slowdown =
       static_cast<double>(std::max(seen.report.slowdown_percent, 1)) / LoadReport::kUsualSpeed;
   Duration finish = std::min(Scale(work, slowdown), work + kSlowPhase);
-  if (ahead + 1 > kNearlyFull * slots) {
-    finish = Scale(finish, kNearlyFullFactor);
+  if (FillCost::IsNearlyFull(ahead + 1, slots)) {
+    finish = Scale(finish, CostOf(seen).factor());
   }
   if (ahead >= slots) {
     finish += Scale(work, static_cast<double>(ahead - slots + 1) / slots);
   }
   // Of two free endpoints the emptier one is better, though both would start at once.
-  return finish + Scale(work, 0.1 * ahead / slots);
+  return finish + Scale(work, kFillPreference * ahead / slots);
+}
+
+bool FreshLoad::HasRoom(MonoTime now,
+                        const AcquireRequest& request,
+                        const Seen& seen,
+                        const EndpointView& endpoint,
+                        Duration finish) const {
+  const bool in_time = now + finish <= request.target;
+  if (now + finish > request.deadline) {
+    return false;
+  }
+  if (request.priority == Priority::kHigh && in_time) {
+    return true;
+  }
+  // The last useful slot is kept from calls whose answer is late already, because under overload
+  // somebody else can use it in time.
+  int32_t limit = CostOf(seen).UsefulSlots(endpoint.slots);
+  limit -= in_time ? 0 : 1;
+  return AheadOf(seen) < std::max(limit, 1);
+}
+
+const FillCost& FreshLoad::CostOf(const Seen& seen) const {
+  static const FillCost unknown;
+  const auto known = fill_costs_.find(seen.service);
+  return known == fill_costs_.end() ? unknown : known->second;
+}
+
+int32_t FreshLoad::AheadOf(const Seen& seen) {
+  return seen.report.in_flight + seen.report.waiting + seen.sent_since;
 }
 
 void FreshLoad::Fail(MonoTime now, Seen* seen) {
--- a/policy/fresh_load.h
+++ b/policy/fresh_load.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "policy/fill_cost.h"
 #include "policy/probe_result.h"
 #include "policy/routing_policy.h"
 
@@ -46,13 +47,19 @@
   void OnLoadReport(MonoTime now, const EndpointId& endpoint, const LoadReport& report);
 
  private:
+  /// An own call at an endpoint.
+  struct SentCall {
+    MonoTime sent;
+    bool nearly_full = false;
+  };
   struct Seen {
+    ServiceId service;
     LoadReport report;
     MonoTime at;
     bool has_report = false;
     bool healthy = true;     ///< As the health page said last.
     int32_t sent_since = 0;  ///< Own calls sent after the report.
-    int32_t in_flight = 0;   ///< Own calls.
+    std::vector<SentCall> sent;     ///< Own calls in flight.
     int32_t failures = 0;    ///< Probes and calls in a row.
     MonoTime retry_at;       ///< No probe before this time, after failures.
     MonoTime cold_until;
@@ -63,10 +70,22 @@
   double RankOf(MonoTime now, const Seen& seen) const;
   /// Returns when the endpoint would have finished a call sent now.
   Duration FinishOf(const Seen& seen, const EndpointView& endpoint, Duration work) const;
+  const FillCost& CostOf(const Seen& seen) const;
+  /// Returns the calls that the endpoint has, as far as is known.
+  static int32_t AheadOf(const Seen& seen);
+  /// Returns whether a call may be sent to an endpoint that would finish it after `finish`.
+  bool HasRoom(MonoTime now,
+               const AcquireRequest& request,
+               const Seen& seen,
+               const EndpointView& endpoint,
+               Duration finish) const;
+  /// Takes the call that was sent at about this time out of those in flight.
+  static std::optional<SentCall> TakeSent(Seen* seen, MonoTime sent);
   void Fail(MonoTime now, Seen* seen);
 
   std::map<ServiceId, ServiceView> services_;
   std::unordered_map<EndpointId, Seen> seen_;
+  std::map<ServiceId, FillCost> fill_costs_;
 };
 
 static_assert(MeasuringPolicy<FreshLoad>);
--- a/policy/routing_policy.h
+++ b/policy/routing_policy.h
@@ -5,6 +5,7 @@
 #include <string_view>
 #include <vector>
 
+#include "common/configuration.h"
 #include "common/ids.h"
 #include "common/load_report.h"
 #include "common/random.h"
@@ -36,6 +37,7 @@
   ZoneId zone;  ///< The gateway's own zone, preferred.
   MonoTime deadline;
   MonoTime target;   ///< An answer after this time is worth little; at most the deadline.
+  Priority priority = Priority::kNormal;
   Duration work{0};  ///< Usual time that an upstream needs for such a call.
   /// Endpoints that this call has already tried.
   std::vector<EndpointId> excluded = {};
