Log each decision about a call and let calls in other zones ask fewer endpoints

Cause: a failed request could not be followed from its id to the inputs of the choice; a log reader that stops could have blocked the loop.

Change: decisions become WriteLog actions, one line each, bounded per second and never waiting for the reader.

The dispatcher can hedge with a measuring policy, for profiles that ask for it.

--- a/cluster/node_action.h
+++ b/cluster/node_action.h
@@ -42,6 +42,11 @@
   std::string body;
 };
 
+/// Writes one decision to the log.
+struct WriteLog {
+  Event event;
+};
+
 struct SendOperatorReply {
   OperatorReply reply;
 };
@@ -57,6 +62,7 @@
                                 FetchVmList,
                                 SendProbe,
                                 ReplayCall,
+                                WriteLog,
                                 SendOperatorReply>;
 using NodeActions = std::vector<NodeAction>;
 
--- a/cluster/node_effects.cc
+++ b/cluster/node_effects.cc
@@ -32,6 +32,7 @@
   for (const CallAction& action : from) {
     if (const auto* record = std::get_if<RecordEvent>(&action)) {
       timeline_.Add(now, record->event);
+      to->push_back(WriteLog{record->event});
     } else if (const auto* crash = std::get_if<AnnounceCrash>(&action)) {
       SendToAll(now, CrashNotice{crash->fingerprint}, to);
     } else if (const auto* send = std::get_if<SendAttempt>(&action)) {
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -324,8 +324,6 @@
 void Gateway::Do(const RefuseCall& action) {
   if (const std::optional<Call> call = TakeCall(action.call, CallEnd::kRefused)) {
     metrics_.CountRefusal(action.refusal.reason, call->workspace);
-    LogDebug(LogPart::kCalls, "Call " + call->request.value + " is refused: " +
-                                  std::string(RefusalReasonName(action.refusal.reason)) + ".");
     callers_.Refuse(action.call, call->request, action.refusal);
   }
 }
@@ -353,6 +351,10 @@
   set_peer_address_.emit(action);
 }
 
+void Gateway::Do(const WriteLog& action) {
+  LogEvent(action.event);
+}
+
 void Gateway::Do(const SendOperatorReply& action) {
   operator_reply_.emit(action.reply);
 }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -112,6 +112,7 @@
   void Do(const FetchVmList& action);
   void Do(const SendProbe& action);
   void Do(const ReplayCall& action);
+  void Do(const WriteLog& action);
   void Do(const SendOperatorReply& action);
 
   EventLoop* loop_;
--- a/gateway/log.cc
+++ b/gateway/log.cc
@@ -1,33 +1,145 @@
 #include "gateway/log.h"
 
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/basicconfigurator.h>
-#include <log4cxx/consoleappender.h>
 #include <log4cxx/level.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
+#include <poll.h>
+#include <unistd.h>
 
+#include <algorithm>
 #include <array>
+#include <chrono>
+#include <climits>
+#include <cstdint>
 #include <memory>
+#include <utility>
 
 namespace jd {
 namespace {
 
+// A reader that falls further behind loses lines; the gateway never waits for it.
+constexpr size_t kMaxBufferedBytes = 256 * 1024;
+// Bounds the processor time of logging under load.
+constexpr uint64_t kMaxLinesPerSecond = 500;
+
+/// Writes to standard output only as much as is taken without waiting.
+class StandardOutput : public log4cxx::AppenderSkeleton {
+ public:
+  explicit StandardOutput(log4cxx::LayoutPtr layout) : layout_(std::move(layout)) {}
+  ~StandardOutput() override { Flush(); }
+
+  void append(const log4cxx::spi::LoggingEventPtr& event,
+              log4cxx::helpers::Pool& pool) override {
+    if (!Admit()) {
+      return;
+    }
+    log4cxx::LogString line;
+    layout_->format(line, event, pool);
+    if (pending_.size() + line.size() > kMaxBufferedBytes) {
+      ++dropped_;
+      return;
+    }
+    if (dropped_ > 0) {
+      pending_ += "log: event=lines-dropped count=" + std::to_string(dropped_) + "\n";
+      dropped_ = 0;
+    }
+    pending_ += line;
+    Flush();
+  }
+  void close() override { Flush(); }
+  bool requiresLayout() const override { return false; }
+
+ private:
+  bool Admit() {
+    const auto second = std::chrono::duration_cast<std::chrono::seconds>(
+        std::chrono::steady_clock::now().time_since_epoch());
+    if (second != second_) {
+      second_ = second;
+      lines_ = 0;
+    }
+    if (lines_ >= kMaxLinesPerSecond) {
+      ++dropped_;
+      return false;
+    }
+    ++lines_;
+    return true;
+  }
+
+  // A pipe that is ready takes PIPE_BUF bytes at once.
+  void Flush() {
+    size_t written = 0;
+    pollfd output{STDOUT_FILENO, POLLOUT, 0};
+    while (written < pending_.size() && poll(&output, 1, 0) == 1 &&
+           (output.revents & POLLOUT) != 0) {
+      const size_t size = std::min<size_t>(pending_.size() - written, PIPE_BUF);
+      const ssize_t taken = write(STDOUT_FILENO, pending_.data() + written, size);
+      if (taken <= 0) {
+        break;
+      }
+      written += static_cast<size_t>(taken);
+    }
+    pending_.erase(0, written);
+  }
+
+  log4cxx::LayoutPtr layout_;
+  std::string pending_;
+  std::chrono::seconds second_{0};
+  uint64_t lines_ = 0;
+  uint64_t dropped_ = 0;
+};
+
 log4cxx::LoggerPtr LoggerOf(LogPart part) {
-  static const std::array<log4cxx::LoggerPtr, 6> loggers = {
-      log4cxx::Logger::getLogger("gateway"), log4cxx::Logger::getLogger("peers"),
-      log4cxx::Logger::getLogger("slots"),   log4cxx::Logger::getLogger("config"),
-      log4cxx::Logger::getLogger("zones"),   log4cxx::Logger::getLogger("calls")};
+  static const std::array<log4cxx::LoggerPtr, 7> loggers = {
+      log4cxx::Logger::getLogger("gateway"),  log4cxx::Logger::getLogger("peers"),
+      log4cxx::Logger::getLogger("slots"),    log4cxx::Logger::getLogger("config"),
+      log4cxx::Logger::getLogger("zones"),    log4cxx::Logger::getLogger("calls"),
+      log4cxx::Logger::getLogger("endpoints")};
   return loggers.at(static_cast<size_t>(part));
 }
 
+LogPart PartOf(EventKind kind) {
+  switch (kind) {
+    case EventKind::kCallStarted:
+    case EventKind::kCallFinished:
+    case EventKind::kCallRefused:
+    case EventKind::kAttemptStarted:
+    case EventKind::kAttemptEnded:
+    case EventKind::kCrashFingerprint:
+      return LogPart::kCalls;
+    case EventKind::kEndpointCold:
+    case EventKind::kEndpointWarm:
+    case EventKind::kEndpointDraining:
+    case EventKind::kEndpointEjected:
+    case EventKind::kProbe:
+      return LogPart::kEndpoints;
+    case EventKind::kPeerLive:
+    case EventKind::kPeerDead:
+      return LogPart::kPeers;
+    case EventKind::kZoneChanged:
+      return LogPart::kZones;
+    case EventKind::kSlotsLent:
+    case EventKind::kSlotsExpired:
+    case EventKind::kOwnerChanged:
+      return LogPart::kSlots;
+    default:
+      return LogPart::kConfig;
+  }
+}
+
+void AppendField(const char* name, const std::string& value, std::string* line) {
+  if (!value.empty()) {
+    *line += std::string(" ") + name + "=" + value;
+  }
+}
+
 }  // namespace
 
 void SetUpLog(const std::string& level) {
   const auto layout = std::make_shared<log4cxx::PatternLayout>("%d %-5p %c: %m%n");
-  const auto appender =
-      std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemOut());
   log4cxx::BasicConfigurator::resetConfiguration();
-  log4cxx::BasicConfigurator::configure(appender);
+  log4cxx::BasicConfigurator::configure(std::make_shared<StandardOutput>(layout));
   log4cxx::Logger::getRootLogger()->setLevel(
       log4cxx::Level::toLevel(level, log4cxx::Level::getInfo()));
 }
@@ -44,4 +156,19 @@
   LOG4CXX_WARN(LoggerOf(part), text);
 }
 
+void LogEvent(const Event& event) {
+  const log4cxx::LoggerPtr logger = LoggerOf(PartOf(event.kind));
+  if (!logger->isInfoEnabled()) {
+    return;
+  }
+  std::string line = "event=" + std::string(EventKindName(event.kind));
+  AppendField("request", event.request.value, &line);
+  AppendField("endpoint", event.endpoint.value, &line);
+  AppendField("zone", event.zone.value, &line);
+  if (!event.detail.empty()) {
+    line += " " + event.detail;
+  }
+  LOG4CXX_INFO(logger, line);
+}
+
 }  // namespace jd
--- a/policy/call_book.cc
+++ b/policy/call_book.cc
@@ -21,6 +21,8 @@
 constexpr double kMinReturnShare = 0.3;
 /// With less time than this to spare, a caller that returns cannot be answered in time.
 constexpr Duration kMinSpare = 40ms;
+/// A hedge is sent this many times the usual work before the target.
+constexpr double kHedgeMargin = 1.2;
 /// An upstream with room that refused a call may take it a moment later.
 constexpr Duration kReturnAfterRefusal = 10ms;
 
@@ -41,6 +43,12 @@
   actions->push_back(RecordEvent{std::move(event)});
 }
 
+std::string RefusalDetail(RefusalReason reason, Verdict verdict, Duration retry_after) {
+  return "reason=" + std::string(RefusalReasonName(reason)) +
+         " verdict=" + std::string(VerdictName(verdict)) +
+         " retry_after_us=" + std::to_string(retry_after.count());
+}
+
 std::vector<EndpointId> UsableOf(const Service& service, const Configuration& configuration) {
   std::vector<EndpointId> usable;
   for (const Endpoint& endpoint : service.endpoints) {
@@ -158,7 +166,12 @@
   ServiceState& state = StateOf(*call);
   ++state.calls;
   timers_.emplace(call->deadline, request.id, TimerKind::kDeadline);
-  Record(EventKind::kCallStarted, request.request, {}, resolved.service.value, actions);
+  Record(EventKind::kCallStarted, request.request, {},
+         "service=" + resolved.service.value + " profile=" + resolved.profile.value +
+             " version=" + std::to_string(configuration_->version.value) + " deadline_us=" +
+             std::to_string((call->deadline - now).count()) + " age_us=" +
+             std::to_string(age.count()),
+         actions);
   if (!MaySend(now, call, actions)) {
     return nullptr;
   }
@@ -204,7 +217,14 @@
   }
 }
 
-void CallBook::RefuseForLoad(MonoTime now, Call* call, RandomEngine& random, CallActions* actions) {
+void CallBook::GiveUpMeasuring(MonoTime now,
+                               Call* call,
+                               RandomEngine& random,
+                               CallActions* actions) {
+  if (!call->running.empty()) {
+    AbandonHedge(call);
+    return;
+  }
   if (call->attempts > 0) {
     Refuse(call, RefusalReason::kUpstreamFailed, kReturnAfterRefusal,
            "The attempt failed and no other endpoint has room.", actions);
@@ -319,7 +339,11 @@
   return StateOf(call).Excluded(call);
 }
 
-void CallBook::Send(MonoTime now, Call* call, const EndpointId& endpoint, CallActions* actions) {
+void CallBook::Send(MonoTime now,
+                    Call* call,
+                    const EndpointId& endpoint,
+                    std::string basis,
+                    CallActions* actions) {
   assert(call->attempts < call->limits.max_attempts);
   assert(call->idempotent || call->present_verdict() == Verdict::kNotRun);
   ServiceState& state = StateOf(*call);
@@ -335,7 +359,7 @@
   call->tried.push_back(endpoint);
   ++call->attempts;
   ScheduleHedge(now, call);
-  Record(EventKind::kAttemptStarted, call->request.request, endpoint, {}, actions);
+  Record(EventKind::kAttemptStarted, call->request.request, endpoint, std::move(basis), actions);
   actions->push_back(SendAttempt{call->request.id, attempt, endpoint, call->deadline - now});
 }
 
@@ -356,7 +380,10 @@
     }
   }
   Record(EventKind::kAttemptEnded, origin.request, origin.endpoint,
-         std::string(VerdictName(ended->verdict)), actions);
+         "verdict=" + std::string(VerdictName(ended->verdict)) +
+             " status=" + std::to_string(result.status) +
+             " latency_us=" + std::to_string(result.latency.count()),
+         actions);
   return ended;
 }
 
@@ -371,8 +398,8 @@
   call->verdict = Combine(call->verdict, ended.verdict);
   if (ended.result.outcome == AttemptOutcome::kAnswered) {
     CancelRunning(call, false, actions);
-    Record(EventKind::kCallFinished, call->request.request, ended.attempt.origin().endpoint, {},
-           actions);
+    Record(EventKind::kCallFinished, call->request.request, ended.attempt.origin().endpoint,
+           "end=answered", actions);
     actions->push_back(AnswerCall{call->request.id, id});
     Forget(call);
     return nullptr;
@@ -407,7 +434,7 @@
     return;
   }
   CancelRunning(call, false, actions);
-  Record(EventKind::kCallFinished, call->request.request, {}, "caller gone", actions);
+  Record(EventKind::kCallFinished, call->request.request, {}, "end=caller-gone", actions);
   Forget(call);
 }
 
@@ -430,7 +457,7 @@
 
 void CallBook::ScheduleHedge(MonoTime now, Call* call) {
   ClearHedge(call);
-  const MonoTime at = now + call->limits.hedge_after;
+  const MonoTime at = HedgeTime(now, *call);
   if (!call->limits.hedge || !call->idempotent || call->hedged || at >= call->deadline ||
       call->attempts >= call->limits.max_attempts) {
     return;
@@ -439,6 +466,15 @@
   timers_.emplace(at, call->request.id, TimerKind::kHedge);
 }
 
+MonoTime CallBook::HedgeTime(MonoTime now, const Call& call) const {
+  if (call.target == call.deadline) {
+    return now + call.limits.hedge_after;
+  }
+  // As late as possible, so that few calls are hedged, but so that the hedge may still be in time.
+  const Duration work = WorkOf(call);
+  return std::max(call.target - Scale(work, kHedgeMargin), now + work);
+}
+
 void CallBook::ClearHedge(Call* call) {
   if (call->hedge_at) {
     timers_.erase(Timer(*call->hedge_at, call->request.id, TimerKind::kHedge));
@@ -501,8 +537,8 @@
                          Duration retry_after,
                          std::string text,
                          CallActions* actions) {
-  Record(EventKind::kCallRefused, request.request, {}, std::string(RefusalReasonName(reason)),
-         actions);
+  Record(EventKind::kCallRefused, request.request, {},
+         RefusalDetail(reason, Verdict::kNotRun, retry_after), actions);
   actions->push_back(
       RefuseCall{request.id, Refusal{reason, Verdict::kNotRun, retry_after, std::move(text)}});
 }
@@ -514,7 +550,9 @@
                       CallActions* actions) {
   const Verdict verdict = call->present_verdict();
   CancelRunning(call, false, actions);
-  Record(EventKind::kCallRefused, call->request.request, {}, std::string(RefusalReasonName(reason)),
+  Record(EventKind::kCallRefused, call->request.request, {},
+         RefusalDetail(reason, verdict, retry_after) + " attempts=" +
+             std::to_string(call->attempts),
          actions);
   actions->push_back(
       RefuseCall{call->request.id, Refusal{reason, verdict, retry_after, std::move(text)}});
--- a/policy/call_book.h
+++ b/policy/call_book.h
@@ -39,9 +39,9 @@
   void Requeue(Call* call);
   /// Takes a call out of its queue while endpoints are measured for it.
   void BeginMeasuring(MonoTime now, Call* call);
-  /// Refuses a call for which no measured endpoint has room, or lets the attempts that it made
-  /// speak for themselves.
-  void RefuseForLoad(MonoTime now, Call* call, RandomEngine& random, CallActions* actions);
+  /// Takes in that no measured endpoint has room for a call: a hedge is abandoned, a call without an
+  /// attempt under way is refused.
+  void GiveUpMeasuring(MonoTime now, Call* call, RandomEngine& random, CallActions* actions);
   /// Returns the time that an upstream at its usual speed needs for such a call.
   Duration WorkOf(const Call& call) const;
   /// Returns the call, or null if it has ended.
@@ -55,7 +55,12 @@
   bool MaySend(MonoTime now, Call* call, CallActions* actions);
   std::vector<EndpointId> Excluded(const Call& call) const;
   /// Sends an attempt to an endpoint whose slot was acquired.
-  void Send(MonoTime now, Call* call, const EndpointId& endpoint, CallActions* actions);
+  /// @param basis what the choice rests on, for the log.
+  void Send(MonoTime now,
+            Call* call,
+            const EndpointId& endpoint,
+            std::string basis,
+            CallActions* actions);
   /// Takes in a result. @return nothing if the attempt is unknown.
   std::optional<EndedAttempt> EndAttempt(MonoTime now,
                                          const AttemptResult& result,
@@ -96,6 +101,8 @@
   void Dequeue(Call* call);
   void ClearHedge(Call* call);
   void ScheduleHedge(MonoTime now, Call* call);
+  /// Returns when a call that is sent now is hedged if it has no answer by then.
+  MonoTime HedgeTime(MonoTime now, const Call& call) const;
   bool MayHedge(MonoTime now, Call* call);
   /// Ends a call whose deadline passed.
   void Expire(Call* call, CallActions* actions);
--- a/policy/dispatcher.h
+++ b/policy/dispatcher.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -77,6 +78,8 @@
   void Hedge(MonoTime now, Call* call, CallActions* actions);
   bool Measures() const;
   AcquireRequest RequestFor(const Call& call) const;
+  /// Returns what the choice of an endpoint rests on, for the log.
+  std::string BasisOf(MonoTime now, const EndpointId& endpoint) const;
   /// Probes candidates for a call, or ends it if there are none.
   void Measure(MonoTime now, Call* call, CallActions* actions);
   /// Sends a call by what was measured, measures further endpoints, or refuses it.
@@ -171,7 +174,7 @@
   if (!endpoint) {
     return SendOutcome::kNoSlot;
   }
-  book_.Send(now, call, *endpoint, actions);
+  book_.Send(now, call, *endpoint, BasisOf(now, *endpoint), actions);
   return SendOutcome::kSent;
 }
 
@@ -197,6 +200,15 @@
   return request;
 }
 
+template <RoutingPolicy Policy>
+std::string Dispatcher<Policy>::BasisOf(MonoTime now, const EndpointId& endpoint) const {
+  if constexpr (MeasuringPolicy<Policy>) {
+    return policy_->Describe(now, endpoint);
+  } else {
+    return {};
+  }
+}
+
 template <RoutingPolicy Policy>
 void Dispatcher<Policy>::Measure(MonoTime now, Call* call, CallActions* actions) {
   if constexpr (MeasuringPolicy<Policy>) {
@@ -207,7 +219,7 @@
       candidates = policy_->Candidates(now, request, call->stage, random_);
     }
     if (candidates.empty()) {
-      book_.RefuseForLoad(now, call, random_, actions);
+      book_.GiveUpMeasuring(now, call, random_, actions);
       return;
     }
     rounds_.Start(now, call->request.id, candidates);
@@ -225,7 +237,7 @@
   }
   const std::optional<EndpointId> endpoint = policy_->Acquire(now, RequestFor(*call), random_);
   if (endpoint) {
-    book_.Send(now, call, *endpoint, actions);
+    book_.Send(now, call, *endpoint, BasisOf(now, *endpoint), actions);
   } else {
     Measure(now, call, actions);
   }
@@ -254,6 +266,11 @@
 
 template <RoutingPolicy Policy>
 void Dispatcher<Policy>::Hedge(MonoTime now, Call* call, CallActions* actions) {
+  if (Measures()) {
+    call->stage = 0;
+    Measure(now, call, actions);
+    return;
+  }
   AcquireRequest request = RequestFor(*call);
   request.excluded = call->tried;
   const std::optional<EndpointId> endpoint = policy_->Acquire(now, request, random_);
@@ -261,7 +278,7 @@
     book_.AbandonHedge(call);
     return;
   }
-  book_.Send(now, call, *endpoint, actions);
+  book_.Send(now, call, *endpoint, BasisOf(now, *endpoint), actions);
 }
 
 template <RoutingPolicy Policy>
--- a/policy/fresh_load.cc
+++ b/policy/fresh_load.cc
@@ -58,7 +58,7 @@
     const double jitter = std::uniform_real_distribution<double>(0, 0.2)(random);
     ranked.push_back({RankOf(now, seen_.at(endpoint.id)) + jitter, &endpoint});
   }
-  const size_t count = std::min(kCandidates, ranked.size());
+  const size_t count = std::min(stage == 0 ? kCandidates : kRemoteCandidates, ranked.size());
   std::partial_sort(ranked.begin(), ranked.begin() + static_cast<ptrdiff_t>(count), ranked.end(),
                     [](const Ranked& a, const Ranked& b) { return a.rank < b.rank; });
   std::vector<EndpointId> candidates;
@@ -131,6 +131,20 @@
   return best->id;
 }
 
+std::string FreshLoad::Describe(MonoTime now, const EndpointId& endpoint) const {
+  const auto found = seen_.find(endpoint);
+  if (found == seen_.end() || !found->second.has_report) {
+    return "report=none";
+  }
+  const Seen& seen = found->second;
+  return "zone=" + seen.zone.value + " running=" + std::to_string(seen.report.in_flight) +
+         " waiting=" + std::to_string(seen.report.waiting) +
+         " slots=" + std::to_string(seen.report.slots) +
+         " slowdown_percent=" + std::to_string(seen.report.slowdown_percent) +
+         " sent_since=" + std::to_string(seen.sent_since) +
+         " report_age_us=" + std::to_string((now - seen.at).count());
+}
+
 void FreshLoad::Release(MonoTime now, const EndpointId& endpoint, const AttemptResult& result) {
   const auto found = seen_.find(endpoint);
   if (found == seen_.end()) {
@@ -174,7 +188,9 @@
   }
   known = view;
   for (const EndpointView& endpoint : view.endpoints) {
-    seen_[endpoint.id].service = view.id;
+    Seen& seen = seen_[endpoint.id];
+    seen.service = view.id;
+    seen.zone = endpoint.zone;
   }
 }
 
--- a/policy/fresh_load.h
+++ b/policy/fresh_load.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -24,6 +25,8 @@
   static constexpr std::string_view kName = "fresh_load";
   /// Endpoints asked at the same time for one call.
   static constexpr size_t kCandidates = 4;
+  /// The same in other zones, where each probe costs more.
+  static constexpr size_t kRemoteCandidates = 2;
   /// A report older than this is no basis for a decision.
   static constexpr Duration kFreshFor = 40ms;
 
@@ -37,6 +40,8 @@
   /// @return whether the endpoint is idle enough that a call need not wait for other answers.
   bool OnProbe(MonoTime now, const ProbeResult& result);
 
+  std::string Describe(MonoTime now, const EndpointId& endpoint) const;
+
   std::optional<EndpointId> Acquire(MonoTime now,
                                     const AcquireRequest& request,
                                     RandomEngine& random);
@@ -54,6 +59,7 @@
   };
   struct Seen {
     ServiceId service;
+    ZoneId zone;
     LoadReport report;
     MonoTime at;
     bool has_report = false;
--- a/policy/policy_variant.cc
+++ b/policy/policy_variant.cc
@@ -88,6 +88,18 @@
       policy_);
 }
 
+std::string PolicyVariant::Describe(MonoTime now, const EndpointId& endpoint) const {
+  return std::visit(
+      [&](const auto& policy) -> std::string {
+        if constexpr (MeasuringPolicy<std::decay_t<decltype(policy)>>) {
+          return policy.Describe(now, endpoint);
+        } else {
+          return {};
+        }
+      },
+      policy_);
+}
+
 std::string_view PolicyVariant::name() const {
   return std::visit([](const auto& policy) { return std::decay_t<decltype(policy)>::kName; },
                     policy_);
--- a/policy/policy_variant.h
+++ b/policy/policy_variant.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <optional>
+#include <string>
 #include <string_view>
 #include <utility>
 #include <variant>
@@ -43,6 +44,7 @@
                                      int stage,
                                      RandomEngine& random);
   bool OnProbe(MonoTime now, const ProbeResult& result);
+  std::string Describe(MonoTime now, const EndpointId& endpoint) const;
 
   /// Returns the name of the policy held.
   std::string_view name() const;
--- a/policy/routing_policy.h
+++ b/policy/routing_policy.h
@@ -2,6 +2,7 @@
 
 #include <concepts>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -77,11 +78,14 @@
                                                        const AcquireRequest& request,
                                                        int stage,
                                                        RandomEngine& random,
+                                                       const EndpointId& endpoint,
                                                        const ProbeResult& result) {
   /// Returns the endpoints to ask in this stage; none if the stage has none.
   { policy.Candidates(now, request, stage, random) } -> std::same_as<std::vector<EndpointId>>;
   /// Returns whether a call may be sent on this answer alone.
   { policy.OnProbe(now, result) } -> std::same_as<bool>;
+  /// Returns what is known of an endpoint and how old it is, as name=value pairs for the log.
+  { policy.Describe(now, endpoint) } -> std::same_as<std::string>;
 };
 
 }  // namespace jd
