Let one gateway of a zone read the endpoints for the others and bound probes over all

Change: a gateway that is told what another one read postpones its own call; the first whose patience ends takes over, within two seconds of the last read. Gateways list themselves in the store, written only when the row differs, and keep heartbeats to their own zone. The probe budget is divided by the number of listed gateways.

Ruled out: an elected reader (needs agreement), forwarding every row (rows whose heartbeat alone changed say nothing).

--- a/cluster/discovery.h
+++ b/cluster/discovery.h
@@ -9,6 +9,7 @@
 #include "common/configuration.h"
 #include "common/ids.h"
 #include "common/units.h"
+#include "common/vm_list.h"
 
 namespace jd {
 
@@ -34,6 +35,7 @@
   std::optional<std::set<ZoneId>> zones_out;
   std::vector<EndpointRecord> endpoints;  ///< New or changed.
   std::vector<EndpointId> removed;
+  std::optional<VmList> gateways;
   /// The whole list of endpoints has been read at least once.
   bool endpoints_known = false;
 };
--- /dev/null
+++ b/cluster/gateway_registry.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "common/units.h"
+#include "common/vm_list.h"
+
+namespace jd {
+
+/// Keeps this gateway listed in a table of the platform's store and reads who else is. Rows are
+/// written only when they differ, and the list is read twice after a start, so that gateways that
+/// start together find each other; later ones announce themselves to those that they find.
+class GatewayRegistry {
+ public:
+  enum class Call : uint8_t { kRead, kWrite };
+
+  /// Time after which gateways that started together have written their rows.
+  static constexpr Duration kSettle = 2s;
+  static constexpr Duration kRetryAfter = 1s;
+
+  explicit GatewayRegistry(Vm self) : self_(std::move(self)) {}
+
+  /// Returns the call to make now, if one is due; it is answered by one of the functions below.
+  std::optional<Call> Next(MonoTime now);
+  void OnList(MonoTime now, VmList gateways);
+  void OnWritten(MonoTime now);
+  void OnFailure(MonoTime now);
+  /// Returns when Next is due.
+  std::optional<MonoTime> next_timer() const;
+
+  const Vm& self() const { return self_; }
+  /// The gateways as listed, this one included once it has been read.
+  const VmList& gateways() const { return gateways_; }
+
+ private:
+  Vm self_;
+  VmList gateways_;
+  std::optional<MonoTime> due_ = MonoTime();
+  bool write_ = false;
+  int reads_ = 0;
+};
+
+}  // namespace jd
--- a/cluster/membership.cc
+++ b/cluster/membership.cc
@@ -130,9 +130,9 @@
       continue;
     }
     next = std::min(
-        next, member.heard + (member.state == MemberState::kLive ? kSuspectAfter : kDeadAfter));
+        next, member.heard + (member.state == MemberState::kLive ? suspect_after() : dead_after()));
   }
-  return fresh_ ? next : std::min(next, resumed_ + kDeadAfter);
+  return fresh_ ? next : std::min(next, resumed_ + dead_after());
 }
 
 std::vector<GatewayId> Membership::owners() const {
@@ -163,7 +163,7 @@
 }
 
 void Membership::NoticePause(MonoTime now) {
-  const bool paused = now - last_event_ > kPauseAfter;
+  const bool paused = now - last_event_ > settings_.heartbeat * kPauseHeartbeats;
   last_event_ = std::max(last_event_, now);
   if (!paused) {
     return;
@@ -187,7 +187,7 @@
   if (member.incarnation == Incarnation()) {
     return MemberState::kUnknown;
   }
-  if (now - member.heard >= kDeadAfter) {
+  if (now - member.heard >= dead_after()) {
     return MemberState::kDead;
   }
   if (member.leaving) {
@@ -195,10 +195,10 @@
   }
   // The echo is compared with the arrival of the heartbeat that carried it, so that the silence
   // of a peer is counted once, by the limits above and below.
-  if (!member.echoed || member.heard - member.echo >= kDeadAfter) {
+  if (!member.echoed || member.heard - member.echo >= dead_after()) {
     return MemberState::kOneWay;
   }
-  return now - member.heard >= kSuspectAfter ? MemberState::kSuspect : MemberState::kLive;
+  return now - member.heard >= suspect_after() ? MemberState::kSuspect : MemberState::kLive;
 }
 
 void Membership::Evaluate(MonoTime now, MembershipOutput* output) {
@@ -212,7 +212,7 @@
       awaited_.erase(id);
     }
   }
-  if (!fresh_ && (awaited_.empty() || now - resumed_ >= kDeadAfter)) {
+  if (!fresh_ && (awaited_.empty() || now - resumed_ >= dead_after())) {
     fresh_ = true;
     awaited_.clear();
   }
@@ -220,7 +220,7 @@
 }
 
 void Membership::SendHeartbeats(MonoTime now, MembershipOutput* output) {
-  next_heartbeat_ = now + kHeartbeatEvery;
+  next_heartbeat_ = now + settings_.heartbeat;
   for (const auto& [id, member] : members_) {
     Heartbeat heartbeat;
     heartbeat.zone = settings_.zone;
--- a/cluster/membership.h
+++ b/cluster/membership.h
@@ -69,11 +69,11 @@
 /// list adds peers and confirms the removal of dead ones.
 class Membership {
  public:
-  static constexpr Duration kHeartbeatEvery = 200ms;
-  static constexpr Duration kSuspectAfter = 600ms;
-  static constexpr Duration kDeadAfter = 1000ms;
+  /// Silence, in heartbeats, after which a peer is suspect and dead.
+  static constexpr int kSuspectHeartbeats = 3;
+  static constexpr int kDeadHeartbeats = 5;
   /// Three missed timers; a shorter limit would take an ordinary scheduling delay for a pause.
-  static constexpr Duration kPauseAfter = 600ms;
+  static constexpr int kPauseHeartbeats = 3;
 
   explicit Membership(NodeSettings settings);
 
@@ -105,6 +105,8 @@
   bool IsOutdated(const GatewayId& from, Incarnation incarnation) const;
 
  private:
+  Duration dead_after() const { return settings_.heartbeat * kDeadHeartbeats; }
+  Duration suspect_after() const { return settings_.heartbeat * kSuspectHeartbeats; }
   void NoticePause(MonoTime now);
   void Evaluate(MonoTime now, MembershipOutput* output);
   MemberState StateOf(MonoTime now, const Member& member) const;
--- a/cluster/node.cc
+++ b/cluster/node.cc
@@ -268,7 +268,30 @@
   }
 }
 
+void Node::OnTableRead(Now now, const TableNews& news, NodeActions* actions) {
+  for (const auto& [id, member] : membership_.members()) {
+    if (member.state == MemberState::kLive) {
+      SendTo(now, id, news, actions);
+    }
+  }
+}
+
+void Node::ShareBounds(Now now) {
+  if (settings_.probe_rate > 0 && gateways_ > 0) {
+    policy_.SetProbeRate(now.mono, settings_.probe_rate / static_cast<double>(gateways_));
+  }
+}
+
 void Node::OnDiscovery(Now now, const DiscoveryUpdate& update, NodeActions* actions) {
+  if (update.gateways) {
+    gateways_ = update.gateways->size();
+    VmList peers = *update.gateways;
+    std::erase_if(peers, [this](const Vm& vm) {
+      return settings_.zone_peers && vm.zone != settings_.zone;
+    });
+    OnVmList(now, peers, actions);
+    ShareBounds(now);
+  }
   const bool was_complete = catalog_.complete();
   const bool changed = catalog_.Apply(update);
   if (!catalog_.complete() || (was_complete && !changed)) {
--- a/cluster/node.h
+++ b/cluster/node.h
@@ -55,6 +55,8 @@
   void OnVmList(Now now, const VmList& vms, NodeActions* actions);
   /// Takes in what operators and upstreams have written to the platform's store.
   void OnDiscovery(Now now, const DiscoveryUpdate& update, NodeActions* actions);
+  /// Tells the peers what this gateway read of a table.
+  void OnTableRead(Now now, const TableNews& news, NodeActions* actions);
   void OnProbeResult(Now now, const ProbeResult& result, NodeActions* actions);
   void OnOperatorRequest(Now now, const OperatorRequest& request, NodeActions* actions);
   void OnTimer(Now now, NodeActions* actions);
@@ -92,6 +94,8 @@
   void OnNotice(Now now, const EndpointNotice& notice, bool tell_peers, NodeActions* actions);
   void SendTo(Now now, const GatewayId& to, PeerBody body, NodeActions* actions);
   void SendToAll(Now now, const PeerBody& body, NodeActions* actions);
+  /// Divides the bounds that hold for all gateways together.
+  void ShareBounds(Now now);
   void Record(Now now, EventKind kind, const std::string& detail);
   static NodeConfig::Output ConfigOutputFor(NodeActions* actions);
 
@@ -118,6 +122,7 @@
   std::set<ZoneId> zones_out_;
   LatencyBook latency_;
   MonoTime next_vm_list_;
+  size_t gateways_ = 0;  ///< As discovery lists them.
   bool stopping_ = false;
 };
 
--- a/cluster/node_action.h
+++ b/cluster/node_action.h
@@ -42,6 +42,11 @@
   std::string body;
 };
 
+/// Hands over what a peer read of a table.
+struct TakeTableNews {
+  TableNews news;
+};
+
 /// Writes one decision to the log.
 struct WriteLog {
   Event event;
@@ -62,6 +67,7 @@
                                 FetchVmList,
                                 SendProbe,
                                 ReplayCall,
+                                TakeTableNews,
                                 WriteLog,
                                 SendOperatorReply>;
 using NodeActions = std::vector<NodeAction>;
--- a/cluster/node_settings.h
+++ b/cluster/node_settings.h
@@ -28,6 +28,11 @@
   std::string policy =
       "slots";  ///< "slots", "pooled", "round_robin", "least_request", "reported_load".
   bool has_platform = false;  ///< False: the configuration comes from the settings file alone.
+  Duration heartbeat = 200ms;  ///< Between heartbeats to each peer.
+  /// Peers are the gateways of the own zone alone.
+  bool zone_peers = false;
+  /// Health pages that all gateways together ask an endpoint for, a second; 0: no bound.
+  double probe_rate = 0;
   /// Bound of all gateways together on the calls that are sent again, if there is one.
   std::optional<RetryBudget::Limits> retry_limits;
   /// The gateways of a zone that is out of service are not ready.
--- a/cluster/peer_message.h
+++ b/cluster/peer_message.h
@@ -5,6 +5,7 @@
 #include <variant>
 #include <vector>
 
+#include "cluster/table_watch.h"
 #include "common/config_entry.h"
 #include "common/event_ring.h"
 #include "common/hybrid_clock.h"
@@ -73,7 +74,8 @@
                               CrashNotice,
                               ConfigEntries,
                               ConfigFetch,
-                              UnrecordedZone>;
+                              UnrecordedZone,
+                              TableNews>;
 
 /// One message between gateways, without the shared key, which stays with the transport.
 struct PeerMessage {
--- a/cluster/table_watch.cc
+++ b/cluster/table_watch.cc
@@ -1,6 +1,7 @@
 #include "cluster/table_watch.h"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 namespace jd {
@@ -61,6 +62,33 @@
   return changes;
 }
 
+std::vector<WatchedRow> TableWatch::OnNews(MonoTime now, const TableNews& news) {
+  std::vector<WatchedRow> changes;
+  if (!complete_ || whole_) {
+    return changes;
+  }
+  if (news.after > after_) {
+    due_ = now;  // Something between was missed.
+    return changes;
+  }
+  std::uniform_int_distribution<int64_t> patience(pace_.least_patience.count(),
+                                                  pace_.greatest_patience.count());
+  due_ = std::max(due_, now + Duration(patience(random_)));
+  if (news.version <= after_) {
+    return changes;
+  }
+  for (const WatchedRow& row : news.rows) {
+    if (!row.deleted) {
+      Take(row, &changes);
+    } else if (versions_.erase(row.key) > 0) {
+      missing_.erase(row.key);
+      changes.push_back(row);
+    }
+  }
+  after_ = news.version;
+  return changes;
+}
+
 void TableWatch::Take(const WatchedRow& row, std::vector<WatchedRow>* changes) {
   missing_.erase(row.key);
   uint64_t& version = versions_[row.key];
--- a/control/gateway_command.cc
+++ b/control/gateway_command.cc
@@ -7,6 +7,7 @@
 #include <iostream>
 #include <map>
 #include <memory>
+#include <random>
 
 #include "control/command.h"
 #include "gateway/gateway.h"
@@ -40,6 +41,17 @@
   return std::make_unique<NativeDialect>();
 }
 
+// How other gateways reach this one.
+Vm ListingOf(const Settings& settings, uint16_t peer_port) {
+  Vm vm;
+  vm.name = settings.id.value;
+  vm.role = VmRole::kGateway;
+  vm.zone = settings.zone;
+  vm.address = settings.peers.address;
+  vm.port = peer_port;
+  return vm;
+}
+
 std::string SettingsFile(const std::map<std::string, docopt::value>& options) {
   const docopt::value& file = options.at("--config");
   if (file) {
@@ -70,8 +82,11 @@
     Connect(&links, &gateway);
     std::unique_ptr<PlatformDiscovery> discovery;
     if (settings.discovery) {
-      discovery = std::make_unique<PlatformDiscovery>(&loop, settings.platform.address,
-                                                      settings.platform.port);
+      discovery = std::make_unique<PlatformDiscovery>(
+          &loop, settings.platform.address, settings.platform.port, ListingOf(settings, links.port()),
+          std::random_device()());
+      discovery->table_read().connect(sigc::mem_fun(gateway, &Gateway::OnTableRead));
+      gateway.table_news().connect(sigc::mem_fun(*discovery, &PlatformDiscovery::OnNews));
       discovery->updated().connect(sigc::mem_fun(gateway, &Gateway::OnDiscovery));
     }
     const SignalWatch terminate(&loop, SIGTERM, [&gateway] { gateway.Stop(); });
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -14,6 +14,9 @@
 // The list lags by more than this anyway; a later answer is superseded by the next request.
 constexpr Duration kVmListTimeout = 2s;
 
+// Between gateways that lend each other nothing.
+constexpr Duration kRelaxedHeartbeat = 1s;
+
 uint64_t SeedOf(const Settings& settings) {
   return settings.seed != 0 ? static_cast<uint64_t>(settings.seed) : std::random_device()();
 }
@@ -31,6 +34,12 @@
   if (settings.retry_share > 0) {
     node.retry_limits = RetryBudget::SharedLimits(settings.retry_share, settings.retry_window);
   }
+  node.probe_rate = settings.probe_rate;
+  if (settings.policy == FreshLoad::kName) {
+    // Without slots to lend, peers only share what they read.
+    node.heartbeat = kRelaxedHeartbeat;
+    node.zone_peers = true;
+  }
   // What operators take out of service on the platform are the zone's upstreams alone.
   node.leaves_with_zone = !settings.discovery;
   node.event_capacity = static_cast<size_t>(settings.event_ring);
@@ -181,6 +190,10 @@
   Drive([&](Now now, NodeActions* out) { node_.OnDiscovery(now, update, out); });
 }
 
+void Gateway::OnTableRead(const TableNews& news) {
+  Drive([&](Now now, NodeActions* out) { node_.OnTableRead(now, news, out); });
+}
+
 void Gateway::ScheduleTurnEnd() {
   if (!turn_scheduled_) {
     turn_scheduled_ = true;
@@ -351,6 +364,10 @@
   set_peer_address_.emit(action);
 }
 
+void Gateway::Do(const TakeTableNews& action) {
+  table_news_.emit(action.news);
+}
+
 void Gateway::Do(const WriteLog& action) {
   LogEvent(action.event);
 }
--- a/gateway/setting_table.cc
+++ b/gateway/setting_table.cc
@@ -141,6 +141,13 @@
      }},
 };
 
+constexpr SettingField<Settings> kProbesFields[] = {
+    {{"per_second", SettingKind::kNumber, "probes", 0, 100000, "", "0",
+      "Health pages that all gateways together ask an endpoint for in a second, on average over the "
+      "endpoints of a service; 0 sets no bound. Only the policy fresh_load keeps it."},
+     [](Settings& object, const SettingValue& value) { object.probe_rate = value.number; }},
+};
+
 constexpr SettingField<Limits> kLimitsFields[] = {
     {{"header_bytes", SettingKind::kInteger, "bytes", 1024, 1048576, "", "65536",
       "Longest header of a request or response."},
@@ -325,6 +332,10 @@
   return kRetriesFields;
 }
 
+std::span<const SettingField<Settings>> ProbesFields() {
+  return kProbesFields;
+}
+
 std::span<const SettingField<Limits>> LimitsFields() {
   return kLimitsFields;
 }
--- a/gateway/settings.cc
+++ b/gateway/settings.cc
@@ -93,6 +93,7 @@
   Describe("peers.seeds[]", SeedFields(), &infos);
   Describe("platform", PlatformFields(), &infos);
   Describe("retries", RetriesFields(), &infos);
+  Describe("probes", ProbesFields(), &infos);
   Describe("limits", LimitsFields(), &infos);
   Describe("zones[]", ZoneFields(), &infos);
   Describe("workspaces[]", WorkspaceFields(), &infos);
@@ -118,6 +119,7 @@
   ReadSection(root, "status", StatusFields(), {}, &settings.status, &faults);
   ReadSection(root, "peers", PeersFields(), {"seeds"}, &settings, &faults);
   ReadSection(root, "retries", RetriesFields(), {}, &settings, &faults);
+  ReadSection(root, "probes", ProbesFields(), {}, &settings, &faults);
   ReadSection(root, "limits", LimitsFields(), {}, &settings.limits, &faults);
   ReadSeeds(root, &settings, &faults);
   CheckPorts(root, settings, &faults);
@@ -132,7 +134,7 @@
     settings.configuration = ReadConfiguration(root, &faults);
   }
   ReportUnknownKeys(root, "",
-                    {"gateway", "callers", "status", "peers", "platform", "retries", "limits",
+                    {"gateway", "callers", "status", "peers", "platform", "retries", "probes", "limits",
                      "zones", "workspaces", "profiles", "services"},
                     &faults);
   if (!faults.empty()) {
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -53,6 +53,8 @@
   /// 0: each profile's own budget alone holds.
   double retry_share = 0;
   Duration retry_window{0};
+  /// Health pages that all gateways together ask an endpoint for, a second; 0: no bound.
+  double probe_rate = 0;
   Limits limits;
   /// The embedded configuration, at version 1, or null if there is a platform.
   ConfigurationPtr configuration;
--- a/policy/fresh_load.cc
+++ b/policy/fresh_load.cc
@@ -58,7 +58,9 @@
     const double jitter = std::uniform_real_distribution<double>(0, 0.2)(random);
     ranked.push_back({RankOf(now, seen_.at(endpoint.id)) + jitter, &endpoint});
   }
-  const size_t count = std::min(stage == 0 ? kCandidates : kRemoteCandidates, ranked.size());
+  const size_t wanted = std::min(stage == 0 ? kCandidates : kRemoteCandidates, ranked.size());
+  const auto count = static_cast<size_t>(
+      probe_budgets_[request.service].Take(now, static_cast<int32_t>(wanted)));
   std::partial_sort(ranked.begin(), ranked.begin() + static_cast<ptrdiff_t>(count), ranked.end(),
                     [](const Ranked& a, const Ranked& b) { return a.rank < b.rank; });
   std::vector<EndpointId> candidates;
@@ -68,6 +70,18 @@
   return candidates;
 }
 
+void FreshLoad::SetProbeRate(MonoTime now, double rate) {
+  probe_rate_ = rate;
+  for (const auto& [id, view] : services_) {
+    UpdateBudget(now, view);
+  }
+}
+
+void FreshLoad::UpdateBudget(MonoTime now, const ServiceView& view) {
+  probe_budgets_[view.id].SetRate(now,
+                                  probe_rate_ * static_cast<double>(view.endpoints.size()));
+}
+
 bool FreshLoad::OnProbe(MonoTime now, const ProbeResult& result) {
   const auto found = seen_.find(result.endpoint);
   if (found == seen_.end()) {
@@ -176,7 +190,8 @@
   return taken;
 }
 
-void FreshLoad::SetService(MonoTime, const ServiceView& view) {
+void FreshLoad::SetService(MonoTime now, const ServiceView& view) {
+  UpdateBudget(now, view);
   ServiceView& known = services_[view.id];
   for (const EndpointView& endpoint : known.endpoints) {
     const bool stays =
@@ -197,6 +212,7 @@
 void FreshLoad::RemoveService(MonoTime, const ServiceId& service) {
   const auto known = services_.extract(service);
   fill_costs_.erase(service);
+  probe_budgets_.erase(service);
   if (known.empty()) {
     return;
   }
--- a/policy/fresh_load.h
+++ b/policy/fresh_load.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "policy/fill_cost.h"
+#include "policy/probe_budget.h"
 #include "policy/probe_result.h"
 #include "policy/routing_policy.h"
 
@@ -36,6 +37,7 @@
                                      const AcquireRequest& request,
                                      int stage,
                                      RandomEngine& random);
+  void SetProbeRate(MonoTime now, double rate);
   /// Takes in the end of a probe.
   /// @return whether the endpoint is idle enough that a call need not wait for other answers.
   bool OnProbe(MonoTime now, const ProbeResult& result);
@@ -91,7 +93,12 @@
 
   std::map<ServiceId, ServiceView> services_;
   std::unordered_map<EndpointId, Seen> seen_;
+  /// Sets the budget of a service by the number of its endpoints.
+  void UpdateBudget(MonoTime now, const ServiceView& view);
+
   std::map<ServiceId, FillCost> fill_costs_;
+  std::map<ServiceId, ProbeBudget> probe_budgets_;
+  double probe_rate_ = 0;  ///< Per endpoint; 0: no bound.
 };
 
 static_assert(MeasuringPolicy<FreshLoad>);
--- a/policy/policy_variant.cc
+++ b/policy/policy_variant.cc
@@ -76,6 +76,16 @@
       policy_);
 }
 
+void PolicyVariant::SetProbeRate(MonoTime now, double rate) {
+  std::visit(
+      [&](auto& policy) {
+        if constexpr (MeasuringPolicy<std::decay_t<decltype(policy)>>) {
+          policy.SetProbeRate(now, rate);
+        }
+      },
+      policy_);
+}
+
 bool PolicyVariant::OnProbe(MonoTime now, const ProbeResult& result) {
   return std::visit(
       [&](auto& policy) {
--- a/policy/policy_variant.h
+++ b/policy/policy_variant.h
@@ -43,6 +43,7 @@
                                      const AcquireRequest& request,
                                      int stage,
                                      RandomEngine& random);
+  void SetProbeRate(MonoTime now, double rate);
   bool OnProbe(MonoTime now, const ProbeResult& result);
   std::string Describe(MonoTime now, const EndpointId& endpoint) const;
 
--- /dev/null
+++ b/policy/probe_budget.cc
@@ -0,0 +1,29 @@
+#include "policy/probe_budget.h"
+
+#include <algorithm>
+
+namespace jd {
+
+void ProbeBudget::Advance(MonoTime now) {
+  const double seconds = std::chrono::duration<double>(now - last_).count();
+  const double burst = per_second_ * std::chrono::duration<double>(kBurst).count();
+  tokens_ = std::min(tokens_ + seconds * per_second_, burst);
+  last_ = now;
+}
+
+void ProbeBudget::SetRate(MonoTime now, double per_second) {
+  Advance(now);
+  per_second_ = per_second;
+}
+
+int32_t ProbeBudget::Take(MonoTime now, int32_t wanted) {
+  if (per_second_ <= 0) {
+    return wanted;
+  }
+  Advance(now);
+  const int32_t taken = std::clamp(static_cast<int32_t>(tokens_), std::min(1, wanted), wanted);
+  tokens_ -= taken;
+  return taken;
+}
+
+}  // namespace jd
--- a/policy/routing_policy.h
+++ b/policy/routing_policy.h
@@ -77,11 +77,15 @@
                                                        MonoTime now,
                                                        const AcquireRequest& request,
                                                        int stage,
+                                                       double rate,
                                                        RandomEngine& random,
                                                        const EndpointId& endpoint,
                                                        const ProbeResult& result) {
   /// Returns the endpoints to ask in this stage; none if the stage has none.
   { policy.Candidates(now, request, stage, random) } -> std::same_as<std::vector<EndpointId>>;
+  /// Sets how many probes this gateway may send per second and endpoint, over all endpoints of a
+  /// service together.
+  { policy.SetProbeRate(now, rate) } -> std::same_as<void>;
   /// Returns whether a call may be sent on this answer alone.
   { policy.OnProbe(now, result) } -> std::same_as<bool>;
   /// Returns what is known of an endpoint and how old it is, as name=value pairs for the log.
--- a/rpc/convert.cc
+++ b/rpc/convert.cc
@@ -232,6 +232,32 @@
           CheckedEnum(in.kind, EndpointNoticeKind::kServing)};
 }
 
+wire::TableNews ToWire(const TableNews& in) {
+  wire::TableNews out;
+  out.table = in.table;
+  out.after = static_cast<int64_t>(in.after);
+  out.version = static_cast<int64_t>(in.version);
+  for (const WatchedRow& row : in.rows) {
+    wire::WatchedRow& added = out.rows.emplace_back();
+    added.key = row.key;
+    added.value = row.value;
+    added.version = static_cast<int64_t>(row.version);
+    added.deleted = row.deleted;
+  }
+  return out;
+}
+
+TableNews FromWire(const wire::TableNews& in) {
+  TableNews out;
+  out.table = in.table;
+  out.after = static_cast<uint64_t>(in.after);
+  out.version = static_cast<uint64_t>(in.version);
+  for (const wire::WatchedRow& row : in.rows) {
+    out.rows.push_back({row.key, row.value, static_cast<uint64_t>(row.version), row.deleted});
+  }
+  return out;
+}
+
 wire::CrashNotice ToWire(const CrashNotice& in) {
   wire::CrashNotice out;
   out.fingerprint = Number(in.fingerprint.value);
@@ -311,6 +337,7 @@
   void operator()(const SlotRequest& in) { body->__set_slot_request(ToWire(in)); }
   void operator()(const SlotGrant& in) { body->__set_slot_grant(ToWire(in)); }
   void operator()(const EndpointNotice& in) { body->__set_endpoint_notice(ToWire(in)); }
+  void operator()(const TableNews& in) { body->__set_table_news(ToWire(in)); }
   void operator()(const CrashNotice& in) { body->__set_crash_notice(ToWire(in)); }
   void operator()(const ConfigEntries& in) { body->__set_config_entries(ToWire(in)); }
   void operator()(const ConfigFetch& in) { body->__set_config_fetch(ToWire(in)); }
@@ -331,6 +358,9 @@
   if (set.endpoint_notice) {
     return FromWire(body.endpoint_notice);
   }
+  if (set.table_news) {
+    return FromWire(body.table_news);
+  }
   if (set.crash_notice) {
     return FromWire(body.crash_notice);
   }
--- a/rpc/gen-cpp/jackdawdeck_types.cpp
+++ b/rpc/gen-cpp/jackdawdeck_types.cpp
@@ -2430,6 +2430,330 @@
 }
 
 
+WatchedRow::~WatchedRow() noexcept {
+}
+
+
+void WatchedRow::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void WatchedRow::__set_value(const std::string& val) {
+  this->value = val;
+}
+
+void WatchedRow::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void WatchedRow::__set_deleted(const bool val) {
+  this->deleted = val;
+}
+std::ostream& operator<<(std::ostream& out, const WatchedRow& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WatchedRow::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->value);
+          this->__isset.value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->deleted);
+          this->__isset.deleted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t WatchedRow::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WatchedRow");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->value);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("deleted", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->deleted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WatchedRow &a, WatchedRow &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.value, b.value);
+  swap(a.version, b.version);
+  swap(a.deleted, b.deleted);
+  swap(a.__isset, b.__isset);
+}
+
+WatchedRow::WatchedRow(const WatchedRow& other50) {
+  key = other50.key;
+  value = other50.value;
+  version = other50.version;
+  deleted = other50.deleted;
+  __isset = other50.__isset;
+}
+WatchedRow& WatchedRow::operator=(const WatchedRow& other51) {
+  key = other51.key;
+  value = other51.value;
+  version = other51.version;
+  deleted = other51.deleted;
+  __isset = other51.__isset;
+  return *this;
+}
+void WatchedRow::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WatchedRow(";
+  out << "key=" << to_string(key);
+  out << ", " << "value=" << to_string(value);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "deleted=" << to_string(deleted);
+  out << ")";
+}
+
+
+TableNews::~TableNews() noexcept {
+}
+
+
+void TableNews::__set_table(const std::string& val) {
+  this->table = val;
+}
+
+void TableNews::__set_after(const int64_t val) {
+  this->after = val;
+}
+
+void TableNews::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void TableNews::__set_rows(const std::vector<WatchedRow> & val) {
+  this->rows = val;
+}
+std::ostream& operator<<(std::ostream& out, const TableNews& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TableNews::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->table);
+          this->__isset.table = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->after);
+          this->__isset.after = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->rows.clear();
+            uint32_t _size52;
+            ::apache::thrift::protocol::TType _etype55;
+            xfer += iprot->readListBegin(_etype55, _size52);
+            this->rows.resize(_size52);
+            uint32_t _i56;
+            for (_i56 = 0; _i56 < _size52; ++_i56)
+            {
+              xfer += this->rows[_i56].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.rows = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TableNews::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TableNews");
+
+  xfer += oprot->writeFieldBegin("table", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->table);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("after", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->after);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
+    std::vector<WatchedRow> ::const_iterator _iter57;
+    for (_iter57 = this->rows.begin(); _iter57 != this->rows.end(); ++_iter57)
+    {
+      xfer += (*_iter57).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TableNews &a, TableNews &b) {
+  using ::std::swap;
+  swap(a.table, b.table);
+  swap(a.after, b.after);
+  swap(a.version, b.version);
+  swap(a.rows, b.rows);
+  swap(a.__isset, b.__isset);
+}
+
+TableNews::TableNews(const TableNews& other58) {
+  table = other58.table;
+  after = other58.after;
+  version = other58.version;
+  rows = other58.rows;
+  __isset = other58.__isset;
+}
+TableNews& TableNews::operator=(const TableNews& other59) {
+  table = other59.table;
+  after = other59.after;
+  version = other59.version;
+  rows = other59.rows;
+  __isset = other59.__isset;
+  return *this;
+}
+void TableNews::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TableNews(";
+  out << "table=" << to_string(table);
+  out << ", " << "after=" << to_string(after);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "rows=" << to_string(rows);
+  out << ")";
+}
+
+
 OperatorRequest::~OperatorRequest() noexcept {
 }
 
@@ -2556,19 +2880,19 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorRequest::OperatorRequest(const OperatorRequest& other50) {
-  id = other50.id;
-  command = other50.command;
-  body = other50.body;
-  timeout = other50.timeout;
-  __isset = other50.__isset;
+OperatorRequest::OperatorRequest(const OperatorRequest& other60) {
+  id = other60.id;
+  command = other60.command;
+  body = other60.body;
+  timeout = other60.timeout;
+  __isset = other60.__isset;
 }
-OperatorRequest& OperatorRequest::operator=(const OperatorRequest& other51) {
-  id = other51.id;
-  command = other51.command;
-  body = other51.body;
-  timeout = other51.timeout;
-  __isset = other51.__isset;
+OperatorRequest& OperatorRequest::operator=(const OperatorRequest& other61) {
+  id = other61.id;
+  command = other61.command;
+  body = other61.body;
+  timeout = other61.timeout;
+  __isset = other61.__isset;
   return *this;
 }
 void OperatorRequest::printTo(std::ostream& out) const {
@@ -2691,17 +3015,17 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorReply::OperatorReply(const OperatorReply& other52) {
-  id = other52.id;
-  status = other52.status;
-  body = other52.body;
-  __isset = other52.__isset;
+OperatorReply::OperatorReply(const OperatorReply& other62) {
+  id = other62.id;
+  status = other62.status;
+  body = other62.body;
+  __isset = other62.__isset;
 }
-OperatorReply& OperatorReply::operator=(const OperatorReply& other53) {
-  id = other53.id;
-  status = other53.status;
-  body = other53.body;
-  __isset = other53.__isset;
+OperatorReply& OperatorReply::operator=(const OperatorReply& other63) {
+  id = other63.id;
+  status = other63.status;
+  body = other63.body;
+  __isset = other63.__isset;
   return *this;
 }
 void OperatorReply::printTo(std::ostream& out) const {
@@ -2767,6 +3091,11 @@
   this->operator_reply = val;
 __isset.operator_reply = true;
 }
+
+void Body::__set_table_news(const TableNews& val) {
+  this->table_news = val;
+__isset.table_news = true;
+}
 std::ostream& operator<<(std::ostream& out, const Body& obj)
 {
   obj.printTo(out);
@@ -2875,6 +3204,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->table_news.read(iprot);
+          this->__isset.table_news = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2942,6 +3279,11 @@
     xfer += this->operator_reply.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.table_news) {
+    xfer += oprot->writeFieldBegin("table_news", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->table_news.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2959,34 +3301,37 @@
   swap(a.unrecorded_zone, b.unrecorded_zone);
   swap(a.operator_request, b.operator_request);
   swap(a.operator_reply, b.operator_reply);
+  swap(a.table_news, b.table_news);
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other54) {
-  heartbeat = other54.heartbeat;
-  slot_request = other54.slot_request;
-  slot_grant = other54.slot_grant;
-  endpoint_notice = other54.endpoint_notice;
-  crash_notice = other54.crash_notice;
-  config_entries = other54.config_entries;
-  config_fetch = other54.config_fetch;
-  unrecorded_zone = other54.unrecorded_zone;
-  operator_request = other54.operator_request;
-  operator_reply = other54.operator_reply;
-  __isset = other54.__isset;
-}
-Body& Body::operator=(const Body& other55) {
-  heartbeat = other55.heartbeat;
-  slot_request = other55.slot_request;
-  slot_grant = other55.slot_grant;
-  endpoint_notice = other55.endpoint_notice;
-  crash_notice = other55.crash_notice;
-  config_entries = other55.config_entries;
-  config_fetch = other55.config_fetch;
-  unrecorded_zone = other55.unrecorded_zone;
-  operator_request = other55.operator_request;
-  operator_reply = other55.operator_reply;
-  __isset = other55.__isset;
+Body::Body(const Body& other64) {
+  heartbeat = other64.heartbeat;
+  slot_request = other64.slot_request;
+  slot_grant = other64.slot_grant;
+  endpoint_notice = other64.endpoint_notice;
+  crash_notice = other64.crash_notice;
+  config_entries = other64.config_entries;
+  config_fetch = other64.config_fetch;
+  unrecorded_zone = other64.unrecorded_zone;
+  operator_request = other64.operator_request;
+  operator_reply = other64.operator_reply;
+  table_news = other64.table_news;
+  __isset = other64.__isset;
+}
+Body& Body::operator=(const Body& other65) {
+  heartbeat = other65.heartbeat;
+  slot_request = other65.slot_request;
+  slot_grant = other65.slot_grant;
+  endpoint_notice = other65.endpoint_notice;
+  crash_notice = other65.crash_notice;
+  config_entries = other65.config_entries;
+  config_fetch = other65.config_fetch;
+  unrecorded_zone = other65.unrecorded_zone;
+  operator_request = other65.operator_request;
+  operator_reply = other65.operator_reply;
+  table_news = other65.table_news;
+  __isset = other65.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -3002,6 +3347,7 @@
   out << ", " << "unrecorded_zone="; (__isset.unrecorded_zone ? (out << to_string(unrecorded_zone)) : (out << "<null>"));
   out << ", " << "operator_request="; (__isset.operator_request ? (out << to_string(operator_request)) : (out << "<null>"));
   out << ", " << "operator_reply="; (__isset.operator_reply ? (out << to_string(operator_reply)) : (out << "<null>"));
+  out << ", " << "table_news="; (__isset.table_news ? (out << to_string(table_news)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3149,21 +3495,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other56) {
-  key = other56.key;
-  sender = other56.sender;
-  incarnation = other56.incarnation;
-  stamp = other56.stamp;
-  body = other56.body;
-  __isset = other56.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other57) {
-  key = other57.key;
-  sender = other57.sender;
-  incarnation = other57.incarnation;
-  stamp = other57.stamp;
-  body = other57.body;
-  __isset = other57.__isset;
+Envelope::Envelope(const Envelope& other66) {
+  key = other66.key;
+  sender = other66.sender;
+  incarnation = other66.incarnation;
+  stamp = other66.stamp;
+  body = other66.body;
+  __isset = other66.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other67) {
+  key = other67.key;
+  sender = other67.sender;
+  incarnation = other67.incarnation;
+  stamp = other67.stamp;
+  body = other67.body;
+  __isset = other67.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/rpc/gen-cpp/jackdawdeck_types.h
+++ b/rpc/gen-cpp/jackdawdeck_types.h
@@ -47,6 +47,10 @@
 
 class UnrecordedZone;
 
+class WatchedRow;
+
+class TableNews;
+
 class OperatorRequest;
 
 class OperatorReply;
@@ -1008,6 +1012,133 @@
 
 std::ostream& operator<<(std::ostream& out, const UnrecordedZone& obj);
 
+typedef struct _WatchedRow__isset {
+  _WatchedRow__isset() : key(false), value(false), version(false), deleted(false) {}
+  bool key :1;
+  bool value :1;
+  bool version :1;
+  bool deleted :1;
+} _WatchedRow__isset;
+
+class WatchedRow : public virtual ::apache::thrift::TBase {
+ public:
+
+  WatchedRow(const WatchedRow&);
+  WatchedRow& operator=(const WatchedRow&);
+  WatchedRow() noexcept
+             : key(),
+               value(),
+               version(0),
+               deleted(0) {
+  }
+
+  virtual ~WatchedRow() noexcept;
+  std::string key;
+  std::string value;
+  int64_t version;
+  bool deleted;
+
+  _WatchedRow__isset __isset;
+
+  void __set_key(const std::string& val);
+
+  void __set_value(const std::string& val);
+
+  void __set_version(const int64_t val);
+
+  void __set_deleted(const bool val);
+
+  bool operator == (const WatchedRow & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(value == rhs.value))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(deleted == rhs.deleted))
+      return false;
+    return true;
+  }
+  bool operator != (const WatchedRow &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WatchedRow & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WatchedRow &a, WatchedRow &b);
+
+std::ostream& operator<<(std::ostream& out, const WatchedRow& obj);
+
+typedef struct _TableNews__isset {
+  _TableNews__isset() : table(false), after(false), version(false), rows(false) {}
+  bool table :1;
+  bool after :1;
+  bool version :1;
+  bool rows :1;
+} _TableNews__isset;
+
+class TableNews : public virtual ::apache::thrift::TBase {
+ public:
+
+  TableNews(const TableNews&);
+  TableNews& operator=(const TableNews&);
+  TableNews() noexcept
+            : table(),
+              after(0),
+              version(0) {
+  }
+
+  virtual ~TableNews() noexcept;
+  std::string table;
+  int64_t after;
+  int64_t version;
+  std::vector<WatchedRow>  rows;
+
+  _TableNews__isset __isset;
+
+  void __set_table(const std::string& val);
+
+  void __set_after(const int64_t val);
+
+  void __set_version(const int64_t val);
+
+  void __set_rows(const std::vector<WatchedRow> & val);
+
+  bool operator == (const TableNews & rhs) const
+  {
+    if (!(table == rhs.table))
+      return false;
+    if (!(after == rhs.after))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(rows == rhs.rows))
+      return false;
+    return true;
+  }
+  bool operator != (const TableNews &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TableNews & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TableNews &a, TableNews &b);
+
+std::ostream& operator<<(std::ostream& out, const TableNews& obj);
+
 typedef struct _OperatorRequest__isset {
   _OperatorRequest__isset() : id(false), command(false), body(false), timeout(false) {}
   bool id :1;
@@ -1130,7 +1261,7 @@
 std::ostream& operator<<(std::ostream& out, const OperatorReply& obj);
 
 typedef struct _Body__isset {
-  _Body__isset() : heartbeat(false), slot_request(false), slot_grant(false), endpoint_notice(false), crash_notice(false), config_entries(false), config_fetch(false), unrecorded_zone(false), operator_request(false), operator_reply(false) {}
+  _Body__isset() : heartbeat(false), slot_request(false), slot_grant(false), endpoint_notice(false), crash_notice(false), config_entries(false), config_fetch(false), unrecorded_zone(false), operator_request(false), operator_reply(false), table_news(false) {}
   bool heartbeat :1;
   bool slot_request :1;
   bool slot_grant :1;
@@ -1141,6 +1272,7 @@
   bool unrecorded_zone :1;
   bool operator_request :1;
   bool operator_reply :1;
+  bool table_news :1;
 } _Body__isset;
 
 /**
@@ -1165,6 +1297,7 @@
   UnrecordedZone unrecorded_zone;
   OperatorRequest operator_request;
   OperatorReply operator_reply;
+  TableNews table_news;
 
   _Body__isset __isset;
 
@@ -1188,6 +1321,8 @@
 
   void __set_operator_reply(const OperatorReply& val);
 
+  void __set_table_news(const TableNews& val);
+
   bool operator == (const Body & rhs) const
   {
     if (__isset.heartbeat != rhs.__isset.heartbeat)
@@ -1230,6 +1365,10 @@
       return false;
     else if (__isset.operator_reply && !(operator_reply == rhs.operator_reply))
       return false;
+    if (__isset.table_news != rhs.__isset.table_news)
+      return false;
+    else if (__isset.table_news && !(table_news == rhs.table_news))
+      return false;
     return true;
   }
   bool operator != (const Body &rhs) const {
--- a/rpc/jackdawdeck.thrift
+++ b/rpc/jackdawdeck.thrift
@@ -113,6 +113,20 @@
   5: string author
 }
 
+struct WatchedRow {
+  1: string key
+  2: binary value
+  3: i64 version
+  4: bool deleted
+}
+
+struct TableNews {
+  1: string table
+  2: i64 after
+  3: i64 version
+  4: list<WatchedRow> rows
+}
+
 struct OperatorRequest {
   1: i64 id
   2: string command
@@ -138,6 +152,7 @@
   8: UnrecordedZone unrecorded_zone
   9: OperatorRequest operator_request
   10: OperatorReply operator_reply
+  11: TableNews table_news
 }
 
 struct Envelope {
