Test discovery, measuring, load patterns and the platform adapter

Cause: the new modules had no tests of their own.

Change: tests without network for routes, table watch, catalog, registry, probing, retry bound, load patterns in virtual time, and the adapter's codecs with generated bytes. Only lines about calls are limited.

--- a/gateway/log.cc
+++ b/gateway/log.cc
@@ -22,7 +22,8 @@
 // A reader that falls further behind loses lines; the gateway never waits for it.
 constexpr size_t kMaxBufferedBytes = 256 * 1024;
 // Bounds the processor time of logging under load.
-constexpr uint64_t kMaxLinesPerSecond = 500;
+constexpr uint64_t kMaxCallLinesPerSecond = 500;
+constexpr const char* kCallLogger = "calls";
 
 /// Writes to standard output only as much as is taken without waiting.
 class StandardOutput : public log4cxx::AppenderSkeleton {
@@ -30,14 +31,16 @@
   explicit StandardOutput(log4cxx::LayoutPtr layout) : layout_(std::move(layout)) {}
   ~StandardOutput() override { Flush(); }
 
-  void append(const log4cxx::spi::LoggingEventPtr& event,
-              log4cxx::helpers::Pool& pool) override {
-    if (!Admit()) {
+  void append(const log4cxx::spi::LoggingEventPtr& event, log4cxx::helpers::Pool& pool) override {
+    // What happens to the process itself is rare and must not be lost among the calls.
+    const bool of_call = event->getLoggerName() == kCallLogger;
+    if (of_call && !Admit()) {
       return;
     }
     log4cxx::LogString line;
     layout_->format(line, event, pool);
-    if (pending_.size() + line.size() > kMaxBufferedBytes) {
+    const size_t limit = of_call ? kMaxBufferedBytes / 2 : kMaxBufferedBytes;
+    if (pending_.size() + line.size() > limit) {
       ++dropped_;
       return;
     }
@@ -59,7 +62,7 @@
       second_ = second;
       lines_ = 0;
     }
-    if (lines_ >= kMaxLinesPerSecond) {
+    if (lines_ >= kMaxCallLinesPerSecond) {
       ++dropped_;
       return false;
     }
@@ -94,7 +97,7 @@
   static const std::array<log4cxx::LoggerPtr, 7> loggers = {
       log4cxx::Logger::getLogger("gateway"),  log4cxx::Logger::getLogger("peers"),
       log4cxx::Logger::getLogger("slots"),    log4cxx::Logger::getLogger("config"),
-      log4cxx::Logger::getLogger("zones"),    log4cxx::Logger::getLogger("calls"),
+      log4cxx::Logger::getLogger("zones"),    log4cxx::Logger::getLogger(kCallLogger),
       log4cxx::Logger::getLogger("endpoints")};
   return loggers.at(static_cast<size_t>(part));
 }
--- a/gateway/log.h
+++ b/gateway/log.h
@@ -10,7 +10,7 @@
 enum class LogPart { kGateway, kPeers, kSlots, kConfig, kZones, kCalls, kEndpoints };
 
 /// Sends log lines to standard output. Nothing ever waits for their reader: lines that it does not
-/// take in time are dropped and counted, as are those above a number per second.
+/// take in time are dropped and counted, as are lines about calls above a number per second.
 /// @param level least severe level that is logged: "debug", "info", "warn" or "error".
 void SetUpLog(const std::string& level);
 
--- /dev/null
+++ b/tests/discovery_test.cc
@@ -0,0 +1,138 @@
+#include <catch2/catch.hpp>
+
+#include "cluster/catalog.h"
+#include "cluster/gateway_registry.h"
+#include "common/route_table.h"
+
+namespace jd {
+namespace {
+
+OperatorConfiguration Version(uint64_t version, const std::string& host) {
+  OperatorConfiguration configuration;
+  configuration.version = ConfigVersion(version);
+  Route route;
+  route.id = RouteId("r");
+  route.host = host;
+  route.prefix = "/";
+  route.targets = {{ServiceId("s"), 1.0}};
+  configuration.routes.push_back(route);
+  Service service;
+  service.id = ServiceId("s");
+  configuration.services.push_back(service);
+  return configuration;
+}
+
+EndpointRecord Record(const std::string& id, bool leaving = false) {
+  EndpointRecord record;
+  record.endpoint.id = EndpointId(id);
+  record.endpoint.zone = ZoneId("z");
+  record.service = ServiceId("s");
+  record.leaving = leaving;
+  return record;
+}
+
+DiscoveryUpdate Complete(uint64_t version, std::vector<EndpointRecord> endpoints) {
+  DiscoveryUpdate update;
+  update.configuration = Version(version, "h" + std::to_string(version));
+  update.endpoints = std::move(endpoints);
+  update.endpoints_known = true;
+  return update;
+}
+
+size_t Endpoints(const Catalog& catalog) {
+  return catalog.configuration()->services.at(ServiceId("s")).endpoints.size();
+}
+
+TEST_CASE("an older version of the configuration is never put in use", "[discovery_test]") {
+  Catalog catalog;
+  CHECK(catalog.Apply(Complete(7, {Record("e")})));
+  DiscoveryUpdate older;
+  older.configuration = Version(5, "h5");
+  CHECK_FALSE(catalog.Apply(older));
+  CHECK(catalog.configuration()->routes->Find("h7", "/") != nullptr);
+  CHECK(catalog.configuration()->routes->Find("h5", "/") == nullptr);
+}
+
+TEST_CASE("without configuration or endpoints nothing is complete", "[discovery_test]") {
+  // Guards against a gateway that is ready before it knows where calls go, and answers 404.
+  Catalog catalog;
+  DiscoveryUpdate endpoints;
+  endpoints.endpoints = {Record("e")};
+  endpoints.endpoints_known = true;
+  catalog.Apply(endpoints);
+  CHECK(catalog.configuration() == nullptr);
+  CHECK_FALSE(catalog.complete());
+  DiscoveryUpdate configuration;
+  configuration.configuration = Version(1, "h");
+  catalog.Apply(configuration);
+  CHECK(catalog.complete());
+  CHECK(Endpoints(catalog) == 1);
+}
+
+TEST_CASE("an endpoint that leaves or is gone gets no calls", "[discovery_test]") {
+  Catalog catalog;
+  catalog.Apply(Complete(1, {Record("a"), Record("b")}));
+  DiscoveryUpdate update;
+  update.endpoints = {Record("a", true)};
+  CHECK(catalog.Apply(update));
+  CHECK(Endpoints(catalog) == 1);
+  DiscoveryUpdate gone;
+  gone.removed = {EndpointId("b")};
+  CHECK(catalog.Apply(gone));
+  CHECK(Endpoints(catalog) == 0);
+  CHECK_FALSE(catalog.Apply(gone));
+}
+
+TEST_CASE("a zone that operators take out is out until they take it back", "[discovery_test]") {
+  Catalog catalog;
+  catalog.Apply(Complete(1, {Record("a")}));
+  DiscoveryUpdate out;
+  out.zones_out = std::set<ZoneId>{ZoneId("z")};
+  catalog.Apply(out);
+  CHECK(catalog.configuration()->zones.at(ZoneId("z")).state == ZoneState::kOut);
+  DiscoveryUpdate in;
+  in.zones_out = std::set<ZoneId>();
+  catalog.Apply(in);
+  CHECK(catalog.configuration()->zones.at(ZoneId("z")).state == ZoneState::kIn);
+}
+
+Vm Listing(const std::string& name, const std::string& address = "10.0.0.1") {
+  Vm vm;
+  vm.name = name;
+  vm.role = VmRole::kGateway;
+  vm.zone = ZoneId("z");
+  vm.address = address;
+  vm.port = 1;
+  return vm;
+}
+
+TEST_CASE("a gateway lists itself only if its row differs", "[discovery_test]") {
+  // Guards against a write for each restart, and against a row with the address of a former VM.
+  const MonoTime start = MonoTime() + 1s;
+  GatewayRegistry registry(Listing("g"));
+  CHECK(registry.Next(start) == GatewayRegistry::Call::kRead);
+  CHECK_FALSE(registry.Next(start));
+  registry.OnList(start, {Listing("other"), Listing("g", "10.0.0.9")});
+  CHECK(registry.Next(start) == GatewayRegistry::Call::kWrite);
+  registry.OnWritten(start);
+  CHECK_FALSE(registry.Next(start));
+  const MonoTime later = start + GatewayRegistry::kSettle;
+  CHECK(registry.Next(later) == GatewayRegistry::Call::kRead);
+  registry.OnList(later, {Listing("other"), Listing("g"), Listing("late")});
+  CHECK_FALSE(registry.next_timer());
+  CHECK(registry.gateways().size() == 3);
+}
+
+TEST_CASE("a write whose answer is lost is repeated", "[discovery_test]") {
+  const MonoTime start = MonoTime() + 1s;
+  GatewayRegistry registry(Listing("g"));
+  registry.Next(start);
+  registry.OnList(start, {});
+  CHECK(registry.Next(start) == GatewayRegistry::Call::kWrite);
+  registry.OnFailure(start);
+  CHECK_FALSE(registry.Next(start));
+  CHECK(registry.Next(start + GatewayRegistry::kRetryAfter) == GatewayRegistry::Call::kWrite);
+}
+
+}  // namespace
+}  // namespace jd
--- /dev/null
+++ b/tests/fresh_load_test.cc
@@ -0,0 +1,241 @@
+#include "policy/fresh_load.h"
+
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+#include <deque>
+
+#include "policy/call_history.h"
+#include "policy/probe_rounds.h"
+#include "policy/retry_budget.h"
+
+namespace jd {
+namespace {
+
+const ServiceId kService("s");
+
+struct Fixture {
+  explicit Fixture(std::vector<EndpointView> endpoints) {
+    policy.SetService(now, {kService, std::move(endpoints)});
+  }
+  AcquireRequest Request() const {
+    AcquireRequest request;
+    request.service = kService;
+    request.zone = ZoneId("own");
+    request.work = 100ms;
+    request.target = now + 300ms;
+    request.deadline = now + 1s;
+    return request;
+  }
+  bool Report(const std::string& endpoint, int running, int slowdown = 100, Duration cold = {}) {
+    ProbeResult result;
+    result.endpoint = EndpointId(endpoint);
+    result.answered = true;
+    result.status = 200;
+    result.report = LoadReport();
+    result.report->in_flight = running;
+    result.report->slots = 4;
+    result.report->slowdown_percent = slowdown;
+    result.report->cold_for = cold;
+    return policy.OnProbe(now, result);
+  }
+  void Silent(const std::string& endpoint) {
+    ProbeResult result;
+    result.endpoint = EndpointId(endpoint);
+    policy.OnProbe(now, result);
+  }
+  std::string Chosen() {
+    const auto endpoint = policy.Acquire(now, Request(), random);
+    return endpoint ? endpoint->value : "none";
+  }
+
+  MonoTime now = MonoTime() + 10s;
+  RandomEngine random{1};
+  FreshLoad policy;
+};
+
+EndpointView View(const std::string& id, const std::string& zone = "own") {
+  return {EndpointId(id), ZoneId(zone), 4, true};
+}
+
+TEST_CASE("the endpoint that is expected to finish first is chosen", "[fresh_load_test]") {
+  Fixture f({View("a"), View("b"), View("c")});
+  CHECK_FALSE(f.Report("a", 0, 500));
+  CHECK(f.Report("b", 1));
+  CHECK_FALSE(f.Report("c", 4));
+  CHECK(f.Chosen() == "b");
+}
+
+TEST_CASE("an old report is no basis for a choice", "[fresh_load_test]") {
+  // Guards against calls that follow the load of a moment ago.
+  Fixture f({View("a")});
+  f.Report("a", 0);
+  f.now += FreshLoad::kFreshFor + 1ms;
+  CHECK(f.Chosen() == "none");
+}
+
+TEST_CASE("calls sent since the report count", "[fresh_load_test]") {
+  // Guards against several calls that follow the same answer to the same free slot.
+  Fixture f({View("a"), View("b")});
+  f.Report("a", 0);
+  f.Report("b", 2);
+  int a = 0;
+  for (int i = 0; i < 4; ++i) {
+    a += f.Chosen() == "a" ? 1 : 0;
+  }
+  CHECK(a == 3);
+}
+
+TEST_CASE("a cold endpoint gets no call", "[fresh_load_test]") {
+  Fixture f({View("a")});
+  f.Report("a", 0, 100, 2s);
+  CHECK(f.Chosen() == "none");
+  f.now += 2s;
+  f.Report("a", 0);
+  CHECK(f.Chosen() == "a");
+}
+
+TEST_CASE("endpoints of the own zone are asked first, and few of the others", "[fresh_load_test]") {
+  std::vector<EndpointView> endpoints;
+  for (int i = 0; i < 8; ++i) {
+    endpoints.push_back(View("own" + std::to_string(i)));
+    endpoints.push_back(View("far" + std::to_string(i), "far"));
+  }
+  Fixture f(endpoints);
+  const auto own = f.policy.Candidates(f.now, f.Request(), 0, f.random);
+  CHECK(own.size() == FreshLoad::kCandidates);
+  for (const EndpointId& endpoint : own) {
+    CHECK(endpoint.value.starts_with("own"));
+  }
+  const auto far = f.policy.Candidates(f.now, f.Request(), 1, f.random);
+  CHECK(far.size() == FreshLoad::kRemoteCandidates);
+  for (const EndpointId& endpoint : far) {
+    CHECK(endpoint.value.starts_with("far"));
+  }
+}
+
+TEST_CASE("an endpoint that stays silent is passed over and tried again", "[fresh_load_test]") {
+  Fixture f({View("a")});
+  f.Silent("a");
+  CHECK(f.policy.Candidates(f.now, f.Request(), 0, f.random).size() == 1);
+  f.Silent("a");
+  CHECK(f.policy.Candidates(f.now, f.Request(), 0, f.random).empty());
+  f.now += 2s;
+  CHECK(f.policy.Candidates(f.now, f.Request(), 0, f.random).size() == 1);
+}
+
+TEST_CASE("an endpoint removed and added under calls starts anew", "[fresh_load_test]") {
+  Fixture f({View("a")});
+  f.Report("a", 0);
+  CHECK(f.Chosen() == "a");
+  f.policy.SetService(f.now, {kService, {}});
+  f.policy.SetService(f.now, {kService, {View("a")}});
+  f.policy.Release(f.now, EndpointId("a"), AttemptResult());
+  CHECK(f.Chosen() == "none");
+}
+
+TEST_CASE("the cost of a full endpoint is learned from latencies", "[fresh_load_test]") {
+  FillCost cost;
+  for (int i = 0; i < 64; ++i) {
+    cost.OnAnswered(false, 100ms);
+    cost.OnAnswered(true, 100ms);
+  }
+  CHECK(cost.factor() < 1.1);
+  CHECK(cost.UsefulSlots(4) == 4);
+  for (int i = 0; i < 64; ++i) {
+    cost.OnAnswered(true, 170ms);
+  }
+  CHECK(cost.factor() > 1.4);
+  CHECK(cost.UsefulSlots(4) == 3);
+}
+
+TEST_CASE("probes stay within the budget", "[fresh_load_test]") {
+  // Guards against a cost of measuring that grows with the load.
+  ProbeBudget budget;
+  MonoTime now = MonoTime() + 1s;
+  budget.SetRate(now, 100);
+  int sent = 0;
+  int calls = 0;
+  for (; now < MonoTime() + 11s; now += 10ms) {
+    sent += budget.Take(now, 4);
+    ++calls;
+  }
+  CHECK(sent <= 100 * 10 + 200);
+  CHECK(sent >= calls);
+}
+
+TEST_CASE("a round ends by a deciding answer, all answers, or its time", "[fresh_load_test]") {
+  const MonoTime now = MonoTime() + 1s;
+  const EndpointId a("a");
+  const EndpointId b("b");
+  ProbeRounds rounds;
+  rounds.Start(now, CallId(1), {a, b});
+  CHECK(rounds.OnProbe(a, true, true) == std::vector<CallId>{CallId(1)});
+  rounds.Start(now, CallId(2), {a, b});
+  CHECK(rounds.OnProbe(a, true, false).empty());
+  CHECK(rounds.OnProbe(b, false, false) == std::vector<CallId>{CallId(2)});
+  rounds.Start(now, CallId(3), {a, b});
+  rounds.OnProbe(a, true, false);
+  CHECK(rounds.next_timer() == now + ProbeRounds::kPatience);
+  CHECK(rounds.TakeDue(now + ProbeRounds::kPatience) == std::vector<CallId>{CallId(3)});
+  rounds.Start(now, CallId(4), {a});
+  CHECK(rounds.next_timer() == now + ProbeRounds::kGiveUp);
+  rounds.Remove(CallId(4));
+  CHECK_FALSE(rounds.next_timer());
+  CHECK(rounds.OnProbe(a, true, true).empty());
+}
+
+TEST_CASE("a caller that came back is told from one that just began", "[fresh_load_test]") {
+  CallHistory history;
+  const ProfileId profile("p");
+  CHECK(history.AgeOf(profile, 2500ms) == Duration(0));
+  CHECK(history.AgeOf(profile, 2000ms) == Duration(500ms));
+  CHECK(history.AgeOf(profile, 2495ms) == Duration(0));
+  CHECK_FALSE(history.WorkOf(profile));
+  history.OnAnswered(profile, 100ms);
+  for (int i = 0; i < 20; ++i) {
+    history.OnAnswered(profile, i % 2 == 0 ? 100ms : 500ms);
+  }
+  CHECK(*history.WorkOf(profile) < Duration(250ms));
+}
+
+TEST_CASE("gateways that share a bound keep it together in every window", "[fresh_load_test]") {
+  // Guards against the retries of many gateways that together break a bound that each one keeps.
+  rc::check([] {
+    constexpr double kShare = 0.2;
+    constexpr Duration kWindow = 10s;
+    constexpr int kSlack = 56;
+    const int count = *rc::gen::inRange(1, 40);
+    std::vector<RetryBudget> budgets(static_cast<size_t>(count));
+    for (RetryBudget& budget : budgets) {
+      budget.SetLimits(RetryBudget::SharedLimits(kShare, kWindow));
+    }
+    RandomEngine random(*rc::gen::arbitrary<uint64_t>());
+    const int gap_us = *rc::gen::inRange(1000, 20000);
+    const int quiet_every = *rc::gen::inRange(1, 5);
+    std::deque<MonoTime> calls;
+    std::deque<MonoTime> repeats;
+    size_t most_calls = 0;
+    for (MonoTime now = MonoTime() + 1s; now < MonoTime() + 41s; now += Duration(gap_us)) {
+      RetryBudget& budget = budgets[random() % budgets.size()];
+      budget.OnCall(now, 1.0);
+      calls.push_back(now);
+      // Failures come in phases, so that budgets save up in between.
+      const auto second = std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch());
+      if (second.count() % (2 * quiet_every) >= quiet_every && budget.TryTake(now)) {
+        repeats.push_back(now);
+      }
+      while (calls.front() <= now - kWindow) {
+        calls.pop_front();
+      }
+      while (!repeats.empty() && repeats.front() <= now - kWindow) {
+        repeats.pop_front();
+      }
+      most_calls = std::max(most_calls, calls.size());
+      RC_ASSERT(static_cast<double>(repeats.size()) <=
+                kShare * static_cast<double>(most_calls) + kSlack);
+    }
+  });
+}
+
+}  // namespace
+}  // namespace jd
--- /dev/null
+++ b/tests/platform_adapter_test.cc
@@ -0,0 +1,204 @@
+#include <event2/http.h>
+#include <event2/http_struct.h>
+
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+#include "platform/gateway_rows.h"
+#include "platform/operator_rows.h"
+#include "platform/platform_dialect.h"
+#include "platform/store_rows.h"
+
+namespace jd {
+namespace {
+
+const std::string kEndpointRow =
+    R"({"service":"s1","address":"10.1.2.3:8080","zone":"z1","config_version":"v1","slots":4,)"
+    R"("state":"ready","warmup_left_ms":0,"seq":4,"born":1700000000000})";
+
+TEST_CASE("rows are read from a whole read and a feed", "[platform_adapter_test]") {
+  std::string fault;
+  const WatchReply whole = ReadStoreReply(
+      200,
+      R"({"rows":[{"table":"my","part":"","key":"owner","value":"bm9kZS0x","ver":412}],)"
+      R"("has_more":true,"ver":530,"now_ms":5})",
+      &fault);
+  CHECK(whole.status == WatchStatus::kDone);
+  CHECK(whole.has_more);
+  CHECK(whole.version == 530);
+  REQUIRE(whole.rows.size() == 1);
+  CHECK(whole.rows[0].value == "node-1");
+  const WatchReply feed = ReadStoreReply(
+      200, R"({"rows":[{"table":"my","part":"","key":"k","ver":7,"deleted":true}],"ver":7})",
+      &fault);
+  REQUIRE(feed.rows.size() == 1);
+  CHECK(feed.rows[0].deleted);
+  CHECK(fault.empty());
+}
+
+TEST_CASE("answers of the store that cannot be used are failures", "[platform_adapter_test]") {
+  // Guards against an error that is taken for an empty table, which would drop every endpoint.
+  std::string fault;
+  CHECK(ReadStoreReply(410, "{}", &fault).status == WatchStatus::kHistoryLost);
+  for (const int status : {0, 403, 429, 500, 503}) {
+    fault.clear();
+    CHECK(ReadStoreReply(status, "{}", &fault).status == WatchStatus::kFailed);
+    CHECK_FALSE(fault.empty());
+  }
+  for (const char* body : {"", "[]", "{}", R"({"ver":1})", R"({"rows":[1],"ver":1})",
+                           R"({"rows":[{"key":"k","ver":1,"value":"\u0001!"}],"ver":1})"}) {
+    fault.clear();
+    INFO(body);
+    CHECK(ReadStoreReply(200, body, &fault).status == WatchStatus::kFailed);
+    CHECK_FALSE(fault.empty());
+  }
+}
+
+TEST_CASE("a row that is written is read back unchanged", "[platform_adapter_test]") {
+  rc::check([](const std::string& value) {
+    const HttpCall call = ToStoreWrite("t", "k", value);
+    const size_t begin = call.body.find("\"value\":\"") + 9;
+    const std::string text = call.body.substr(begin, call.body.find('"', begin) - begin);
+    std::string fault;
+    const WatchReply reply = ReadStoreReply(
+        200, R"({"rows":[{"key":"k","ver":1,"value":")" + text + R"("}],"ver":1})", &fault);
+    RC_ASSERT(reply.rows.size() == 1U);
+    RC_ASSERT(reply.rows[0].value == value);
+  });
+}
+
+TEST_CASE("an endpoint's row is read", "[platform_adapter_test]") {
+  std::string fault;
+  const auto record = ReadEndpointRow("i-1", kEndpointRow, &fault);
+  REQUIRE(record);
+  CHECK(record->endpoint.id == EndpointId("i-1"));
+  CHECK(record->endpoint.instance == InstanceId("i-1"));
+  CHECK(record->endpoint.address == "10.1.2.3");
+  CHECK(record->endpoint.port == 8080);
+  CHECK(record->service == ServiceId("s1"));
+  CHECK_FALSE(record->leaving);
+}
+
+TEST_CASE("a row of another writer names no endpoint", "[platform_adapter_test]") {
+  std::string fault;
+  for (const char* row :
+       {"", "nonsense", "{}", "[]", R"({"service":"s"})",
+        R"({"service":1,"address":"10.1.2.3:80","zone":"z","slots":4,"state":"ready"})",
+        R"({"service":"s","address":"10.1.2.3","zone":"z","slots":4,"state":"ready"})",
+        R"({"service":"s","address":"10.1.2.3:0","zone":"z","slots":4,"state":"ready"})",
+        R"({"service":"s","address":"10.1.2.3:80","zone":"z","slots":"4","state":"ready"})",
+        R"({"service":"s","address":"10.1.2.3:80","zone":"z","slots":4,"state":"resting"})"}) {
+    INFO(row);
+    CHECK_FALSE(ReadEndpointRow("i-1", row, &fault));
+  }
+  CHECK_FALSE(ReadGatewayRow("g", "{}"));
+}
+
+TEST_CASE("any bytes in a row are survived", "[platform_adapter_test]") {
+  rc::check([](const std::string& bytes) {
+    std::string fault;
+    ReadEndpointRow("i", bytes, &fault);
+    ReadOperatorConfiguration(bytes, &fault);
+    ReadGatewayRow("g", bytes);
+    ReadStoreReply(200, bytes, &fault);
+    ParseServerLoad(bytes);
+  });
+}
+
+TEST_CASE("the operators' configuration is read", "[platform_adapter_test]") {
+  std::string fault;
+  const auto configuration = ReadOperatorConfiguration(
+      R"({"config_version":7,"routes":[{"name":"r1","hostname":"h","prefix":"/a/",)"
+      R"("kind":"non_idempotent","timeout_ms":1500,"target_latency_ms":800,"priority":1,)"
+      R"("traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],)"
+      R"("max_attempts":2}],"services":[{"name":"s1","health_path":"/health",)"
+      R"("max_connections":260,"protocol":"h1","tls":false,"warmup_s":3.0,"warmup_per_s":5.3}],)"
+      R"("limits":{"max_header_bytes":16384,"max_body_bytes":100,"header_timeout_ms":3000,)"
+      R"("idle_timeout_ms":15000}})",
+      &fault);
+  REQUIRE(configuration);
+  CHECK(configuration->version == ConfigVersion(7));
+  const Route& route = configuration->routes.at(0);
+  CHECK(route.targets.size() == 2);
+  CHECK(route.profile.deadline == Duration(1500ms));
+  CHECK(route.profile.target_latency == Duration(800ms));
+  // What may be repeated follows from the kind, whatever the method.
+  CHECK_FALSE(IsIdempotent(route.profile, "GET", "/a/1"));
+  CHECK(configuration->services.at(0).cold_rate == 5.3);
+  CHECK(configuration->limits.idle_timeout == Duration(15s));
+  CHECK(ReadZoneOut("evacuate/z1") == ZoneId("z1"));
+  CHECK_FALSE(ReadZoneOut("config"));
+}
+
+struct ReplyReader {
+  UpstreamReply Read(int status, const std::vector<std::pair<std::string, std::string>>& headers) {
+    LibeventPtr<evhttp_request> response(evhttp_request_new(nullptr, nullptr));
+    response->response_code = status;
+    for (const auto& [name, value] : headers) {
+      evhttp_add_header(evhttp_request_get_input_headers(response.get()), name.c_str(),
+                        value.c_str());
+    }
+    return dialect.ReadReply(RequestId("r1"), response.get());
+  }
+  PlatformDialect dialect;
+};
+
+TEST_CASE("only a response to the call with the upstream's stamp is relayed",
+          "[platform_adapter_test]") {
+  // Guards against a late response of another call, and against bytes of something else.
+  ReplyReader reader;
+  const auto outcome = [&](int status, auto headers) {
+    return reader.Read(status, headers).outcome;
+  };
+  using Headers = std::vector<std::pair<std::string, std::string>>;
+  CHECK(outcome(200, Headers{{"Request-Id", "r1"}, {"Server-Stamp", "x"}}) ==
+        AttemptOutcome::kAnswered);
+  CHECK(outcome(200, Headers{{"Request-Id", "r2"}, {"Server-Stamp", "x"}}) ==
+        AttemptOutcome::kInvalid);
+  CHECK(outcome(200, Headers{{"Request-Id", "r1"}}) == AttemptOutcome::kInvalid);
+  CHECK(outcome(200, Headers{{"Server-Stamp", "x"}}) == AttemptOutcome::kInvalid);
+  CHECK(outcome(200, Headers{{"Request-Id", "r1"},
+                             {"Server-Stamp", "x"},
+                             {"Content-Encoding", "gzip"}}) == AttemptOutcome::kInvalid);
+  CHECK(outcome(500, Headers{{"Request-Id", "r1"}}) == AttemptOutcome::kAnswered);
+}
+
+TEST_CASE("not run is believed only where the upstream says it", "[platform_adapter_test]") {
+  // Guards against a call that is told not to have run although it may have.
+  ReplyReader reader;
+  CHECK(reader.Read(503, {{"Not-Executed", "1"}}).outcome == AttemptOutcome::kRefused);
+  CHECK(reader.Read(421, {}).outcome == AttemptOutcome::kRefused);
+  for (const int status : {503, 429, 408}) {
+    CHECK(reader.Read(status, {{"Request-Id", "r1"}}).outcome == AttemptOutcome::kInvalid);
+  }
+  Refusal refusal;
+  refusal.verdict = Verdict::kNotRun;
+  refusal.reason = RefusalReason::kOverload;
+  CHECK(reader.dialect.StatusOf(refusal) == 429);
+  refusal.reason = RefusalReason::kDeadline;
+  CHECK(reader.dialect.StatusOf(refusal) == 503);
+  for (const RefusalReason reason : {RefusalReason::kOverload, RefusalReason::kUpstreamFailed,
+                                     RefusalReason::kNotReady, RefusalReason::kDeadline}) {
+    refusal.reason = reason;
+    refusal.verdict = Verdict::kMayHaveRun;
+    CHECK(reader.dialect.StatusOf(refusal) >= 502);
+    CHECK(reader.dialect.StatusOf(refusal) != 503);
+  }
+}
+
+TEST_CASE("the load of an upstream is read", "[platform_adapter_test]") {
+  const auto load = ParseServerLoad("3,1,8,500");
+  REQUIRE(load);
+  CHECK(load->in_flight == 3);
+  CHECK(load->waiting == 1);
+  CHECK(load->slots == 8);
+  CHECK(load->slowdown_percent == 500);
+  CHECK(ParseServerLoad("3,0,8")->slowdown_percent == 100);
+  for (const char* text : {"", "3", "3,0", "a,b,c", "3,0,-8", "3,,8"}) {
+    INFO(text);
+    CHECK_FALSE(ParseServerLoad(text));
+  }
+}
+
+}  // namespace
+}  // namespace jd
--- /dev/null
+++ b/tests/table_watch_test.cc
@@ -0,0 +1,234 @@
+#include "cluster/table_watch.h"
+
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+#include <map>
+
+namespace jd {
+namespace {
+
+constexpr TableWatch::Pace kPace = {1s, Duration(0), 1200ms, 1600ms};
+
+// A store whose calls the test answers.
+struct Store {
+  std::map<std::string, WatchedRow> rows;
+  std::vector<WatchedRow> history;
+  uint64_t version = 0;
+  uint64_t oldest = 0;
+
+  void Put(const std::string& key) {
+    const WatchedRow row{key, "v" + std::to_string(version + 1), ++version, false};
+    rows[key] = row;
+    history.push_back(row);
+  }
+  void Remove(const std::string& key) {
+    rows.erase(key);
+    history.push_back({key, {}, ++version, true});
+  }
+  WatchReply Answer(const WatchCall& call) const {
+    WatchReply reply;
+    reply.status = WatchStatus::kDone;
+    reply.version = version;
+    if (!call.whole && call.after < oldest) {
+      reply.status = WatchStatus::kHistoryLost;
+      return reply;
+    }
+    if (call.whole) {
+      for (const auto& [key, row] : rows) {
+        reply.rows.push_back(row);
+      }
+      return reply;
+    }
+    for (const WatchedRow& row : history) {
+      if (row.version > call.after) {
+        reply.rows.push_back(row);
+      }
+    }
+    return reply;
+  }
+};
+
+// One gateway's view of the table.
+struct Gateway {
+  explicit Gateway(uint64_t seed) : watch(kPace, seed) {}
+
+  void Apply(const std::vector<WatchedRow>& changes) {
+    for (const WatchedRow& row : changes) {
+      if (row.deleted) {
+        known.erase(row.key);
+      } else {
+        known[row.key] = row.value;
+      }
+    }
+  }
+  // Makes the call that is due, if any. @return what it has to tell.
+  std::optional<TableNews> Read(MonoTime now, const Store& store) {
+    Apply(watch.TakeExpired(now));
+    const std::optional<WatchCall> call = watch.Next(now);
+    if (!call) {
+      return std::nullopt;
+    }
+    ++calls;
+    TableNews news;
+    news.after = watch.version();
+    news.rows = watch.OnReply(now, reachable ? store.Answer(*call) : WatchReply());
+    Apply(news.rows);
+    news.version = watch.version();
+    return reachable ? std::optional(news) : std::nullopt;
+  }
+
+  TableWatch watch;
+  std::map<std::string, std::string> known;
+  bool reachable = true;
+  int calls = 0;
+};
+
+MonoTime At(Duration time) {
+  return MonoTime() + 10s + time;
+}
+
+TEST_CASE("a table is read whole, then its changes are followed", "[table_watch_test]") {
+  Store store;
+  store.Put("a");
+  Gateway gateway(1);
+  gateway.Read(At(0s), store);
+  CHECK(gateway.watch.complete());
+  CHECK(gateway.known.size() == 1);
+  store.Put("b");
+  store.Remove("a");
+  CHECK_FALSE(gateway.Read(At(500ms), store));
+  gateway.Read(At(1s), store);
+  CHECK(gateway.known == std::map<std::string, std::string>{{"b", "v2"}});
+}
+
+TEST_CASE("a lost history leads to a whole read", "[table_watch_test]") {
+  // Guards against a change that was made while the history was dropped and is never seen.
+  Store store;
+  store.Put("a");
+  Gateway gateway(1);
+  gateway.Read(At(0s), store);
+  store.Put("b");
+  store.oldest = store.version;
+  gateway.Read(At(1s), store);
+  gateway.Read(At(1s), store);
+  CHECK(gateway.known.size() == 2);
+}
+
+TEST_CASE("rows that vanish in an outage have time to come back", "[table_watch_test]") {
+  // Guards against dropping every endpoint because their rows lapsed while the store was away.
+  Store store;
+  store.Put("a");
+  store.Put("b");
+  Gateway gateway(1);
+  gateway.Read(At(0s), store);
+  gateway.reachable = false;
+  gateway.Read(At(1s), store);
+  store.Remove("a");
+  store.Remove("b");
+  gateway.reachable = true;
+  gateway.Read(At(2s), store);
+  CHECK(gateway.known.size() == 2);
+  store.Put("a");
+  gateway.Read(At(3s), store);
+  gateway.Read(At(2s + TableWatch::kReturnTime - 1ms), store);
+  CHECK(gateway.known.size() == 2);
+  gateway.Read(At(2s + TableWatch::kReturnTime), store);
+  CHECK(gateway.known.size() == 1);
+  CHECK(gateway.known.contains("a"));
+}
+
+TEST_CASE("a row that is removed while the store works goes at once", "[table_watch_test]") {
+  Store store;
+  store.Put("a");
+  Gateway gateway(1);
+  gateway.Read(At(0s), store);
+  store.Remove("a");
+  gateway.Read(At(1s), store);
+  CHECK(gateway.known.empty());
+}
+
+TEST_CASE("news that leave something out lead to an own read", "[table_watch_test]") {
+  Store store;
+  store.Put("a");
+  Gateway gateway(1);
+  gateway.Read(At(0s), store);
+  store.Put("b");
+  store.Put("c");
+  TableNews news;
+  news.after = 2;
+  news.version = 3;
+  news.rows = {store.rows["c"]};
+  gateway.Apply(gateway.watch.OnNews(At(100ms), news));
+  CHECK(gateway.known.size() == 1);
+  gateway.Read(At(100ms), store);
+  CHECK(gateway.known.size() == 3);
+}
+
+// Gateways that tell each other what they read, in steps of 10 ms.
+struct Zone {
+  explicit Zone(size_t count) {
+    for (size_t i = 0; i < count; ++i) {
+      gateways.emplace_back(i + 1);
+    }
+  }
+  void Step(MonoTime now) {
+    for (size_t i = 0; i < gateways.size(); ++i) {
+      if (dead == i) {
+        continue;
+      }
+      if (const auto news = gateways[i].Read(now, store)) {
+        for (size_t j = 0; j < gateways.size(); ++j) {
+          if (j != i && dead != j) {
+            gateways[j].Apply(gateways[j].watch.OnNews(now, *news));
+          }
+        }
+      }
+    }
+  }
+  std::vector<Gateway> gateways;
+  Store store;
+  std::optional<size_t> dead;
+};
+
+TEST_CASE("one gateway of a zone reads for all, and another takes over within two seconds",
+          "[table_watch_test]") {
+  // Guards against store calls that grow with the gateways, and against an endpoint that leaves
+  // unnoticed because the reader died.
+  rc::check([] {
+    Zone zone(*rc::gen::inRange<size_t>(2, 8));
+    zone.store.Put("a");
+    const auto dies = std::chrono::milliseconds(*rc::gen::inRange(5000, 7000));
+    const auto leaves = dies + std::chrono::milliseconds(*rc::gen::inRange(-1000, 1000));
+    std::optional<Duration> noticed;
+    for (Duration time{0}; time < 12s; time += 10ms) {
+      if (time == leaves) {
+        zone.store.Remove("a");
+      }
+      if (time == dies) {
+        const auto reader =
+            std::max_element(zone.gateways.begin(), zone.gateways.end(),
+                             [](const Gateway& a, const Gateway& b) { return a.calls < b.calls; });
+        zone.dead = static_cast<size_t>(reader - zone.gateways.begin());
+      }
+      zone.Step(At(time));
+      size_t know = 0;
+      for (size_t i = 0; i < zone.gateways.size(); ++i) {
+        know += zone.dead == i || zone.gateways[i].known.empty() ? 1 : 0;
+      }
+      if (time >= leaves && !noticed && know == zone.gateways.size()) {
+        noticed = time - leaves;
+      }
+    }
+    RC_ASSERT(noticed);
+    RC_ASSERT(*noticed < Duration(2s));
+    int calls = 0;
+    for (const Gateway& gateway : zone.gateways) {
+      calls += gateway.calls;
+    }
+    // One read a second, one more from each at the start, and some around the change of reader.
+    RC_ASSERT(calls <= 12 + 3 * static_cast<int>(zone.gateways.size()));
+  });
+}
+
+}  // namespace
+}  // namespace jd
