--- a/cluster/node.cc
+++ b/cluster/node.cc
@@ -276,6 +276,20 @@
   }
 }
 
+void Node::SetDistantGateways(const VmList& gateways, NodeActions* actions) {
+  if (!settings_.zone_peers) {
+    return;
+  }
+  distant_gateways_.clear();
+  for (const Vm& vm : gateways) {
+    if (vm.zone != settings_.zone) {
+      const GatewayId id(vm.name);
+      distant_gateways_.insert(id);
+      actions->push_back(SetPeerAddress{id, vm.address, vm.port});
+    }
+  }
+}
+
 void Node::ShareBounds(Now now) {
   if (settings_.probe_rate > 0 && gateways_ > 0) {
     policy_.SetProbeRate(now.mono, settings_.probe_rate / static_cast<double>(gateways_));
@@ -286,10 +300,10 @@
   if (update.gateways) {
     gateways_ = update.gateways->size();
     VmList peers = *update.gateways;
-    std::erase_if(peers, [this](const Vm& vm) {
-      return settings_.zone_peers && vm.zone != settings_.zone;
-    });
+    std::erase_if(
+        peers, [this](const Vm& vm) { return settings_.zone_peers && vm.zone != settings_.zone; });
     OnVmList(now, peers, actions);
+    SetDistantGateways(*update.gateways, actions);
     ShareBounds(now);
   }
   const bool was_complete = catalog_.complete();
@@ -375,7 +389,8 @@
 }
 
 bool Node::ready() const {
-  return config_.ready() && !stopping_ && !(settings_.leaves_with_zone && config_.zones().own_zone_out());
+  return config_.ready() && !stopping_ &&
+         !(settings_.leaves_with_zone && config_.zones().own_zone_out());
 }
 
 bool Node::drained() const {
--- a/cluster/node.h
+++ b/cluster/node.h
@@ -94,6 +94,8 @@
   void OnNotice(Now now, const EndpointNotice& notice, bool tell_peers, NodeActions* actions);
   void SendTo(Now now, const GatewayId& to, PeerBody body, NodeActions* actions);
   void SendToAll(Now now, const PeerBody& body, NodeActions* actions);
+  /// Takes in the gateways outside the own zone, which are told only what is rare and urgent.
+  void SetDistantGateways(const VmList& gateways, NodeActions* actions);
   /// Divides the bounds that hold for all gateways together.
   void ShareBounds(Now now);
   void Record(Now now, EventKind kind, const std::string& detail);
@@ -122,6 +124,7 @@
   std::set<ZoneId> zones_out_;
   LatencyBook latency_;
   MonoTime next_vm_list_;
+  std::set<GatewayId> distant_gateways_;
   size_t gateways_ = 0;  ///< As discovery lists them.
   bool stopping_ = false;
 };
--- a/cluster/node_effects.cc
+++ b/cluster/node_effects.cc
@@ -35,6 +35,9 @@
       to->push_back(WriteLog{record->event});
     } else if (const auto* crash = std::get_if<AnnounceCrash>(&action)) {
       SendToAll(now, CrashNotice{crash->fingerprint}, to);
+      for (const GatewayId& id : distant_gateways_) {
+        SendTo(now, id, CrashNotice{crash->fingerprint}, to);
+      }
     } else if (const auto* send = std::get_if<SendAttempt>(&action)) {
       attempts_[send->attempt] = send->endpoint;
       if (keyed_.contains(send->call)) {
--- a/cluster/node_settings.h
+++ b/cluster/node_settings.h
@@ -27,7 +27,7 @@
   std::vector<PeerSeed> seeds;
   std::string policy =
       "slots";  ///< "slots", "pooled", "round_robin", "least_request", "reported_load".
-  bool has_platform = false;  ///< False: the configuration comes from the settings file alone.
+  bool has_platform = false;   ///< False: the configuration comes from the settings file alone.
   Duration heartbeat = 200ms;  ///< Between heartbeats to each peer.
   /// Peers are the gateways of the own zone alone.
   bool zone_peers = false;
--- a/cluster/table_watch.h
+++ b/cluster/table_watch.h
@@ -58,8 +58,8 @@
 /// kReturnTime.
 ///
 /// A gateway that is told what another one read postpones its own next call. Of several gateways
-/// that tell each other, one therefore reads for all, and when it stops, the first one whose patience
-/// ends takes over; nothing has to be agreed.
+/// that tell each other, one therefore reads for all, and when it stops, the first one whose
+/// patience ends takes over; nothing has to be agreed.
 class TableWatch {
  public:
   static constexpr Duration kReturnTime = 2500ms;
--- a/control/gateway_command.cc
+++ b/control/gateway_command.cc
@@ -52,6 +52,19 @@
   return vm;
 }
 
+// What can change while the process runs is the log level; the rest takes effect at the next start.
+// A file with faults changes nothing.
+void Reload(const std::string& file, Settings* settings) {
+  try {
+    const Settings read = LoadSettings(file);
+    SetUpLog(read.log_level);
+    settings->log_level = read.log_level;
+    LogInfo(LogPart::kGateway, "event=reload file=" + file + " log_level=" + read.log_level);
+  } catch (const SettingsError& error) {
+    LogWarning(LogPart::kGateway, std::string("event=reload-refused fault=") + error.what());
+  }
+}
+
 std::string SettingsFile(const std::map<std::string, docopt::value>& options) {
   const docopt::value& file = options.at("--config");
   if (file) {
@@ -83,14 +96,15 @@
     std::unique_ptr<PlatformDiscovery> discovery;
     if (settings.discovery) {
       discovery = std::make_unique<PlatformDiscovery>(
-          &loop, settings.platform.address, settings.platform.port, ListingOf(settings, links.port()),
-          std::random_device()());
+          &loop, settings.platform.address, settings.platform.port,
+          ListingOf(settings, links.port()), std::random_device()());
       discovery->table_read().connect(sigc::mem_fun(gateway, &Gateway::OnTableRead));
       gateway.table_news().connect(sigc::mem_fun(*discovery, &PlatformDiscovery::OnNews));
       discovery->updated().connect(sigc::mem_fun(gateway, &Gateway::OnDiscovery));
     }
     const SignalWatch terminate(&loop, SIGTERM, [&gateway] { gateway.Stop(); });
     const SignalWatch interrupt(&loop, SIGINT, [&gateway] { gateway.Stop(); });
+    const SignalWatch reload(&loop, SIGHUP, [&] { Reload(SettingsFile(options), &settings); });
     gateway.stopped().connect([&loop] { loop.Stop(); });
     gateway.Start();
     if (discovery != nullptr) {
--- a/gateway/setting_table.cc
+++ b/gateway/setting_table.cc
@@ -143,7 +143,8 @@
 
 constexpr SettingField<Settings> kProbesFields[] = {
     {{"per_second", SettingKind::kNumber, "probes", 0, 100000, "", "0",
-      "Health pages that all gateways together ask an endpoint for in a second, on average over the "
+      "Health pages that all gateways together ask an endpoint for in a second, on average over "
+      "the "
       "endpoints of a service; 0 sets no bound. Only the policy fresh_load keeps it."},
      [](Settings& object, const SettingValue& value) { object.probe_rate = value.number; }},
 };
--- a/gateway/settings.cc
+++ b/gateway/settings.cc
@@ -134,8 +134,8 @@
     settings.configuration = ReadConfiguration(root, &faults);
   }
   ReportUnknownKeys(root, "",
-                    {"gateway", "callers", "status", "peers", "platform", "retries", "probes", "limits",
-                     "zones", "workspaces", "profiles", "services"},
+                    {"gateway", "callers", "status", "peers", "platform", "retries", "probes",
+                     "limits", "zones", "workspaces", "profiles", "services"},
                     &faults);
   if (!faults.empty()) {
     throw SettingsError(faults.Sorted());
--- a/policy/call_book.cc
+++ b/policy/call_book.cc
@@ -168,9 +168,9 @@
   timers_.emplace(call->deadline, request.id, TimerKind::kDeadline);
   Record(EventKind::kCallStarted, request.request, {},
          "service=" + resolved.service.value + " profile=" + resolved.profile.value +
-             " version=" + std::to_string(configuration_->version.value) + " deadline_us=" +
-             std::to_string((call->deadline - now).count()) + " age_us=" +
-             std::to_string(age.count()),
+             " version=" + std::to_string(configuration_->version.value) +
+             " deadline_us=" + std::to_string((call->deadline - now).count()) +
+             " age_us=" + std::to_string(age.count()),
          actions);
   if (!MaySend(now, call, actions)) {
     return nullptr;
@@ -421,8 +421,8 @@
   }
   if (text != nullptr) {
     const bool refused = ended.result.outcome == AttemptOutcome::kRefused;
-    Refuse(call, RefusalReason::kUpstreamFailed,
-           refused ? kReturnAfterRefusal : kRetryAfterFailure, text, actions);
+    Refuse(call, RefusalReason::kUpstreamFailed, refused ? kReturnAfterRefusal : kRetryAfterFailure,
+           text, actions);
     return nullptr;
   }
   return call;
@@ -550,10 +550,10 @@
                       CallActions* actions) {
   const Verdict verdict = call->present_verdict();
   CancelRunning(call, false, actions);
-  Record(EventKind::kCallRefused, call->request.request, {},
-         RefusalDetail(reason, verdict, retry_after) + " attempts=" +
-             std::to_string(call->attempts),
-         actions);
+  Record(
+      EventKind::kCallRefused, call->request.request, {},
+      RefusalDetail(reason, verdict, retry_after) + " attempts=" + std::to_string(call->attempts),
+      actions);
   actions->push_back(
       RefuseCall{call->request.id, Refusal{reason, verdict, retry_after, std::move(text)}});
   Forget(call);
--- a/policy/call_book.h
+++ b/policy/call_book.h
@@ -39,8 +39,8 @@
   void Requeue(Call* call);
   /// Takes a call out of its queue while endpoints are measured for it.
   void BeginMeasuring(MonoTime now, Call* call);
-  /// Takes in that no measured endpoint has room for a call: a hedge is abandoned, a call without an
-  /// attempt under way is refused.
+  /// Takes in that no measured endpoint has room for a call: a hedge is abandoned, a call without
+  /// an attempt under way is refused.
   void GiveUpMeasuring(MonoTime now, Call* call, RandomEngine& random, CallActions* actions);
   /// Returns the time that an upstream at its usual speed needs for such a call.
   Duration WorkOf(const Call& call) const;
--- a/policy/fill_cost.cc
+++ b/policy/fill_cost.cc
@@ -28,9 +28,8 @@
     return kPriorFactor;
   }
   const double measured = nearly_full_.micros / other_.micros;
-  const double factor =
-      (kPriorFactor * kPriorSamples + measured * nearly_full_.samples) /
-      (kPriorSamples + nearly_full_.samples);
+  const double factor = (kPriorFactor * kPriorSamples + measured * nearly_full_.samples) /
+                        (kPriorSamples + nearly_full_.samples);
   return std::clamp(factor, 1.0, kMaxFactor);
 }
 
--- a/policy/fill_cost.h
+++ b/policy/fill_cost.h
@@ -6,8 +6,8 @@
 
 namespace jd {
 
-/// Learns whether the upstreams of a service slow down when nearly all of their slots are busy, from
-/// the latency of calls that were sent to nearly full ones and to others.
+/// Learns whether the upstreams of a service slow down when nearly all of their slots are busy,
+/// from the latency of calls that were sent to nearly full ones and to others.
 class FillCost {
  public:
   /// Share of busy slots above which an upstream counts as nearly full.
--- a/policy/fresh_load.cc
+++ b/policy/fresh_load.cc
@@ -59,8 +59,8 @@
     ranked.push_back({RankOf(now, seen_.at(endpoint.id)) + jitter, &endpoint});
   }
   const size_t wanted = std::min(stage == 0 ? kCandidates : kRemoteCandidates, ranked.size());
-  const auto count = static_cast<size_t>(
-      probe_budgets_[request.service].Take(now, static_cast<int32_t>(wanted)));
+  const auto count =
+      static_cast<size_t>(probe_budgets_[request.service].Take(now, static_cast<int32_t>(wanted)));
   std::partial_sort(ranked.begin(), ranked.begin() + static_cast<ptrdiff_t>(count), ranked.end(),
                     [](const Ranked& a, const Ranked& b) { return a.rank < b.rank; });
   std::vector<EndpointId> candidates;
@@ -78,8 +78,7 @@
 }
 
 void FreshLoad::UpdateBudget(MonoTime now, const ServiceView& view) {
-  probe_budgets_[view.id].SetRate(now,
-                                  probe_rate_ * static_cast<double>(view.endpoints.size()));
+  probe_budgets_[view.id].SetRate(now, probe_rate_ * static_cast<double>(view.endpoints.size()));
 }
 
 bool FreshLoad::OnProbe(MonoTime now, const ProbeResult& result) {
@@ -177,11 +176,10 @@
 }
 
 std::optional<FreshLoad::SentCall> FreshLoad::TakeSent(Seen* seen, MonoTime sent) {
-  const auto nearest =
-      std::min_element(seen->sent.begin(), seen->sent.end(),
-                       [sent](const SentCall& a, const SentCall& b) {
-                         return std::chrono::abs(a.sent - sent) < std::chrono::abs(b.sent - sent);
-                       });
+  const auto nearest = std::min_element(
+      seen->sent.begin(), seen->sent.end(), [sent](const SentCall& a, const SentCall& b) {
+        return std::chrono::abs(a.sent - sent) < std::chrono::abs(b.sent - sent);
+      });
   if (nearest == seen->sent.end()) {
     return std::nullopt;
   }
--- a/policy/fresh_load.h
+++ b/policy/fresh_load.h
@@ -65,11 +65,11 @@
     LoadReport report;
     MonoTime at;
     bool has_report = false;
-    bool healthy = true;     ///< As the health page said last.
-    int32_t sent_since = 0;  ///< Own calls sent after the report.
-    std::vector<SentCall> sent;     ///< Own calls in flight.
-    int32_t failures = 0;    ///< Probes and calls in a row.
-    MonoTime retry_at;       ///< No probe before this time, after failures.
+    bool healthy = true;         ///< As the health page said last.
+    int32_t sent_since = 0;      ///< Own calls sent after the report.
+    std::vector<SentCall> sent;  ///< Own calls in flight.
+    int32_t failures = 0;        ///< Probes and calls in a row.
+    MonoTime retry_at;           ///< No probe before this time, after failures.
     MonoTime cold_until;
   };
 
--- a/policy/probe_budget.h
+++ b/policy/probe_budget.h
@@ -15,8 +15,8 @@
 
   /// @param per_second rate over all endpoints of the service; 0: no bound.
   void SetRate(MonoTime now, double per_second);
-  /// Returns how many of the wanted probes may be sent, and takes them. One is always allowed, since
-  /// a call is never sent to an endpoint of which nothing is known.
+  /// Returns how many of the wanted probes may be sent, and takes them. One is always allowed,
+  /// since a call is never sent to an endpoint of which nothing is known.
   int32_t Take(MonoTime now, int32_t wanted);
 
  private:
--- a/policy/retry_budget.cc
+++ b/policy/retry_budget.cc
@@ -4,6 +4,13 @@
 #include <cmath>
 
 namespace jd {
+namespace {
+
+// A window may hold what was saved before it on top of what is earned in it.
+constexpr double kMemoryShare = 0.2;
+constexpr double kUsedShare = 0.8;
+
+}  // namespace
 
 void RetryBudget::Advance(MonoTime now) {
   if (!started_) {
@@ -22,9 +29,6 @@
 }
 
 RetryBudget::Limits RetryBudget::SharedLimits(double share, Duration window) {
-  // A window may hold what was saved before it on top of what is earned in it.
-  constexpr double kMemoryShare = 0.2;
-  constexpr double kUsedShare = 0.8;
   return {0.0, Scale(window, kMemoryShare), share * kUsedShare};
 }
 
--- a/policy/routing_policy.h
+++ b/policy/routing_policy.h
@@ -37,7 +37,7 @@
   ServiceId service;
   ZoneId zone;  ///< The gateway's own zone, preferred.
   MonoTime deadline;
-  MonoTime target;   ///< An answer after this time is worth little; at most the deadline.
+  MonoTime target;  ///< An answer after this time is worth little; at most the deadline.
   Priority priority = Priority::kNormal;
   Duration work{0};  ///< Usual time that an upstream needs for such a call.
   /// Endpoints that this call has already tried.
