Send an idempotent call again when an upstream answers it with an error

Cause: the 500 of an endpoint that fails part of its calls was relayed although another endpoint could answer.

Change: within the retry budget the call is sent once more; the error is relayed if no other attempt gives an answer.

--- a/policy/call.h
+++ b/policy/call.h
@@ -41,6 +41,8 @@
   std::vector<EndpointId> tried;
   std::vector<AttemptId> running;
   std::optional<MonoTime> hedge_at;
+  /// An attempt whose answer, an error of the upstream, is relayed if no other attempt gives one.
+  std::optional<AttemptId> error_answer;
 
   /// Returns the verdict if the call ended now: a running attempt may have run.
   Verdict present_verdict() const {
--- a/policy/call_book.cc
+++ b/policy/call_book.cc
@@ -23,6 +23,7 @@
 constexpr Duration kMinSpare = 40ms;
 /// A hedge is sent this many times the usual work before the target.
 constexpr double kHedgeMargin = 1.2;
+constexpr int kFirstServerError = 500;
 /// An upstream with room that refused a call may take it a moment later.
 constexpr Duration kReturnAfterRefusal = 10ms;
 
@@ -397,11 +398,11 @@
   ClearHedge(call);
   call->verdict = Combine(call->verdict, ended.verdict);
   if (ended.result.outcome == AttemptOutcome::kAnswered) {
-    CancelRunning(call, false, actions);
-    Record(EventKind::kCallFinished, call->request.request, ended.attempt.origin().endpoint,
-           "end=answered", actions);
-    actions->push_back(AnswerCall{call->request.id, id});
-    Forget(call);
+    if (RetriesError(now, call, ended.result.status)) {
+      call->error_answer = id;
+      return call->running.empty() ? call : nullptr;
+    }
+    Answer(call, id, ended.attempt.origin().endpoint, actions);
     return nullptr;
   }
   if (!call->running.empty()) {
@@ -428,6 +429,22 @@
   return call;
 }
 
+bool CallBook::RetriesError(MonoTime now, Call* call, int status) {
+  return status >= kFirstServerError && call->idempotent &&
+         call->attempts < call->limits.max_attempts && call->deadline > now &&
+         StateOf(*call).budget.TryTake(now);
+}
+
+void CallBook::Answer(Call* call,
+                      AttemptId attempt,
+                      const EndpointId& endpoint,
+                      CallActions* actions) {
+  CancelRunning(call, false, actions);
+  Record(EventKind::kCallFinished, call->request.request, endpoint, "end=answered", actions);
+  actions->push_back(AnswerCall{call->request.id, attempt});
+  Forget(call);
+}
+
 void CallBook::CallerGone(CallId id, CallActions* actions) {
   Call* call = Find(id);
   if (call == nullptr) {
@@ -548,6 +565,10 @@
                       Duration retry_after,
                       std::string text,
                       CallActions* actions) {
+  if (call->error_answer) {
+    Answer(call, *call->error_answer, {}, actions);
+    return;
+  }
   const Verdict verdict = call->present_verdict();
   CancelRunning(call, false, actions);
   Record(
--- a/policy/call_book.h
+++ b/policy/call_book.h
@@ -117,6 +117,10 @@
               Duration retry_after,
               std::string text,
               CallActions* actions);
+  /// Relays the answer of an attempt and ends the call.
+  void Answer(Call* call, AttemptId attempt, const EndpointId& endpoint, CallActions* actions);
+  /// Returns whether a call whose upstream answered with an error is sent to another one.
+  bool RetriesError(MonoTime now, Call* call, int status);
   void CancelRunning(Call* call, bool expired, CallActions* actions);
   void Forget(Call* call);
 
