Ask other zones before a call is sent to an endpoint that will answer late

Change: until the last stage of measuring only endpoints that will answer in time are taken; what was measured before is used if nothing better is found.

--- a/policy/dispatcher.h
+++ b/policy/dispatcher.h
@@ -82,6 +82,8 @@
   std::string BasisOf(MonoTime now, const EndpointId& endpoint) const;
   /// Probes candidates for a call, or ends it if there are none.
   void Measure(MonoTime now, Call* call, CallActions* actions);
+  /// Sends a call to a measured endpoint, if one has room. @return whether it was sent.
+  bool SendMeasured(MonoTime now, Call* call, bool last_stage, CallActions* actions);
   /// Sends a call by what was measured, measures further endpoints, or refuses it.
   void Decide(MonoTime now, CallId id, CallActions* actions);
   void Serve(MonoTime now, const ServiceId& service, CallActions* actions);
@@ -219,7 +221,10 @@
       candidates = policy_->Candidates(now, request, call->stage, random_);
     }
     if (candidates.empty()) {
-      book_.GiveUpMeasuring(now, call, random_, actions);
+      // What was measured before is all there is.
+      if (!SendMeasured(now, call, true, actions)) {
+        book_.GiveUpMeasuring(now, call, random_, actions);
+      }
       return;
     }
     rounds_.Start(now, call->request.id, candidates);
@@ -235,12 +240,23 @@
   if (call == nullptr || !book_.MaySend(now, call, actions)) {
     return;
   }
-  const std::optional<EndpointId> endpoint = policy_->Acquire(now, RequestFor(*call), random_);
+  if (!SendMeasured(now, call, call->stage >= kStages, actions)) {
+    Measure(now, call, actions);
+  }
+}
+
+template <RoutingPolicy Policy>
+bool Dispatcher<Policy>::SendMeasured(MonoTime now,
+                                      Call* call,
+                                      bool last_stage,
+                                      CallActions* actions) {
+  AcquireRequest request = RequestFor(*call);
+  request.last_stage = last_stage;
+  const std::optional<EndpointId> endpoint = policy_->Acquire(now, request, random_);
   if (endpoint) {
     book_.Send(now, call, *endpoint, BasisOf(now, *endpoint), actions);
-  } else {
-    Measure(now, call, actions);
   }
+  return endpoint.has_value();
 }
 
 template <RoutingPolicy Policy>
--- a/policy/fresh_load.cc
+++ b/policy/fresh_load.cc
@@ -281,6 +281,10 @@
   if (request.priority == Priority::kHigh && in_time) {
     return true;
   }
+  // An endpoint of another zone may still answer in time.
+  if (!in_time && !request.last_stage && now + request.work < request.target) {
+    return false;
+  }
   // The last useful slot is kept from calls whose answer is late already, because under overload
   // somebody else can use it in time.
   int32_t limit = CostOf(seen).UsefulSlots(endpoint.slots);
--- a/policy/routing_policy.h
+++ b/policy/routing_policy.h
@@ -39,6 +39,8 @@
   MonoTime deadline;
   MonoTime target;  ///< An answer after this time is worth little; at most the deadline.
   Priority priority = Priority::kNormal;
+  /// No further endpoints will be measured for this call.
+  bool last_stage = true;
   Duration work{0};  ///< Usual time that an upstream needs for such a call.
   /// Endpoints that this call has already tried.
   std::vector<EndpointId> excluded = {};
