--- a/tests/call_world.h
+++ b/tests/call_world.h
@@ -55,7 +55,7 @@
   }
   void Arrive(const std::string& method, int workspace, int timeout_ms, int fingerprint);
   /// Ends the attempt in flight at this position.
-  void Finish(int index, AttemptOutcome outcome, bool written);
+  void Finish(int index, AttemptOutcome outcome, bool written, int status = 0);
   void CallerLeaves(int index);
   void Advance(Duration step);
   void Capacity();
@@ -187,7 +187,7 @@
   Handle(actions);
 }
 
-inline void CallWorld::Finish(int index, AttemptOutcome outcome, bool written) {
+inline void CallWorld::Finish(int index, AttemptOutcome outcome, bool written, int status) {
   if (in_flight.empty()) {
     return;
   }
@@ -195,6 +195,7 @@
   AttemptResult result;
   result.attempt = ended->first;
   result.outcome = outcome;
+  result.status = status;
   result.request_written = written;
   result.latency = now - sent[ended->first];
   result.connection_opened = opened;
--- a/tests/dispatcher_test.cc
+++ b/tests/dispatcher_test.cc
@@ -129,6 +129,38 @@
   CHECK(world.fault == "");
 }
 
+TEST_CASE("an upstream's error is relayed only if no other attempt gives an answer",
+          "[dispatcher_test]") {
+  // Guards against an error for a call that another endpoint would have served, against a call that
+  // runs twice although it must not, and against an answer that is replaced by a refusal.
+  CallWorld world;
+  world.profile.max_attempts = 2;
+  world.Apply();
+  world.Arrive("GET", 0, 1000, 1);
+  world.Finish(0, AttemptOutcome::kAnswered, true, 500);
+  REQUIRE(world.in_flight.size() == 1);
+  CHECK_FALSE(world.calls.begin()->second.answered);
+  world.Finish(0, AttemptOutcome::kAnswered, true, 200);
+  CHECK(world.calls.begin()->second.answered);
+
+  CallWorld failing;
+  failing.profile.max_attempts = 2;
+  failing.Apply();
+  failing.Arrive("GET", 0, 1000, 1);
+  failing.Finish(0, AttemptOutcome::kAnswered, true, 500);
+  failing.Finish(0, AttemptOutcome::kConnectFailed, false);
+  CHECK(failing.calls.begin()->second.answered);
+  CHECK(failing.refusals.empty());
+
+  CallWorld once;
+  once.profile.max_attempts = 2;
+  once.Apply();
+  once.Arrive("POST", 0, 1000, 1);
+  once.Finish(0, AttemptOutcome::kAnswered, true, 500);
+  CHECK(once.in_flight.empty());
+  CHECK(once.calls.begin()->second.answered);
+}
+
 TEST_CASE("a call keeps the limits of its arrival", "[dispatcher_test]") {
   CallWorld world;
   world.profile.max_attempts = 2;
--- a/tests/fresh_load_test.cc
+++ b/tests/fresh_load_test.cc
@@ -113,6 +113,19 @@
   }
 }
 
+TEST_CASE("a late answer is accepted only when no other endpoint is left to ask",
+          "[fresh_load_test]") {
+  // Guards against calls that wait at a slow endpoint of their zone while others are idle.
+  Fixture f({View("a"), View("b", "far")});
+  f.Report("a", 0, 500);
+  AcquireRequest request = f.Request();
+  request.target = f.now + 150ms;
+  request.last_stage = false;
+  CHECK_FALSE(f.policy.Acquire(f.now, request, f.random));
+  request.last_stage = true;
+  CHECK(f.policy.Acquire(f.now, request, f.random) == EndpointId("a"));
+}
+
 TEST_CASE("an endpoint that stays silent is passed over and tried again", "[fresh_load_test]") {
   Fixture f({View("a")});
   f.Silent("a");
