Await silent endpoints by the usual latency of probes

Change: such a round ends after ten times the smoothed latency of answered probes, between 20 and 60 ms.

--- a/policy/dispatcher.h
+++ b/policy/dispatcher.h
@@ -264,6 +264,9 @@
                                        const ProbeResult& result,
                                        CallActions* actions) {
   if constexpr (MeasuringPolicy<Policy>) {
+    if (result.answered) {
+      rounds_.OnLatency(result.latency);
+    }
     const bool decides = policy_->OnProbe(now, result);
     for (const CallId id : rounds_.OnProbe(result.endpoint, result.answered, decides)) {
       Decide(now, id, actions);
--- a/policy/probe_rounds.cc
+++ b/policy/probe_rounds.cc
@@ -1,14 +1,21 @@
 #include "policy/probe_rounds.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace jd {
+namespace {
+
+// Of the latest answer in the smoothed latency.
+constexpr double kLatencyWeight = 0.05;
+
+}  // namespace
 
 void ProbeRounds::Start(MonoTime now, CallId call, const std::vector<EndpointId>& candidates) {
   Remove(call);
   Round round;
   round.started = now;
-  round.due = now + kGiveUp;
+  round.due = now + give_up();
   round.awaited.insert(candidates.begin(), candidates.end());
   for (const EndpointId& endpoint : candidates) {
     waiting_[endpoint].insert(call);
@@ -17,6 +24,18 @@
   rounds_.emplace(call, std::move(round));
 }
 
+void ProbeRounds::OnLatency(Duration latency) {
+  latency_ =
+      latency_ == Duration(0) ? latency : latency_ + Scale(latency - latency_, kLatencyWeight);
+}
+
+Duration ProbeRounds::give_up() const {
+  if (latency_ == Duration(0)) {
+    return kGreatestGiveUp;
+  }
+  return std::clamp(latency_ * kGiveUpFactor, kLeastGiveUp, kGreatestGiveUp);
+}
+
 std::vector<CallId> ProbeRounds::OnProbe(const EndpointId& endpoint, bool answered, bool decides) {
   std::vector<CallId> complete;
   const auto waiting = waiting_.extract(endpoint);
--- a/policy/probe_rounds.h
+++ b/policy/probe_rounds.h
@@ -17,8 +17,11 @@
  public:
   /// A round with at least one answer waits no longer than this for the others.
   static constexpr Duration kPatience = 8ms;
-  /// A round without any answer ends after this time.
-  static constexpr Duration kGiveUp = 60ms;
+  /// A round without any answer ends after kGiveUpFactor times the usual latency of probes, within
+  /// these limits.
+  static constexpr int kGiveUpFactor = 10;
+  static constexpr Duration kLeastGiveUp = 20ms;
+  static constexpr Duration kGreatestGiveUp = 60ms;
 
   /// Starts a round; a call has one at a time.
   void Start(MonoTime now, CallId call, const std::vector<EndpointId>& candidates);
@@ -27,6 +30,10 @@
   /// other answer is awaited.
   /// @return the calls whose round is complete.
   std::vector<CallId> OnProbe(const EndpointId& endpoint, bool answered, bool decides);
+  /// Takes in how long an answered probe took.
+  void OnLatency(Duration latency);
+  /// Returns the time after which a round without any answer ends.
+  Duration give_up() const;
   /// Returns the calls whose round ran out of time.
   std::vector<CallId> TakeDue(MonoTime now);
   void Remove(CallId call);
@@ -43,6 +50,7 @@
 
   void Reschedule(CallId call, Round* round, MonoTime due);
 
+  Duration latency_{0};  ///< Smoothed; 0 until a probe was answered.
   std::unordered_map<CallId, Round> rounds_;
   std::set<std::pair<MonoTime, CallId>> timers_;
   std::map<EndpointId, std::set<CallId>> waiting_;
--- a/tests/fresh_load_test.cc
+++ b/tests/fresh_load_test.cc
@@ -191,12 +191,27 @@
   CHECK(rounds.next_timer() == now + ProbeRounds::kPatience);
   CHECK(rounds.TakeDue(now + ProbeRounds::kPatience) == std::vector<CallId>{CallId(3)});
   rounds.Start(now, CallId(4), {a});
-  CHECK(rounds.next_timer() == now + ProbeRounds::kGiveUp);
+  CHECK(rounds.next_timer() == now + ProbeRounds::kGreatestGiveUp);
   rounds.Remove(CallId(4));
   CHECK_FALSE(rounds.next_timer());
   CHECK(rounds.OnProbe(a, true, true).empty());
 }
 
+TEST_CASE("silent endpoints are awaited by the usual latency of probes", "[fresh_load_test]") {
+  // Guards against calls that wait long for a zone that is gone before another one is asked.
+  ProbeRounds rounds;
+  rounds.OnLatency(1500us);
+  CHECK(rounds.give_up() == ProbeRounds::kLeastGiveUp);
+  for (int i = 0; i < 200; ++i) {
+    rounds.OnLatency(4ms);
+  }
+  CHECK(rounds.give_up() > 35ms);
+  for (int i = 0; i < 200; ++i) {
+    rounds.OnLatency(60ms);
+  }
+  CHECK(rounds.give_up() == ProbeRounds::kGreatestGiveUp);
+}
+
 TEST_CASE("a caller that came back is told from one that just began", "[fresh_load_test]") {
   CallHistory history;
   const ProfileId profile("p");
