--- a/policy/call_book.cc
+++ b/policy/call_book.cc
@@ -21,8 +21,6 @@
 constexpr double kMinReturnShare = 0.3;
 /// With less time than this to spare, a caller that returns cannot be answered in time.
 constexpr Duration kMinSpare = 40ms;
-/// A hedge is sent this many times the usual work before the target.
-constexpr double kHedgeMargin = 1.2;
 constexpr int kFirstServerError = 500;
 /// An upstream with room that refused a call may take it a moment later.
 constexpr Duration kReturnAfterRefusal = 10ms;
@@ -50,97 +48,8 @@
          " retry_after_us=" + std::to_string(retry_after.count());
 }
 
-std::vector<EndpointId> UsableOf(const Service& service, const Configuration& configuration) {
-  std::vector<EndpointId> usable;
-  for (const Endpoint& endpoint : service.endpoints) {
-    const auto zone = configuration.zones.find(endpoint.zone);
-    if (zone == configuration.zones.end() || zone->second.state != ZoneState::kOut) {
-      usable.push_back(endpoint.id);
-    }
-  }
-  return usable;
-}
-
 }  // namespace
 
-void CallBook::SetConfiguration(MonoTime now, ConfigurationPtr configuration) {
-  const ConfigurationPtr previous = std::exchange(configuration_, std::move(configuration));
-  if (configuration_ == nullptr) {
-    return;
-  }
-  if (previous != nullptr) {
-    ForgetEndpoints(*previous);
-  }
-  for (auto state = services_.begin(); state != services_.end();) {
-    if (configuration_->services.contains(state->first)) {
-      ++state;
-    } else if (state->second.calls == 0) {
-      queue_changed_.erase(state->first);
-      state = services_.erase(state);
-    } else {
-      state->second.SetUsable(now, {});
-      state->second.viewed = false;
-      ++state;
-    }
-  }
-  for (const auto& [id, service] : configuration_->services) {
-    ServiceState& state = services_[id];
-    state.budget.SetLimits(retry_limits_);
-    if (!state.viewed) {
-      state.SetUsable(now, UsableOf(service, *configuration_));
-    }
-  }
-}
-
-void CallBook::ForgetEndpoints(const Configuration& previous) {
-  for (const auto& [id, service] : previous.services) {
-    const auto present = configuration_->services.find(id);
-    const auto stays = [&](const Endpoint& endpoint) {
-      return present != configuration_->services.end() &&
-             std::any_of(present->second.endpoints.begin(), present->second.endpoints.end(),
-                         [&](const Endpoint& other) { return other.id == endpoint.id; });
-    };
-    if (present != configuration_->services.end() &&
-        present->second.endpoints == service.endpoints) {
-      continue;
-    }
-    for (const Endpoint& endpoint : service.endpoints) {
-      if (!stays(endpoint)) {
-        attempts_.RemoveEndpoint(endpoint.id);
-      }
-    }
-  }
-}
-
-void CallBook::SetService(MonoTime now, const ServiceView& view) {
-  const auto state = services_.find(view.id);
-  if (state == services_.end()) {
-    return;
-  }
-  std::vector<EndpointId> usable;
-  for (const EndpointView& endpoint : view.endpoints) {
-    if (endpoint.usable) {
-      usable.push_back(endpoint.id);
-    }
-  }
-  state->second.viewed = true;
-  state->second.SetUsable(now, std::move(usable));
-}
-
-void CallBook::SetRetryLimits(const RetryBudget::Limits& limits) {
-  retry_limits_ = limits;
-  for (auto& [id, state] : services_) {
-    state.budget.SetLimits(limits);
-  }
-}
-
-void CallBook::SetDegraded(const ServiceId& service, bool degraded) {
-  const auto state = services_.find(service);
-  if (state != services_.end()) {
-    state->second.queue.SetDegraded(degraded);
-  }
-}
-
 Call* CallBook::Admit(MonoTime now, const CallRequest& request, CallActions* actions) {
   if (stopping_) {
     RefuseNew(request, RefusalReason::kShuttingDown, kRetryAfterFailure, "The gateway is stopping.",
@@ -472,48 +381,6 @@
   return nullptr;
 }
 
-void CallBook::ScheduleHedge(MonoTime now, Call* call) {
-  ClearHedge(call);
-  const MonoTime at = HedgeTime(now, *call);
-  if (!call->limits.hedge || !call->idempotent || call->hedged || at >= call->deadline ||
-      call->attempts >= call->limits.max_attempts) {
-    return;
-  }
-  call->hedge_at = at;
-  timers_.emplace(at, call->request.id, TimerKind::kHedge);
-}
-
-MonoTime CallBook::HedgeTime(MonoTime now, const Call& call) const {
-  if (call.target == call.deadline) {
-    return now + call.limits.hedge_after;
-  }
-  // As late as possible, so that few calls are hedged, but so that the hedge may still be in time.
-  const Duration work = WorkOf(call);
-  return std::max(call.target - Scale(work, kHedgeMargin), now + work);
-}
-
-void CallBook::ClearHedge(Call* call) {
-  if (call->hedge_at) {
-    timers_.erase(Timer(*call->hedge_at, call->request.id, TimerKind::kHedge));
-    call->hedge_at.reset();
-  }
-}
-
-bool CallBook::MayHedge(MonoTime now, Call* call) {
-  ServiceState& state = StateOf(*call);
-  // A hedge must not take the slot that a waiting call needs, nor repeat a request that crashes.
-  if (call->deadline <= now || !state.queue.empty() ||
-      attempts_.guard().Blocks(now, call->request.fingerprint) || !state.budget.TryTake(now)) {
-    return false;
-  }
-  call->hedged = true;
-  return true;
-}
-
-void CallBook::AbandonHedge(Call* call) {
-  StateOf(*call).budget.Return();
-}
-
 std::optional<MonoTime> CallBook::next_timer() const {
   std::optional<MonoTime> next = attempts_.guard().next_timer();
   if (!timers_.empty()) {
