Keep attempts off connections on which a second answer may still arrive

Change: an attempt takes an idle connection on which no call was answered in the last second, if there is one; probes go on using the latest. One copy of the query escaping; the pace of reading stands with the decisions in cluster/.

Also ruled out: reading on after the foreign answer, which evhttp cannot do.

--- a/cluster/discovery.h
+++ b/cluster/discovery.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "cluster/table_watch.h"
 #include "common/configuration.h"
 #include "common/ids.h"
 #include "common/units.h"
@@ -13,6 +14,14 @@
 
 namespace jd {
 
+/// How the operators' table is followed: they write seldom, so one call waits long; several
+/// versions in a row are taken together.
+inline constexpr TableWatch::Pace kOperatorPace = {250ms, 20s, Duration(0), Duration(0)};
+/// How the endpoints' table is followed: upstreams renew their rows every second or two, so a call
+/// waits for no change. The greatest patience stays below the two seconds within which a leaving
+/// endpoint must be known.
+inline constexpr TableWatch::Pace kEndpointPace = {1s, Duration(0), 1200ms, 1600ms};
+
 /// One run of an upstream server as service discovery lists it.
 struct EndpointRecord {
   Endpoint endpoint;
--- a/gateway/table_codec.cc
+++ b/gateway/table_codec.cc
@@ -1,9 +1,5 @@
 #include "gateway/table_codec.h"
 
-#include <event2/http.h>
-
-#include <cstdlib>
-#include <memory>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -12,12 +8,6 @@
 
 using nlohmann::json;
 
-std::string Escape(const std::string& text) {
-  const std::unique_ptr<char, decltype(&std::free)> escaped(
-      evhttp_uriencode(text.data(), static_cast<ev_ssize_t>(text.size()), 0), &std::free);
-  return escaped.get();
-}
-
 TableRow ReadRow(const json& value) {
   return {value.at("key"), value.at("value"), value.at("version")};
 }
@@ -53,12 +43,12 @@
 
 HttpCall ToPlatformQuery(const TableRequest& request) {
   if (const auto* get = std::get_if<TableGet>(&request)) {
-    return {EVHTTP_REQ_GET, "/table/row?key=" + Escape(get->key), {}};
+    return {EVHTTP_REQ_GET, "/table/row?key=" + EscapeQuery(get->key), {}};
   }
   if (const auto* range = std::get_if<TableRange>(&request)) {
     return {EVHTTP_REQ_GET,
-            "/table/range?prefix=" + Escape(range->prefix) + "&after=" + Escape(range->after) +
-                "&limit=" + std::to_string(range->limit),
+            "/table/range?prefix=" + EscapeQuery(range->prefix) +
+                "&after=" + EscapeQuery(range->after) + "&limit=" + std::to_string(range->limit),
             {}};
   }
   return {EVHTTP_REQ_POST, "/table/txn", WriteTransaction(std::get<TableTransaction>(request))};
--- a/gateway/upstream_pool.cc
+++ b/gateway/upstream_pool.cc
@@ -13,6 +13,9 @@
 
 // An upstream that says when it closes an idle connection is not sent a request shortly before.
 constexpr Duration kIdleMargin = 1s;
+// A second answer to the same call arrives within about this time, if an upstream sends one; it
+// would be taken for the answer to the next call, whose run would be cut with the connection.
+constexpr Duration kLateAnswer = 1s;
 // Upstreams that do not say it close idle connections at times too.
 constexpr Duration kAssumedIdleTimeout = 5s;
 
@@ -64,7 +67,19 @@
   }
 }
 
-UpstreamPool::LinkPtr UpstreamPool::TakeLink(const EndpointId& endpoint, bool* is_new) {
+std::vector<UpstreamPool::LinkPtr>::iterator UpstreamPool::ChooseIdle(Peer* peer,
+                                                                      bool probe) const {
+  const auto latest = std::prev(peer->idle.end());
+  if (probe) {
+    return latest;
+  }
+  const MonoTime settled = loop_->ReadClocks().mono - kLateAnswer;
+  const auto quiet = std::find_if(peer->idle.rbegin(), peer->idle.rend(),
+                                  [&](const LinkPtr& link) { return link->answered <= settled; });
+  return quiet == peer->idle.rend() ? latest : std::prev(quiet.base());
+}
+
+UpstreamPool::LinkPtr UpstreamPool::TakeLink(const EndpointId& endpoint, bool probe, bool* is_new) {
   const auto found = peers_.find(endpoint);
   if (found == peers_.end() || found->second.target.address.empty()) {
     return nullptr;
@@ -72,8 +87,9 @@
   Peer& peer = found->second;
   *is_new = false;
   while (!peer.idle.empty()) {
-    LinkPtr link = std::move(peer.idle.back());
-    peer.idle.pop_back();
+    const auto chosen = ChooseIdle(&peer, probe);
+    LinkPtr link = std::move(*chosen);
+    peer.idle.erase(chosen);
     if (link->http->usable() && !link->http->PeerClosed() &&
         loop_->ReadClocks().mono < link->idle_until) {
       return link;
@@ -124,7 +140,7 @@
   exchange.is_probe = probe;
   exchange.sent = now;
   exchange.deadline = now + attempt.timeout;
-  exchange.link = TakeLink(attempt.endpoint, &exchange.new_connection);
+  exchange.link = TakeLink(attempt.endpoint, probe, &exchange.new_connection);
   if (exchange.link == nullptr) {
     exchange.link = std::make_unique<Link>();
     exchange.link->endpoint = attempt.endpoint;
@@ -167,6 +183,9 @@
   // Bytes of an invalid response may belong to another request, so nothing else is read there.
   if (done.response != nullptr && link->http->usable() &&
       reply.outcome != AttemptOutcome::kInvalid) {
+    if (!exchange.is_probe) {
+      link->answered = loop_->ReadClocks().mono;
+    }
     link->idle_until = loop_->ReadClocks().mono +
                        reply.idle_timeout.value_or(kAssumedIdleTimeout + kIdleMargin) - kIdleMargin;
     ReturnLink(std::move(link));
--- a/gateway/upstream_pool.h
+++ b/gateway/upstream_pool.h
@@ -70,6 +70,8 @@
     MonoTime opened;
     /// No request is sent on it after this time, because the upstream is about to close it.
     MonoTime idle_until = MonoTime::max();
+    /// When an attempt was last answered on it; an upstream that answers twice does so soon after.
+    MonoTime answered;
     std::unique_ptr<HttpConnection> http;
   };
   using LinkPtr = std::unique_ptr<Link>;
@@ -88,7 +90,10 @@
     MonoTime deadline;
   };
 
-  LinkPtr TakeLink(const EndpointId& endpoint, bool* is_new);
+  LinkPtr TakeLink(const EndpointId& endpoint, bool probe, bool* is_new);
+  /// Returns the idle connection for the next exchange: the latest used one, but for an attempt one
+  /// on which no late second answer is to be feared, if there is one.
+  std::vector<LinkPtr>::iterator ChooseIdle(Peer* peer, bool probe) const;
   void Start(uint64_t id, const SendAttempt& attempt, const UpstreamRequest& request, bool probe);
   void ReturnLink(LinkPtr link);
   void Discard(LinkPtr link);
--- a/net/http_client.cc
+++ b/net/http_client.cc
@@ -1,5 +1,6 @@
 #include "net/http_client.h"
 
+#include <cstdlib>
 #include <utility>
 
 namespace jd {
@@ -20,6 +21,12 @@
 
 }  // namespace
 
+std::string EscapeQuery(const std::string& text) {
+  const std::unique_ptr<char, decltype(&std::free)> escaped(
+      evhttp_uriencode(text.data(), static_cast<ev_ssize_t>(text.size()), 0), &std::free);
+  return escaped.get();
+}
+
 HttpClient::HttpClient(EventLoop* loop, std::string address, uint16_t port)
     : loop_(loop),
       address_(std::move(address)),
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -19,6 +19,9 @@
   std::string body;  ///< JSON; sent with POST and PUT only.
 };
 
+/// Returns a text as part of a query.
+std::string EscapeQuery(const std::string& text);
+
 /// Sends requests to one server over connections that it keeps. No request is ever sent twice.
 class HttpClient {
  public:
--- a/tests/upstream_test.cc
+++ b/tests/upstream_test.cc
@@ -86,6 +86,29 @@
   CHECK(f.server.connections.size() == 1);
 }
 
+TEST_CASE("an attempt avoids a connection on which a second answer may still arrive",
+          "[upstream_test]") {
+  // Guards against a call that is cut off because the late second answer to another call arrives in
+  // its place (seen in a hunt: a call in flight was given up after a stop was announced).
+  Fixture f;
+  f.Send(1);
+  f.pool.Probe({EndpointId("e"), 10s});
+  REQUIRE(RunUntil(&f.loop, [&] { return f.server.requests() == 2; }));
+  REQUIRE(f.server.connections.size() == 2);
+  const size_t of_call = f.server.connections[0]->Count("POST") == 1 ? 0 : 1;
+  f.server.connections[1 - of_call]->Send(kOk);
+  REQUIRE(RunUntil(&f.loop, [&] { return f.probes.size() == 1; }));
+  f.server.connections[of_call]->Send(kOk);
+  f.Wait(1);
+  f.Send(2);
+  REQUIRE(RunUntil(&f.loop, [&] { return f.server.requests() == 3; }));
+  f.server.connections[of_call]->Send(kOk);
+  f.Settle();
+  CHECK(f.results[2].empty());
+  f.server.connections[1 - of_call]->Send(kOk);
+  CHECK(f.Wait(2).outcome == AttemptOutcome::kAnswered);
+}
+
 TEST_CASE("an idle connection that the upstream closed is not used", "[upstream_test]") {
   Fixture f;
   f.AnswerAll(kOk);
