Give rows missing after an outage a new time on each return, and tell them to peers

Cause: TableWatch kept the first time to come back for rows that were still missing when the store went away again, so they were dropped at once after a second outage. Gateways that are told what another one reads never dropped rows that the reader withheld: its news covered the version of the deletion without naming it. A whole read of several pages told each page as if it covered its version. A late answer could delete a row that was written again.

Ruled out: resetting the time on a lost history alone, which would delay real removals beyond the bound for leaving endpoints while the store works.

Tests: four cases in table_watch_test, which fail without the change.

--- a/cluster/table_watch.cc
+++ b/cluster/table_watch.cc
@@ -33,32 +33,26 @@
     OnFailure(now);
     return changes;
   }
-  if (!std::exchange(connected_, true) && complete_) {
-    returned_ = now;
-  }
+  OnReturn(now);
   if (reply.status == WatchStatus::kHistoryLost) {
     whole_ = true;
     from_.clear();
-    reading_.clear();
+    page_rows_.clear();
     due_ = now;
-    returned_ = now;
+    return changes;
+  }
+  if (whole_) {
+    TakePage(now, reply, &changes);
     return changes;
   }
   for (const WatchedRow& row : reply.rows) {
     if (row.deleted) {
-      Remove(now, row.key, &changes);
-      continue;
-    }
-    if (whole_) {
-      reading_[row.key] = row.version;
+      Remove(now, row.key, row.version, &changes);
+    } else {
+      Take(row, &changes);
     }
-    Take(row, &changes);
-  }
-  if (whole_) {
-    FinishWhole(now, reply, &changes);
-  } else {
-    after_ = std::max(after_, reply.version);
   }
+  after_ = std::max(after_, reply.version);
   return changes;
 }
 
@@ -71,18 +65,21 @@
     due_ = now;  // Something between was missed.
     return changes;
   }
+  OnReturn(now);
   std::uniform_int_distribution<int64_t> patience(pace_.least_patience.count(),
                                                   pace_.greatest_patience.count());
   due_ = std::max(due_, now + Duration(patience(random_)));
   if (news.version <= after_) {
     return changes;
   }
+  for (const std::string& key : news.missing) {
+    Expect(key, now + kReturnTime);
+  }
   for (const WatchedRow& row : news.rows) {
-    if (!row.deleted) {
+    if (row.deleted) {
+      Remove(now, row.key, row.version, &changes);
+    } else {
       Take(row, &changes);
-    } else if (versions_.erase(row.key) > 0) {
-      missing_.erase(row.key);
-      changes.push_back(row);
     }
   }
   after_ = news.version;
@@ -90,52 +87,82 @@
 }
 
 void TableWatch::Take(const WatchedRow& row, std::vector<WatchedRow>* changes) {
-  missing_.erase(row.key);
   uint64_t& version = versions_[row.key];
-  if (row.version > version) {
-    version = row.version;
-    changes->push_back(row);
+  if (row.version <= version) {
+    return;
   }
+  version = row.version;
+  changes->push_back(row);
+  changes->back().restored = missing_.erase(row.key) > 0;
 }
 
-void TableWatch::FinishWhole(MonoTime now,
-                             const WatchReply& reply,
-                             std::vector<WatchedRow>* changes) {
-  // Rows may change between two pages, so changes are asked for since the first of them.
-  after_ = from_.empty() ? reply.version : std::min(after_, reply.version);
+void TableWatch::TakePage(MonoTime now,
+                          const WatchReply& reply,
+                          std::vector<WatchedRow>* changes) {
+  if (from_.empty()) {
+    first_page_version_ = reply.version;
+  }
+  for (const WatchedRow& row : reply.rows) {
+    page_rows_[row.key] = row;
+  }
   if (reply.has_more && !reply.rows.empty()) {
     from_ = reply.rows.back().key + '\0';
     due_ = now;
     return;
   }
+  for (const auto& [key, row] : page_rows_) {
+    Take(row, changes);
+  }
   for (const auto& [key, version] : std::map(versions_)) {
-    if (!reading_.contains(key)) {
-      Remove(now, key, changes);
+    if (!page_rows_.contains(key)) {
+      Remove(now, key, version, changes);
     }
   }
-  reading_.clear();
+  // Rows may change between two pages, so changes are asked for since the first of them.
+  after_ = first_page_version_;
+  page_rows_.clear();
   from_.clear();
   whole_ = false;
   complete_ = true;
 }
 
-void TableWatch::Remove(MonoTime now, const std::string& key, std::vector<WatchedRow>* changes) {
-  if (!versions_.contains(key)) {
+void TableWatch::Remove(MonoTime now,
+                        const std::string& key,
+                        uint64_t version,
+                        std::vector<WatchedRow>* changes) {
+  const auto known = versions_.find(key);
+  if (known == versions_.end() || known->second > version) {
+    return;
+  }
+  if (missing_.contains(key)) {
     return;
   }
   if (returned_ && now < *returned_ + kReturnTime) {
-    missing_.emplace(key, *returned_ + kReturnTime);
+    Expect(key, *returned_ + kReturnTime);
     return;
   }
-  versions_.erase(key);
-  missing_.erase(key);
-  changes->push_back({key, {}, 0, true});
+  changes->push_back({key, {}, version, true});
+  versions_.erase(known);
+}
+
+void TableWatch::Expect(const std::string& key, MonoTime until) {
+  if (versions_.contains(key)) {
+    missing_.emplace(key, until);
+  }
+}
+
+std::vector<std::string> TableWatch::missing() const {
+  std::vector<std::string> keys;
+  for (const auto& [key, until] : missing_) {
+    keys.push_back(key);
+  }
+  return keys;
 }
 
 std::vector<WatchedRow> TableWatch::TakeExpired(MonoTime now) {
   std::vector<WatchedRow> expired;
   if (!connected_) {
-    // The store went away again; the rows get a new time to come back.
+    // The store went away again; OnReturn gives the rows a new time to come back.
     return expired;
   }
   for (auto row = missing_.begin(); row != missing_.end();) {
@@ -143,8 +170,8 @@
       ++row;
       continue;
     }
+    expired.push_back({row->first, {}, versions_.at(row->first), true});
     versions_.erase(row->first);
-    expired.push_back({row->first, {}, 0, true});
     row = missing_.erase(row);
   }
   return expired;
@@ -163,6 +190,16 @@
   return next;
 }
 
+void TableWatch::OnReturn(MonoTime now) {
+  if (std::exchange(connected_, true) || !complete_) {
+    return;
+  }
+  returned_ = now;
+  for (auto& [key, until] : missing_) {
+    until = now + kReturnTime;
+  }
+}
+
 void TableWatch::OnFailure(MonoTime now) {
   connected_ = false;
   due_ = std::max(due_, now + kRetryAfter);
--- a/cluster/table_watch.h
+++ b/cluster/table_watch.h
@@ -15,8 +15,9 @@
 struct WatchedRow {
   std::string key;
   std::string value;
-  uint64_t version = 0;
+  uint64_t version = 0;  ///< Of a deleted row: no later state of the row is older than this.
   bool deleted = false;
+  bool restored = false;  ///< It was missing after an outage and is back.
 };
 
 /// A call that follows a table.
@@ -48,6 +49,8 @@
   uint64_t after = 0;            ///< Version that the rows follow on.
   uint64_t version = 0;          ///< Newest version that they cover.
   std::vector<WatchedRow> rows;  ///< Those that changed in substance.
+  /// Rows that vanished across an outage and may come back.
+  std::vector<std::string> missing;
 };
 
 /// Follows one table of the platform's store: reads it whole, then asks for changes, and reads it
@@ -78,7 +81,7 @@
 
   /// Returns the call to make now, if one is due; it is answered by OnReply.
   std::optional<WatchCall> Next(MonoTime now);
-  /// Takes in an answer. @return the rows that changed.
+  /// Takes in an answer. @return the rows that changed; of a whole read, once it is complete.
   std::vector<WatchedRow> OnReply(MonoTime now, const WatchReply& reply);
   /// Takes in what another gateway read. @return the rows that changed.
   std::vector<WatchedRow> OnNews(MonoTime now, const TableNews& news);
@@ -91,21 +94,29 @@
   uint64_t version() const { return after_; }
   /// The table has been read whole at least once.
   bool complete() const { return complete_; }
-  /// The last call was answered.
-  bool connected() const { return connected_; }
+  /// A whole read is due or under way, so version() covers nothing new.
+  bool reading_whole() const { return whole_; }
+  /// Rows that vanished across an outage and may come back.
+  std::vector<std::string> missing() const;
 
  private:
   void Take(const WatchedRow& row, std::vector<WatchedRow>* changes);
-  void FinishWhole(MonoTime now, const WatchReply& reply, std::vector<WatchedRow>* changes);
-  void Remove(MonoTime now, const std::string& key, std::vector<WatchedRow>* changes);
+  void TakePage(MonoTime now, const WatchReply& reply, std::vector<WatchedRow>* changes);
+  void Remove(MonoTime now,
+              const std::string& key,
+              uint64_t version,
+              std::vector<WatchedRow>* changes);
+  void Expect(const std::string& key, MonoTime until);
+  void OnReturn(MonoTime now);
   void OnFailure(MonoTime now);
 
   Pace pace_;
   RandomEngine random_;
   std::map<std::string, uint64_t> versions_;  ///< Of the rows that exist.
   std::map<std::string, MonoTime> missing_;   ///< Reported as deleted at this time.
-  std::map<std::string, uint64_t> reading_;   ///< Rows of the whole read under way.
+  std::map<std::string, WatchedRow> page_rows_;  ///< Of the whole read under way.
   std::string from_;
+  uint64_t first_page_version_ = 0;
   uint64_t after_ = 0;
   bool whole_ = true;
   bool complete_ = false;
--- a/rpc/convert.cc
+++ b/rpc/convert.cc
@@ -244,6 +244,7 @@
     added.version = static_cast<int64_t>(row.version);
     added.deleted = row.deleted;
   }
+  out.missing = in.missing;
   return out;
 }
 
@@ -255,6 +256,7 @@
   for (const wire::WatchedRow& row : in.rows) {
     out.rows.push_back({row.key, row.value, static_cast<uint64_t>(row.version), row.deleted});
   }
+  out.missing = in.missing;
   return out;
 }
 
--- a/rpc/gen-cpp/jackdawdeck_types.cpp
+++ b/rpc/gen-cpp/jackdawdeck_types.cpp
@@ -2601,6 +2601,10 @@
 void TableNews::__set_rows(const std::vector<WatchedRow> & val) {
   this->rows = val;
 }
+
+void TableNews::__set_missing(const std::vector<std::string> & val) {
+  this->missing = val;
+}
 std::ostream& operator<<(std::ostream& out, const TableNews& obj)
 {
   obj.printTo(out);
@@ -2673,6 +2677,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->missing.clear();
+            uint32_t _size57;
+            ::apache::thrift::protocol::TType _etype60;
+            xfer += iprot->readListBegin(_etype60, _size57);
+            this->missing.resize(_size57);
+            uint32_t _i61;
+            for (_i61 = 0; _i61 < _size57; ++_i61)
+            {
+              xfer += iprot->readString(this->missing[_i61]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.missing = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2705,10 +2729,22 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<WatchedRow> ::const_iterator _iter57;
-    for (_iter57 = this->rows.begin(); _iter57 != this->rows.end(); ++_iter57)
+    std::vector<WatchedRow> ::const_iterator _iter62;
+    for (_iter62 = this->rows.begin(); _iter62 != this->rows.end(); ++_iter62)
+    {
+      xfer += (*_iter62).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("missing", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->missing.size()));
+    std::vector<std::string> ::const_iterator _iter63;
+    for (_iter63 = this->missing.begin(); _iter63 != this->missing.end(); ++_iter63)
     {
-      xfer += (*_iter57).write(oprot);
+      xfer += oprot->writeString((*_iter63));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2725,22 +2761,25 @@
   swap(a.after, b.after);
   swap(a.version, b.version);
   swap(a.rows, b.rows);
+  swap(a.missing, b.missing);
   swap(a.__isset, b.__isset);
 }
 
-TableNews::TableNews(const TableNews& other58) {
-  table = other58.table;
-  after = other58.after;
-  version = other58.version;
-  rows = other58.rows;
-  __isset = other58.__isset;
+TableNews::TableNews(const TableNews& other64) {
+  table = other64.table;
+  after = other64.after;
+  version = other64.version;
+  rows = other64.rows;
+  missing = other64.missing;
+  __isset = other64.__isset;
 }
-TableNews& TableNews::operator=(const TableNews& other59) {
-  table = other59.table;
-  after = other59.after;
-  version = other59.version;
-  rows = other59.rows;
-  __isset = other59.__isset;
+TableNews& TableNews::operator=(const TableNews& other65) {
+  table = other65.table;
+  after = other65.after;
+  version = other65.version;
+  rows = other65.rows;
+  missing = other65.missing;
+  __isset = other65.__isset;
   return *this;
 }
 void TableNews::printTo(std::ostream& out) const {
@@ -2750,6 +2789,7 @@
   out << ", " << "after=" << to_string(after);
   out << ", " << "version=" << to_string(version);
   out << ", " << "rows=" << to_string(rows);
+  out << ", " << "missing=" << to_string(missing);
   out << ")";
 }
 
@@ -2880,19 +2920,19 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorRequest::OperatorRequest(const OperatorRequest& other60) {
-  id = other60.id;
-  command = other60.command;
-  body = other60.body;
-  timeout = other60.timeout;
-  __isset = other60.__isset;
+OperatorRequest::OperatorRequest(const OperatorRequest& other66) {
+  id = other66.id;
+  command = other66.command;
+  body = other66.body;
+  timeout = other66.timeout;
+  __isset = other66.__isset;
 }
-OperatorRequest& OperatorRequest::operator=(const OperatorRequest& other61) {
-  id = other61.id;
-  command = other61.command;
-  body = other61.body;
-  timeout = other61.timeout;
-  __isset = other61.__isset;
+OperatorRequest& OperatorRequest::operator=(const OperatorRequest& other67) {
+  id = other67.id;
+  command = other67.command;
+  body = other67.body;
+  timeout = other67.timeout;
+  __isset = other67.__isset;
   return *this;
 }
 void OperatorRequest::printTo(std::ostream& out) const {
@@ -3015,17 +3055,17 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorReply::OperatorReply(const OperatorReply& other62) {
-  id = other62.id;
-  status = other62.status;
-  body = other62.body;
-  __isset = other62.__isset;
+OperatorReply::OperatorReply(const OperatorReply& other68) {
+  id = other68.id;
+  status = other68.status;
+  body = other68.body;
+  __isset = other68.__isset;
 }
-OperatorReply& OperatorReply::operator=(const OperatorReply& other63) {
-  id = other63.id;
-  status = other63.status;
-  body = other63.body;
-  __isset = other63.__isset;
+OperatorReply& OperatorReply::operator=(const OperatorReply& other69) {
+  id = other69.id;
+  status = other69.status;
+  body = other69.body;
+  __isset = other69.__isset;
   return *this;
 }
 void OperatorReply::printTo(std::ostream& out) const {
@@ -3305,33 +3345,33 @@
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other64) {
-  heartbeat = other64.heartbeat;
-  slot_request = other64.slot_request;
-  slot_grant = other64.slot_grant;
-  endpoint_notice = other64.endpoint_notice;
-  crash_notice = other64.crash_notice;
-  config_entries = other64.config_entries;
-  config_fetch = other64.config_fetch;
-  unrecorded_zone = other64.unrecorded_zone;
-  operator_request = other64.operator_request;
-  operator_reply = other64.operator_reply;
-  table_news = other64.table_news;
-  __isset = other64.__isset;
-}
-Body& Body::operator=(const Body& other65) {
-  heartbeat = other65.heartbeat;
-  slot_request = other65.slot_request;
-  slot_grant = other65.slot_grant;
-  endpoint_notice = other65.endpoint_notice;
-  crash_notice = other65.crash_notice;
-  config_entries = other65.config_entries;
-  config_fetch = other65.config_fetch;
-  unrecorded_zone = other65.unrecorded_zone;
-  operator_request = other65.operator_request;
-  operator_reply = other65.operator_reply;
-  table_news = other65.table_news;
-  __isset = other65.__isset;
+Body::Body(const Body& other70) {
+  heartbeat = other70.heartbeat;
+  slot_request = other70.slot_request;
+  slot_grant = other70.slot_grant;
+  endpoint_notice = other70.endpoint_notice;
+  crash_notice = other70.crash_notice;
+  config_entries = other70.config_entries;
+  config_fetch = other70.config_fetch;
+  unrecorded_zone = other70.unrecorded_zone;
+  operator_request = other70.operator_request;
+  operator_reply = other70.operator_reply;
+  table_news = other70.table_news;
+  __isset = other70.__isset;
+}
+Body& Body::operator=(const Body& other71) {
+  heartbeat = other71.heartbeat;
+  slot_request = other71.slot_request;
+  slot_grant = other71.slot_grant;
+  endpoint_notice = other71.endpoint_notice;
+  crash_notice = other71.crash_notice;
+  config_entries = other71.config_entries;
+  config_fetch = other71.config_fetch;
+  unrecorded_zone = other71.unrecorded_zone;
+  operator_request = other71.operator_request;
+  operator_reply = other71.operator_reply;
+  table_news = other71.table_news;
+  __isset = other71.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -3495,21 +3535,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other66) {
-  key = other66.key;
-  sender = other66.sender;
-  incarnation = other66.incarnation;
-  stamp = other66.stamp;
-  body = other66.body;
-  __isset = other66.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other67) {
-  key = other67.key;
-  sender = other67.sender;
-  incarnation = other67.incarnation;
-  stamp = other67.stamp;
-  body = other67.body;
-  __isset = other67.__isset;
+Envelope::Envelope(const Envelope& other72) {
+  key = other72.key;
+  sender = other72.sender;
+  incarnation = other72.incarnation;
+  stamp = other72.stamp;
+  body = other72.body;
+  __isset = other72.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other73) {
+  key = other73.key;
+  sender = other73.sender;
+  incarnation = other73.incarnation;
+  stamp = other73.stamp;
+  body = other73.body;
+  __isset = other73.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/rpc/gen-cpp/jackdawdeck_types.h
+++ b/rpc/gen-cpp/jackdawdeck_types.h
@@ -1077,11 +1077,12 @@
 std::ostream& operator<<(std::ostream& out, const WatchedRow& obj);
 
 typedef struct _TableNews__isset {
-  _TableNews__isset() : table(false), after(false), version(false), rows(false) {}
+  _TableNews__isset() : table(false), after(false), version(false), rows(false), missing(false) {}
   bool table :1;
   bool after :1;
   bool version :1;
   bool rows :1;
+  bool missing :1;
 } _TableNews__isset;
 
 class TableNews : public virtual ::apache::thrift::TBase {
@@ -1100,6 +1101,7 @@
   int64_t after;
   int64_t version;
   std::vector<WatchedRow>  rows;
+  std::vector<std::string>  missing;
 
   _TableNews__isset __isset;
 
@@ -1111,6 +1113,8 @@
 
   void __set_rows(const std::vector<WatchedRow> & val);
 
+  void __set_missing(const std::vector<std::string> & val);
+
   bool operator == (const TableNews & rhs) const
   {
     if (!(table == rhs.table))
@@ -1121,6 +1125,8 @@
       return false;
     if (!(rows == rhs.rows))
       return false;
+    if (!(missing == rhs.missing))
+      return false;
     return true;
   }
   bool operator != (const TableNews &rhs) const {
--- a/rpc/jackdawdeck.thrift
+++ b/rpc/jackdawdeck.thrift
@@ -125,6 +125,7 @@
   2: i64 after
   3: i64 version
   4: list<WatchedRow> rows
+  5: list<string> missing
 }
 
 struct OperatorRequest {
--- a/tests/table_watch_test.cc
+++ b/tests/table_watch_test.cc
@@ -74,6 +74,7 @@
     news.rows = watch.OnReply(now, reachable ? store.Answer(*call) : WatchReply());
     Apply(news.rows);
     news.version = watch.version();
+    news.missing = watch.missing();
     return reachable ? std::optional(news) : std::nullopt;
   }
 
@@ -164,6 +165,99 @@
   CHECK(gateway.known.size() == 3);
 }
 
+TEST_CASE("rows missing since an outage get a new time to come back after a second one",
+          "[table_watch_test]") {
+  // Guards against dropping every endpoint when the store goes away twice in a row: nobody could
+  // renew a row in between.
+  Store store;
+  store.Put("a");
+  Gateway gateway(1);
+  gateway.Read(At(0s), store);
+  gateway.reachable = false;
+  gateway.Read(At(1s), store);
+  store.Remove("a");
+  gateway.reachable = true;
+  gateway.Read(At(2s), store);
+  gateway.reachable = false;
+  gateway.Read(At(3s), store);
+  gateway.reachable = true;
+  gateway.Read(At(10s), store);
+  gateway.Read(At(10s + TableWatch::kReturnTime - 1ms), store);
+  CHECK(gateway.known.size() == 1);
+  gateway.Read(At(10s + TableWatch::kReturnTime), store);
+  CHECK(gateway.known.empty());
+}
+
+TEST_CASE("a gateway that is told drops the rows that do not come back after an outage",
+          "[table_watch_test]") {
+  // Guards against calls to endpoints that died in an outage, at all gateways but the one that
+  // reads for the zone; the reader may stop in between.
+  const bool reader_stops = GENERATE(false, true);
+  Store store;
+  store.Put("a");
+  store.Put("b");
+  Gateway reader(1);
+  Gateway told(2);
+  reader.Read(At(0s), store);
+  told.Read(At(0s), store);
+  for (Gateway* gateway : {&reader, &told}) {
+    gateway->reachable = false;
+    gateway->Read(At(1s), store);
+  }
+  store.Remove("a");
+  store.Remove("b");
+  reader.reachable = true;
+  const std::optional<TableNews> news = reader.Read(At(2s), store);
+  REQUIRE(news);
+  told.Apply(told.watch.OnNews(At(2s), *news));
+  CHECK(told.known.size() == 2);
+  store.Put("b");
+  told.reachable = true;
+  if (reader_stops) {
+    told.Read(At(4s), store);
+  } else {
+    told.Apply(told.watch.OnNews(At(3s), reader.Read(At(3s), store).value()));
+  }
+  told.Apply(told.watch.TakeExpired(At(2s + TableWatch::kReturnTime)));
+  CHECK(told.known == std::map<std::string, std::string>{{"b", "v5"}});
+}
+
+TEST_CASE("a late answer does not delete a row that was written again", "[table_watch_test]") {
+  Store store;
+  store.Put("a");
+  Gateway gateway(1);
+  gateway.Read(At(0s), store);
+  store.Remove("a");
+  const std::optional<WatchCall> call = gateway.watch.Next(At(1s));
+  REQUIRE(call);
+  const WatchReply late = store.Answer(*call);
+  store.Put("a");
+  gateway.Apply(gateway.watch.OnNews(At(1s), {"", 1, 3, {store.rows["a"]}, {}}));
+  gateway.Apply(gateway.watch.OnReply(At(1100ms), late));
+  CHECK(gateway.known == std::map<std::string, std::string>{{"a", "v3"}});
+}
+
+TEST_CASE("the pages of a whole read count once all of them are there", "[table_watch_test]") {
+  // Guards against telling other gateways that a version is covered of which only a page was read.
+  TableWatch watch(kPace, 1);
+  watch.Next(At(0s));
+  WatchReply page;
+  page.status = WatchStatus::kDone;
+  page.version = 7;
+  page.rows = {{"a", "1", 1, false, false}};
+  page.has_more = true;
+  CHECK(watch.OnReply(At(0s), page).empty());
+  CHECK(watch.version() == 0);
+  CHECK(watch.reading_whole());
+  CHECK(watch.Next(At(0s))->from > "a");
+  page.version = 9;
+  page.rows = {{"b", "1", 2, false, false}};
+  page.has_more = false;
+  CHECK(watch.OnReply(At(0s), page).size() == 2);
+  CHECK(watch.version() == 7);
+  CHECK_FALSE(watch.reading_whole());
+}
+
 // Gateways that tell each other what they read, in steps of 10 ms.
 struct Zone {
   explicit Zone(size_t count) {
