--- a/standin/platform_server.cc
+++ b/standin/platform_server.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "standin/platform_model.h"
+#include "standin/row_server.h"
 #include "standin/standin_http.h"
 #include "standin/standin_loop.h"
 
@@ -88,11 +89,16 @@
   PlatformServer(event_base* base, uint16_t port, Duration vm_lag)
       : base_(base),
         model_(vm_lag),
+        rows_(base),
         poller_(base, &model_),
         http_(base, port, [this](evhttp_request* request) { Serve(request); }) {}
 
  private:
   void Serve(evhttp_request* request) {
+    if (RequestPath(request).starts_with("/api/")) {
+      rows_.Serve(request);
+      return;
+    }
     StandinQuery query;
     query.method = RequestMethod(request);
     query.path = RequestPath(request);
@@ -141,6 +147,7 @@
 
   event_base* base_;
   PlatformModel model_;
+  RowServer rows_;
   ReadyPoller poller_;
   StandinHttp http_;
 };
