Move what the adapter still decided about the reading of tables to cluster/

Found in the read of platform/ as a newcomer: the size up to which rows are passed on and the rule that one table is asked for while the store is away stood in the adapter, the latter as an early return that left the other table's timer unset. Both are TableWatch's now, with a test each. No change of behaviour.

--- a/cluster/table_watch.cc
+++ b/cluster/table_watch.cc
@@ -9,11 +9,13 @@
 
 // Added to the wait of a call: a store that takes longer is taken for unreachable.
 constexpr Duration kAnswerTime = 1500ms;
+// Bytes of rows that one gateway sends to each other of its zone; more would fill a small link.
+constexpr size_t kGreatestNews = 16'384;
 
 }  // namespace
 
 std::optional<WatchCall> TableWatch::Next(MonoTime now) {
-  if (in_call_ || now < due_) {
+  if (in_call_ || now < due_ || held()) {
     return std::nullopt;
   }
   in_call_ = true;
@@ -182,7 +184,7 @@
 
 std::optional<MonoTime> TableWatch::next_timer() const {
   std::optional<MonoTime> next;
-  if (!in_call_) {
+  if (!in_call_ && !held()) {
     next = due_;
   }
   if (connected_) {
@@ -198,6 +200,19 @@
   return Duration(draw(random_));
 }
 
+TableNews TableWatch::NewsOf(const std::string& table,
+                             uint64_t after,
+                             const std::vector<WatchedRow>& rows) const {
+  size_t size = 0;
+  for (const WatchedRow& row : rows) {
+    size += row.value.size();
+  }
+  if (size > kGreatestNews) {
+    return {table, after_, after_, {}, missing(), false};
+  }
+  return {table, after, after_, rows, missing(), false};
+}
+
 TableNews TableWatch::FailureNews(const std::string& table) const {
   return {table, 0, 0, {}, {}, true};
 }
--- a/cluster/table_watch.h
+++ b/cluster/table_watch.h
@@ -92,6 +92,15 @@
   std::vector<WatchedRow> OnReply(MonoTime now, const WatchReply& reply);
   /// Takes in what another gateway read. @return the rows that changed.
   std::vector<WatchedRow> OnNews(MonoTime now, const TableNews& news);
+  /// Makes no calls while the store is away for `scout`, whose calls tell when it is back.
+  void SetScout(const TableWatch* scout) { scout_ = scout; }
+  /// Returns what to tell other gateways after a read.
+  /// @param after version before the read.
+  /// @param rows those that changed in substance; left out if they are large, so that the others
+  /// read for themselves.
+  TableNews NewsOf(const std::string& table,
+                   uint64_t after,
+                   const std::vector<WatchedRow>& rows) const;
   /// Returns what to tell other gateways after a call that failed.
   TableNews FailureNews(const std::string& table) const;
   /// Returns the rows whose time to come back has passed, as deleted.
@@ -121,8 +130,10 @@
   void OnReturn(MonoTime now);
   void OnFailure(MonoTime now);
   void OnPeerFailure(MonoTime now);
+  bool held() const { return scout_ != nullptr && scout_->store_away(); }
   Duration Draw(Duration least, Duration greatest);
 
+  const TableWatch* scout_ = nullptr;
   Pace pace_;
   RandomEngine random_;
   std::map<std::string, uint64_t> versions_;     ///< Of the rows that exist.
--- a/tests/table_watch_test.cc
+++ b/tests/table_watch_test.cc
@@ -71,13 +71,11 @@
       return std::nullopt;
     }
     ++calls;
-    TableNews news;
-    news.after = watch.version();
-    news.rows = watch.OnReply(now, reachable ? store.Answer(*call) : WatchReply());
-    Apply(news.rows);
-    news.version = watch.version();
-    news.missing = watch.missing();
-    return reachable ? std::optional(news) : std::nullopt;
+    const uint64_t after = watch.version();
+    const std::vector<WatchedRow> rows =
+        watch.OnReply(now, reachable ? store.Answer(*call) : WatchReply());
+    Apply(rows);
+    return reachable ? std::optional(watch.NewsOf("", after, rows)) : std::nullopt;
   }
 
   // Makes the call that is due and ends the one under way when it is answered; it may wait for a
@@ -108,7 +106,7 @@
     if (reply.status == WatchStatus::kFailed) {
       news.push_back(watch.FailureNews(""));
     } else if (!watch.reading_whole()) {
-      news.push_back({"", after, watch.version(), rows, watch.missing(), false});
+      news.push_back(watch.NewsOf("", after, rows));
     }
     return news;
   }
@@ -296,6 +294,42 @@
   CHECK_FALSE(watch.reading_whole());
 }
 
+TEST_CASE("rows that are too large to pass on are read by each gateway", "[table_watch_test]") {
+  Store store;
+  store.Put("a");
+  Gateway reader(1);
+  Gateway told(2);
+  reader.Read(At(-1s), store);
+  told.Read(At(-1s), store);
+  store.Put("b");
+  store.rows["b"].value = std::string(20'000, 'x');
+  store.history.back().value = store.rows["b"].value;
+  const std::optional<TableNews> news = reader.Read(At(1s), store);
+  REQUIRE(news);
+  CHECK(news->rows.empty());
+  told.Apply(told.watch.OnNews(At(1s), *news));
+  CHECK_FALSE(told.known.contains("b"));
+  told.Read(At(1s), store);
+  CHECK(told.known.contains("b"));
+}
+
+TEST_CASE("while the store is away only one of two tables is asked for", "[table_watch_test]") {
+  Store store;
+  store.Put("a");
+  Gateway scout(1);
+  TableWatch other(kOperatorPace, 2);
+  other.SetScout(&scout.watch);
+  scout.Read(At(-1s), store);
+  other.OnReply(At(-1s), store.Answer(*other.Next(At(-1s))));
+  scout.reachable = false;
+  scout.Read(At(1s), store);
+  CHECK_FALSE(other.Next(At(2s)));
+  CHECK_FALSE(other.next_timer());
+  scout.reachable = true;
+  scout.Read(At(2s), store);
+  CHECK(other.Next(At(2s)));
+}
+
 // Gateways that tell each other what they read, in steps of 10 ms.
 struct Zone {
   explicit Zone(size_t count, TableWatch::Pace pace = kPace) {
