--- a/soak/soak_callers.h
+++ b/soak/soak_callers.h
@@ -24,7 +24,7 @@
   SoakCallers& operator=(const SoakCallers&) = delete;
 
   void Add(const std::string& gateway, uint16_t port);
-  /// The newest configuration, and the one before it.
+  /// From now on some requests go to the routes of this version and of the one before it.
   void SetVersion(uint64_t version) { version_ = version; }
   /// No caller sends anything more.
   void Stop() { stopped_ = true; }
