Give each run of the soak a block of ports of its own

Ruled out: the range of the kernel's own ports, which ends above; the product, which binds the same port as soon as it is free.

Change: a run binds the first port of a block until its end and takes its ports from that block.

--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -20,7 +20,55 @@
 // gateway that is down.
 constexpr int kLeastPort = 10'000;
 constexpr int kGreatestPort = 32'000;
-constexpr int kTries = 100;
+constexpr int kBlock = 64;
+constexpr int kBlocks = (kGreatestPort - kLeastPort) / kBlock;
+
+// Returns a socket bound to a port of loopback, or -1.
+int BindPort(int port) {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(static_cast<uint16_t>(port));
+  if (bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0) {
+    return fd;
+  }
+  close(fd);
+  return -1;
+}
+
+// Ports that this run alone uses: runs at the same time respect each other's first port, which is
+// bound until the end.
+class PortBlock {
+ public:
+  PortBlock() {
+    const int start = std::uniform_int_distribution<int>(0, kBlocks - 1)(random_);
+    for (int i = 0; i < kBlocks && lock_ < 0; ++i) {
+      first_ = kLeastPort + (start + i) % kBlocks * kBlock;
+      lock_ = BindPort(first_);
+    }
+  }
+  ~PortBlock() { close(lock_); }
+  PortBlock(const PortBlock&) = delete;
+  PortBlock& operator=(const PortBlock&) = delete;
+
+  uint16_t Next() {
+    while (lock_ >= 0 && ++used_ < kBlock) {
+      const int fd = BindPort(first_ + used_);
+      if (fd >= 0) {
+        close(fd);
+        return static_cast<uint16_t>(first_ + used_);
+      }
+    }
+    throw std::runtime_error("no port is free");
+  }
+
+ private:
+  RandomEngine random_{std::random_device{}()};
+  int lock_ = -1;
+  int first_ = 0;
+  int used_ = 0;
+};
 
 json RouteJson(const std::string& name, const std::string& prefix, const char* kind) {
   return {{"name", name},      {"hostname", kHost},  {"prefix", prefix},
@@ -58,22 +106,8 @@
 }
 
 uint16_t FreePort() {
-  static RandomEngine random(std::random_device{}());
-  std::uniform_int_distribution<int> draw(kLeastPort, kGreatestPort);
-  for (int tries = 0; tries < kTries; ++tries) {
-    const auto port = static_cast<uint16_t>(draw(random));
-    const int fd = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    address.sin_port = htons(port);
-    const bool bound = bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
-    close(fd);
-    if (bound) {
-      return port;
-    }
-  }
-  throw std::runtime_error("no port is free");
+  static PortBlock block;
+  return block.Next();
 }
 
 }  // namespace jd
