Let one piece of code serve where the change had written it again

Read of the whole change; behaviour stays as it is. - An address with its port was taken apart in three places: ParseSocketAddress serves settings and rows. - The fields of the sections callers and status stood twice; ListenFields gives both.

--- a/cluster/table_watch.cc
+++ b/cluster/table_watch.cc
@@ -48,13 +48,7 @@
     TakePage(now, reply, &changes);
     return changes;
   }
-  for (const WatchedRow& row : reply.rows) {
-    if (row.deleted) {
-      Remove(now, row.key, row.version, &changes);
-    } else {
-      Take(row, &changes);
-    }
-  }
+  TakeRows(now, reply.rows, &changes);
   after_ = std::max(after_, reply.version);
   return changes;
 }
@@ -81,15 +75,21 @@
   for (const std::string& key : news.missing) {
     Expect(key, now + kReturnTime);
   }
-  for (const WatchedRow& row : news.rows) {
+  TakeRows(now, news.rows, &changes);
+  after_ = news.version;
+  return changes;
+}
+
+void TableWatch::TakeRows(MonoTime now,
+                          const std::vector<WatchedRow>& rows,
+                          std::vector<WatchedRow>* changes) {
+  for (const WatchedRow& row : rows) {
     if (row.deleted) {
-      Remove(now, row.key, row.version, &changes);
+      Remove(now, row.key, row.version, changes);
     } else {
-      Take(row, &changes);
+      Take(row, changes);
     }
   }
-  after_ = news.version;
-  return changes;
 }
 
 void TableWatch::Take(const WatchedRow& row, std::vector<WatchedRow>* changes) {
--- a/cluster/table_watch.h
+++ b/cluster/table_watch.h
@@ -120,6 +120,9 @@
   std::vector<std::string> missing() const;
 
  private:
+  void TakeRows(MonoTime now,
+                const std::vector<WatchedRow>& rows,
+                std::vector<WatchedRow>* changes);
   void Take(const WatchedRow& row, std::vector<WatchedRow>* changes);
   void TakePage(MonoTime now, const WatchReply& reply, std::vector<WatchedRow>* changes);
   void Remove(MonoTime now,
--- a/common/text_rules.cc
+++ b/common/text_rules.cc
@@ -6,7 +6,6 @@
 #include <array>
 #include <cctype>
 #include <charconv>
-#include <cstdint>
 #include <string_view>
 
 namespace jd {
@@ -25,15 +24,24 @@
          inet_pton(AF_INET6, text.c_str(), bytes.data()) == 1;
 }
 
-bool IsSocketAddress(const std::string& text) {
+std::optional<SocketAddress> ParseSocketAddress(const std::string& text) {
   const size_t colon = text.rfind(':');
-  if (colon == std::string::npos || !IsIpNumber(text.substr(0, colon))) {
-    return false;
+  if (colon == std::string::npos || colon == 0) {
+    return std::nullopt;
   }
-  uint16_t port = 0;
+  SocketAddress parsed;
+  parsed.address = text.substr(0, colon);
   const char* end = text.data() + text.size();
-  const auto [rest, error] = std::from_chars(text.data() + colon + 1, end, port);
-  return error == std::errc() && rest == end && port > 0;
+  const auto [rest, error] = std::from_chars(text.data() + colon + 1, end, parsed.port);
+  if (error != std::errc() || rest != end || parsed.port == 0) {
+    return std::nullopt;
+  }
+  return parsed;
+}
+
+bool IsSocketAddress(const std::string& text) {
+  const std::optional<SocketAddress> parsed = ParseSocketAddress(text);
+  return parsed && IsIpNumber(parsed->address);
 }
 
 }  // namespace jd
--- a/common/text_rules.h
+++ b/common/text_rules.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
+#include <optional>
 #include <string>
 
 namespace jd {
@@ -18,6 +20,16 @@
 /// Returns whether a text is an IPv4 or IPv6 number.
 bool IsIpNumber(const std::string& text);
 
+/// Where a server listens.
+struct SocketAddress {
+  std::string address;
+  uint16_t port = 0;
+};
+
+/// Splits a text at its last colon into an address, which may be of any form, and a port.
+/// @return nothing if one of them is missing or the port is no number from 1 to 65535.
+std::optional<SocketAddress> ParseSocketAddress(const std::string& text);
+
 /// Returns whether a text is an IP number and a port with a colon between them.
 bool IsSocketAddress(const std::string& text);
 
--- a/gateway/setting_table.cc
+++ b/gateway/setting_table.cc
@@ -1,5 +1,9 @@
 #include "gateway/setting_table.h"
 
+#include <array>
+
+#include "common/text_rules.h"
+
 namespace jd {
 namespace {
 
@@ -12,12 +16,9 @@
 
 // An empty text leaves the address as it is.
 void SetSocket(const std::string& text, ListenAddress* address) {
-  const size_t colon = text.rfind(':');
-  if (colon == std::string::npos) {
-    return;
+  if (const std::optional<SocketAddress> parsed = ParseSocketAddress(text)) {
+    *address = {parsed->address, parsed->port};
   }
-  address->address = text.substr(0, colon);
-  address->port = static_cast<uint16_t>(std::stoi(text.substr(colon + 1)));
 }
 
 // Columns: name, kind, unit, least, greatest, choices, default, sentence.
@@ -50,33 +51,26 @@
      [](Settings& object, const SettingValue& value) { object.seed = value.integer; }},
 };
 
-constexpr SettingField<ListenAddress> kCallersFields[] = {
-    {{"address", SettingKind::kAddress, "", 0, 0, "", "\"127.0.0.1\"",
-      "IP number to listen on for callers."},
-     [](ListenAddress& object, const SettingValue& value) { object.address = value.text; }},
-    {{"port", SettingKind::kInteger, "", 0, 65535, "", "7001",
-      "Port to listen on; 0 lets the system choose."},
-     [](ListenAddress& object, const SettingValue& value) {
-       object.port = static_cast<uint16_t>(value.integer);
-     }},
-    {{"listen", SettingKind::kSocket, "", 0, 0, "", "\"\"",
-      "Both of the above in one, as \"IP:PORT\"; if given, it replaces them."},
-     [](ListenAddress& object, const SettingValue& value) { SetSocket(value.text, &object); }},
-};
+// The fields of a server's section. @param sentence for the address. @param port by default.
+constexpr std::array<SettingField<ListenAddress>, 3> ListenFields(const char* sentence,
+                                                                  const char* port) {
+  return {{
+      {{"address", SettingKind::kAddress, "", 0, 0, "", "\"127.0.0.1\"", sentence},
+       [](ListenAddress& object, const SettingValue& value) { object.address = value.text; }},
+      {{"port", SettingKind::kInteger, "", 0, 65535, "", port,
+        "Port to listen on; 0 lets the system choose."},
+       [](ListenAddress& object, const SettingValue& value) {
+         object.port = static_cast<uint16_t>(value.integer);
+       }},
+      {{"listen", SettingKind::kSocket, "", 0, 0, "", "\"\"",
+        "Both of the above in one, as \"IP:PORT\"; if given, it replaces them."},
+       [](ListenAddress& object, const SettingValue& value) { SetSocket(value.text, &object); }},
+  }};
+}
 
-constexpr SettingField<ListenAddress> kStatusFields[] = {
-    {{"address", SettingKind::kAddress, "", 0, 0, "", "\"127.0.0.1\"",
-      "IP number to listen on for /ready, /live and /metrics."},
-     [](ListenAddress& object, const SettingValue& value) { object.address = value.text; }},
-    {{"port", SettingKind::kInteger, "", 0, 65535, "", "7002",
-      "Port to listen on; 0 lets the system choose."},
-     [](ListenAddress& object, const SettingValue& value) {
-       object.port = static_cast<uint16_t>(value.integer);
-     }},
-    {{"listen", SettingKind::kSocket, "", 0, 0, "", "\"\"",
-      "Both of the above in one, as \"IP:PORT\"; if given, it replaces them."},
-     [](ListenAddress& object, const SettingValue& value) { SetSocket(value.text, &object); }},
-};
+constexpr auto kCallersFields = ListenFields("IP number to listen on for callers.", "7001");
+constexpr auto kStatusFields =
+    ListenFields("IP number to listen on for /ready, /live and /metrics.", "7002");
 
 constexpr SettingField<Settings> kPeersFields[] = {
     {{"address", SettingKind::kAddress, "", 0, 0, "", "\"127.0.0.1\"",
--- a/policy/fresh_load.h
+++ b/policy/fresh_load.h
@@ -90,12 +90,11 @@
   /// Takes the call that was sent at about this time out of those in flight.
   static std::optional<SentCall> TakeSent(Seen* seen, MonoTime sent);
   void Fail(MonoTime now, Seen* seen);
-
-  std::map<ServiceId, ServiceView> services_;
-  std::unordered_map<EndpointId, Seen> seen_;
   /// Sets the budget of a service by the number of its endpoints.
   void UpdateBudget(MonoTime now, const ServiceView& view);
 
+  std::map<ServiceId, ServiceView> services_;
+  std::unordered_map<EndpointId, Seen> seen_;
   std::map<ServiceId, FillCost> fill_costs_;
   std::map<ServiceId, ProbeBudget> probe_budgets_;
   double probe_rate_ = 0;  ///< Per endpoint; 0: no bound.
--- a/policy/retry_budget.h
+++ b/policy/retry_budget.h
@@ -30,11 +30,10 @@
 
  private:
   void Advance(MonoTime now);
+  double burst() const;
 
   MonoTime last_;
   bool started_ = false;
-  double burst() const;
-
   Limits limits_;
   double tokens_ = Limits().per_second;
   double recent_ = 0;  ///< Tokens earned by calls, decaying over the memory.
--- a/soak/gateway_process.h
+++ b/soak/gateway_process.h
@@ -1,11 +1,9 @@
 #pragma once
 
-#include <sys/types.h>
-
 #include <cstdint>
 #include <string>
 
-#include "common/units.h"
+#include "standin/child_process.h"
 
 namespace jd {
 
@@ -24,28 +22,17 @@
  public:
   /// @param program path of the product.
   /// @param directory for its settings file and log.
-  GatewayProcess(std::string program, const std::string& directory, GatewayPlace place);
-  /// Kills the process if it still runs.
-  ~GatewayProcess();
-  GatewayProcess(const GatewayProcess&) = delete;
-  GatewayProcess& operator=(const GatewayProcess&) = delete;
+  GatewayProcess(const std::string& program, const std::string& directory, GatewayPlace place);
 
   /// Throws std::runtime_error if the program cannot be started.
-  void Start();
-  void Signal(int signal) const;
-  /// @return whether the process runs; collects it when it has ended.
-  bool Running();
-  /// Exit status as waitpid gives it, of the latest process that ended.
-  int exit_status() const { return exit_status_; }
+  void Start() { process_.Start(command_); }
+  ChildProcess& process() { return process_; }
   const GatewayPlace& place() const { return place_; }
 
  private:
-  std::string program_;
-  std::string settings_;
-  std::string log_;
   GatewayPlace place_;
-  pid_t pid_ = -1;
-  int exit_status_ = 0;
+  ChildProcess::Command command_;
+  ChildProcess process_;
 };
 
 }  // namespace jd
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -33,10 +33,6 @@
 // A leaving server serves on for this time after the store knows.
 constexpr Duration kServesOn = 3s;
 
-std::string UpstreamName(const SoakUpstream& server) {
-  return server.instance();
-}
-
 }  // namespace
 
 Soak::Soak(event_base* base, SoakSettings settings)
@@ -94,7 +90,7 @@
                                      [this, index](const std::string& request, bool runs) {
                                        const Upstream& at = upstreams_[index];
                                        promises_.OnArrival(ReadStandinClocks().mono, request,
-                                                           UpstreamName(*at.server), at.zone, runs);
+                                                           at.server->instance(), at.zone, runs);
                                      });
   StartUpstream(&upstream);
 }
@@ -159,13 +155,13 @@
 
 void Soak::WatchProcesses() {
   for (Gateway& gateway : gateways_) {
-    if (gateway.restart > now_ || gateway.process->Running()) {
+    if (gateway.restart > now_ || gateway.process->process().Running()) {
       continue;
     }
     if (gateway.restart == MonoTime()) {
       if (!gateway.may_end) {
         promises_.Report(gateway.process->place().name + " ended by itself with status " +
-                         std::to_string(gateway.process->exit_status()));
+                         std::to_string(gateway.process->process().exit_status()));
       }
       gateway.restart = now_ + kRestart;
       continue;
@@ -355,31 +351,32 @@
 }
 
 void Soak::Terminate(Gateway* gateway) {
-  if (!gateway->process->Running()) {
+  if (!gateway->process->process().Running()) {
     return;
   }
   gateway->may_end = true;
-  gateway->process->Signal(SIGTERM);
+  gateway->process->process().Signal(SIGTERM);
   DisturbGateway(gateway, false, kGrace + kRestart, [] {});
 }
 
 void Soak::HangUp(const Gateway& gateway) {
   // No program can handle a signal before its main function runs.
   if (now_ >= gateway.started + kLoad) {
-    gateway.process->Signal(SIGHUP);
+    gateway.process->process().Signal(SIGHUP);
   }
 }
 
 void Soak::Kill(Gateway* gateway, Duration length) {
   gateway->may_end = true;
   gateway->restart = now_ + length;
-  gateway->process->Signal(SIGKILL);
+  gateway->process->process().Signal(SIGKILL);
   DisturbGateway(gateway, true, length + kRestart, [] {});
 }
 
 void Soak::Pause(Gateway* gateway, Duration length) {
-  gateway->process->Signal(SIGSTOP);
-  DisturbGateway(gateway, false, length, [gateway] { gateway->process->Signal(SIGCONT); });
+  gateway->process->process().Signal(SIGSTOP);
+  DisturbGateway(gateway, false, length,
+                 [gateway] { gateway->process->process().Signal(SIGCONT); });
 }
 
 }  // namespace jd
--- a/soak/soak_callers.cc
+++ b/soak/soak_callers.cc
@@ -26,8 +26,6 @@
   timer_.Arm(kTick);
 }
 
-SoakCallers::~SoakCallers() = default;
-
 void SoakCallers::Add(const std::string& gateway, uint16_t port) {
   Caller& caller = callers_.emplace_back();
   caller.callers = this;
--- a/soak/soak_callers.h
+++ b/soak/soak_callers.h
@@ -19,7 +19,6 @@
 class SoakCallers {
  public:
   SoakCallers(event_base* base, uint64_t seed, Promises* promises);
-  ~SoakCallers();
   SoakCallers(const SoakCallers&) = delete;
   SoakCallers& operator=(const SoakCallers&) = delete;
 
--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -1,6 +1,5 @@
 #include "soak/soak_site.h"
 
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -9,6 +8,7 @@
 #include <stdexcept>
 
 #include "common/random.h"
+#include "standin/loopback.h"
 
 namespace jd {
 namespace {
@@ -26,11 +26,8 @@
 // Returns a socket bound to a port of loopback, or -1.
 int BindPort(int port) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  address.sin_port = htons(static_cast<uint16_t>(port));
-  if (bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0) {
+  const sockaddr_in address = Loopback(static_cast<uint16_t>(port));
+  if (bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0) {
     return fd;
   }
   close(fd);
--- a/soak/tcp_proxy.cc
+++ b/soak/tcp_proxy.cc
@@ -1,26 +1,19 @@
 #include "soak/tcp_proxy.h"
 
 #include <event2/buffer.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 
 #include <algorithm>
 #include <stdexcept>
 
+#include "standin/loopback.h"
+
 namespace jd {
 namespace {
 
 // Between looks at delayed bytes and at ended connections.
 constexpr Duration kTick = 2ms;
 
-sockaddr_in Loopback(uint16_t port) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  address.sin_port = htons(port);
-  return address;
-}
-
 // The peer gets a reset rather than an orderly end.
 void ResetSocket(bufferevent* buffer) {
   const linger now = {1, 0};
--- a/standin/platform_server.cc
+++ b/standin/platform_server.cc
@@ -1,8 +1,5 @@
 #include "standin/platform_server.h"
 
-#include <event2/bufferevent.h>
-#include <sys/socket.h>
-
 #include <cstdio>
 #include <map>
 #include <memory>
@@ -131,11 +128,7 @@
 
   static void Finish(evhttp_request* request, const StandinReply& reply) {
     if (reply.close) {
-      // After the shutdown evhttp finds the connection closed while it sends, and frees both.
-      evhttp_connection* connection = evhttp_request_get_connection(request);
-      const int fd = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
-      shutdown(fd, SHUT_RDWR);
-      evhttp_send_reply(request, 500, nullptr, nullptr);
+      DropRequest(request);
       return;
     }
     if (reply.body.is_string()) {
--- a/standin/row_server.cc
+++ b/standin/row_server.cc
@@ -1,8 +1,5 @@
 #include "standin/row_server.h"
 
-#include <event2/bufferevent.h>
-#include <sys/socket.h>
-
 #include <cstdlib>
 #include <string>
 
@@ -32,14 +29,6 @@
   return query;
 }
 
-// The connection ends without an answer; evhttp frees the request when it finds it closed.
-void Drop(evhttp_request* request) {
-  if (evhttp_connection* connection = evhttp_request_get_connection(request)) {
-    shutdown(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)), SHUT_RDWR);
-  }
-  evhttp_send_reply(request, 500, nullptr, nullptr);
-}
-
 }  // namespace
 
 RowServer::RowServer(event_base* base) : timer_(base, [this] { Advance(); }) {
@@ -48,7 +37,7 @@
 
 void RowServer::Serve(evhttp_request* request) {
   if (fault_ == RowFault::kReset) {
-    Drop(request);
+    DropRequest(request);
     return;
   }
   if (fault_ == RowFault::kRefuse) {
@@ -80,7 +69,7 @@
 
 void RowServer::Finish(const Waiting& call, const RowReply& reply) {
   if (call.lose) {
-    Drop(call.request);
+    DropRequest(call.request);
   } else {
     ReplyJson(call.request, reply.status, reply.body);
   }
--- a/standin/standin_http.cc
+++ b/standin/standin_http.cc
@@ -1,7 +1,9 @@
 #include "standin/standin_http.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/keyvalq_struct.h>
+#include <sys/socket.h>
 
 #include <stdexcept>
 #include <utility>
@@ -103,6 +105,18 @@
   return body;
 }
 
+void ShutDown(evhttp_connection* connection) {
+  shutdown(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)), SHUT_RDWR);
+}
+
+void DropRequest(evhttp_request* request) {
+  if (evhttp_connection* connection = evhttp_request_get_connection(request)) {
+    ShutDown(connection);
+  }
+  // evhttp finds the connection closed while it sends, and frees both.
+  evhttp_send_reply(request, 500, nullptr, nullptr);
+}
+
 void ReplyText(evhttp_request* request, int status, const std::string& text) {
   evbuffer_add(evhttp_request_get_output_buffer(request), text.data(), text.size());
   evhttp_send_reply(request, status, nullptr, nullptr);
--- a/standin/standin_http.h
+++ b/standin/standin_http.h
@@ -52,6 +52,10 @@
 /// Value of an input header, or an empty text.
 std::string HeaderValue(evhttp_request* request, const char* name);
 std::string ReadBody(evhttp_request* request);
+/// The other side finds the connection closed.
+void ShutDown(evhttp_connection* connection);
+/// Ends the connection of a request without an answer.
+void DropRequest(evhttp_request* request);
 void ReplyText(evhttp_request* request, int status, const std::string& text);
 void ReplyJson(evhttp_request* request, int status, const nlohmann::json& body);
 
--- a/standin/upstream_port.cc
+++ b/standin/upstream_port.cc
@@ -1,7 +1,6 @@
 #include "standin/upstream_port.h"
 
 #include <event2/bufferevent.h>
-#include <sys/socket.h>
 
 #include <utility>
 
@@ -169,7 +168,7 @@
   model_.Restart(ReadStandinClocks().mono);
   http_.CloseListener();
   for (const auto& [connection, state] : connections_) {
-    shutdown(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)), SHUT_RDWR);
+    ShutDown(connection);
   }
   reopen_.Arm(down_for);
 }
--- a/tests/http_harness.h
+++ b/tests/http_harness.h
@@ -4,7 +4,6 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 
 #include <functional>
@@ -14,6 +13,7 @@
 #include <vector>
 
 #include "net/event_loop.h"
+#include "standin/loopback.h"
 
 namespace jd {
 
@@ -30,14 +30,6 @@
   return done();
 }
 
-inline sockaddr_in Loopback(uint16_t port) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  address.sin_port = htons(port);
-  return address;
-}
-
 /// One end of a TCP connection as plain text, so that tests control every byte.
 class TextConnection {
  public:
--- a/tests/process_test.cc
+++ b/tests/process_test.cc
@@ -1,5 +1,3 @@
-#include <fcntl.h>
-#include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -10,6 +8,7 @@
 #include <regex>
 #include <sstream>
 
+#include "standin/child_process.h"
 #include "tests/http_harness.h"
 
 namespace jd {
@@ -47,31 +46,10 @@
     const std::string program = std::string(std::getenv("JACKDAWDECK_BUILD")) + "/jackdawdeck";
     const std::string settings = base_ + ".toml";
     const std::string log = base_ + ".log";
-    const char* arguments[] = {program.c_str(), "gateway", "--config", settings.c_str(), nullptr};
-    posix_spawn_file_actions_t files;
-    posix_spawn_file_actions_init(&files);
-    posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log.c_str(),
-                                     O_WRONLY | O_CREAT | O_TRUNC, 0600);
-    posix_spawnattr_t attributes;
-    posix_spawnattr_init(&attributes);
-    if (signals_held) {
-      sigset_t signals;
-      sigemptyset(&signals);
-      sigaddset(&signals, SIGHUP);
-      posix_spawnattr_setsigmask(&attributes, &signals);
-      posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGMASK);
-    }
-    const int error = posix_spawn(&pid_, program.c_str(), &files, &attributes,
-                                  const_cast<char* const*>(arguments), environ);
-    posix_spawn_file_actions_destroy(&files);
-    posix_spawnattr_destroy(&attributes);
-    REQUIRE(error == 0);
+    unlink(log.c_str());
+    process_.Start({{program, "gateway", "--config", settings}, log, signals_held});
   }
   ~GatewayProcess() {
-    if (!ended()) {
-      kill(pid_, SIGKILL);
-      waitpid(pid_, nullptr, 0);
-    }
     for (const char* suffix : {".toml", ".log"}) {
       unlink((base_ + suffix).c_str());
     }
@@ -88,19 +66,16 @@
                ? static_cast<uint16_t>(std::stoi(match[1]))
                : 0;
   }
-  void Terminate() const { kill(pid_, SIGTERM); }
-  void HangUp() const { kill(pid_, SIGHUP); }
-  bool ended() {
-    ended_ = ended_ || waitpid(pid_, &status_, WNOHANG) == pid_;
-    return ended_;
+  void Terminate() const { process_.Signal(SIGTERM); }
+  void HangUp() const { process_.Signal(SIGHUP); }
+  bool ended() { return !process_.Running(); }
+  bool ended_with_zero() {
+    return ended() && WIFEXITED(process_.exit_status()) && WEXITSTATUS(process_.exit_status()) == 0;
   }
-  bool ended_with_zero() const { return ended_ && WIFEXITED(status_) && WEXITSTATUS(status_) == 0; }
 
  private:
   std::string base_;
-  pid_t pid_ = 0;
-  int status_ = 0;
-  bool ended_ = false;
+  ChildProcess process_;
 };
 
 // Callers that each send the next request when the answer to the last one is whole.
--- a/tests/table_watch_test.cc
+++ b/tests/table_watch_test.cc
@@ -63,19 +63,10 @@
       }
     }
   }
-  // Makes the call that is due, if any. @return what it has to tell.
+  // As Step, for calls that do not wait. @return what was read.
   std::optional<TableNews> Read(MonoTime now, const Store& store) {
-    Apply(watch.TakeExpired(now));
-    const std::optional<WatchCall> call = watch.Next(now);
-    if (!call) {
-      return std::nullopt;
-    }
-    ++calls;
-    const uint64_t after = watch.version();
-    const std::vector<WatchedRow> rows =
-        watch.OnReply(now, reachable ? store.Answer(*call) : WatchReply());
-    Apply(rows);
-    return reachable ? std::optional(watch.NewsOf("", after, rows)) : std::nullopt;
+    const std::vector<TableNews> news = Step(now, store);
+    return news.empty() || news.front().failed ? std::nullopt : std::optional(news.front());
   }
 
   // Makes the call that is due and ends the one under way when it is answered; it may wait for a
@@ -351,6 +342,12 @@
       }
     }
   }
+  // Steps on to a time, in steps of 10 ms.
+  void RunUntil(Duration end) {
+    for (; time < end; time += 10ms) {
+      Step(At(time));
+    }
+  }
   void SetReachable(bool reachable) {
     for (Gateway& gateway : gateways) {
       gateway.reachable = reachable;
@@ -366,8 +363,36 @@
   std::vector<Gateway> gateways;
   Store store;
   std::optional<size_t> dead;
+  Duration time{0};
 };
 
+// Lets the gateway that `reader` finds die and `change` happen within a second of it. @return the
+// time from the change until all the other gateways know of it.
+template <typename Reader, typename Change, typename Knows>
+std::optional<Duration> TimeToKnow(Zone* zone, Reader reader, Change change, Knows knows) {
+  const auto dies = 10ms * *rc::gen::inRange(500, 700);
+  const auto changes = dies + 10ms * *rc::gen::inRange(-100, 100);
+  std::optional<Duration> known;
+  while (zone->time < 12s) {
+    if (zone->time == changes) {
+      change(&zone->store);
+    }
+    if (zone->time == dies) {
+      zone->dead = static_cast<size_t>(reader(zone->gateways) - zone->gateways.begin());
+    }
+    const Duration time = zone->time;
+    zone->RunUntil(time + 10ms);
+    size_t know = 0;
+    for (size_t i = 0; i < zone->gateways.size(); ++i) {
+      know += zone->dead == i || knows(zone->gateways[i]) ? 1 : 0;
+    }
+    if (time >= changes && !known && know == zone->gateways.size()) {
+      known = time - changes;
+    }
+  }
+  return known;
+}
+
 TEST_CASE("one gateway of a zone reads for all, and another takes over within two seconds",
           "[table_watch_test]") {
   // Guards against store calls that grow with the gateways, and against an endpoint that leaves
@@ -375,28 +400,15 @@
   CHECK(rc::check([] {
     Zone zone(*rc::gen::inRange<size_t>(2, 8));
     zone.store.Put("a");
-    const auto dies = 10ms * *rc::gen::inRange(500, 700);
-    const auto leaves = dies + 10ms * *rc::gen::inRange(-100, 100);
-    std::optional<Duration> noticed;
-    for (Duration time{0}; time < 12s; time += 10ms) {
-      if (time == leaves) {
-        zone.store.Remove("a");
-      }
-      if (time == dies) {
-        const auto reader =
-            std::max_element(zone.gateways.begin(), zone.gateways.end(),
-                             [](const Gateway& a, const Gateway& b) { return a.calls < b.calls; });
-        zone.dead = static_cast<size_t>(reader - zone.gateways.begin());
-      }
-      zone.Step(At(time));
-      size_t know = 0;
-      for (size_t i = 0; i < zone.gateways.size(); ++i) {
-        know += zone.dead == i || zone.gateways[i].known.empty() ? 1 : 0;
-      }
-      if (time >= leaves && !noticed && know == zone.gateways.size()) {
-        noticed = time - leaves;
-      }
-    }
+    const std::optional<Duration> noticed = TimeToKnow(
+        &zone,
+        [](const std::vector<Gateway>& gateways) {
+          return std::max_element(
+              gateways.begin(), gateways.end(),
+              [](const Gateway& a, const Gateway& b) { return a.calls < b.calls; });
+        },
+        [](Store* store) { store->Remove("a"); },
+        [](const Gateway& gateway) { return gateway.known.empty(); });
     RC_ASSERT(noticed);
     RC_ASSERT(*noticed < Duration(2s));
     // One read a second, one more from each at the start, and some around the change of reader.
@@ -411,28 +423,14 @@
   CHECK(rc::check([] {
     Zone zone(*rc::gen::inRange<size_t>(2, 30), kOperatorPace);
     zone.store.Put("a");
-    const auto dies = 10ms * *rc::gen::inRange(500, 700);
-    const auto decided = dies + 10ms * *rc::gen::inRange(-100, 100);
-    std::optional<Duration> noticed;
-    for (Duration time{0}; time < 12s; time += 10ms) {
-      if (time == decided) {
-        zone.store.Put("b");
-      }
-      if (time == dies) {
-        const auto reader =
-            std::find_if(zone.gateways.begin(), zone.gateways.end(),
-                         [](const Gateway& gateway) { return gateway.call.has_value(); });
-        zone.dead = static_cast<size_t>(reader - zone.gateways.begin());
-      }
-      zone.Step(At(time));
-      size_t know = 0;
-      for (size_t i = 0; i < zone.gateways.size(); ++i) {
-        know += zone.dead == i || zone.gateways[i].known.contains("b") ? 1 : 0;
-      }
-      if (time >= decided && !noticed && know == zone.gateways.size()) {
-        noticed = time - decided;
-      }
-    }
+    const std::optional<Duration> noticed = TimeToKnow(
+        &zone,
+        [](const std::vector<Gateway>& gateways) {
+          return std::find_if(gateways.begin(), gateways.end(),
+                              [](const Gateway& gateway) { return gateway.call.has_value(); });
+        },
+        [](Store* store) { store->Put("b"); },
+        [](const Gateway& gateway) { return gateway.known.contains("b"); });
     RC_ASSERT(noticed);
     RC_ASSERT(*noticed < Duration(2s));
     RC_ASSERT(zone.calls() <= 14 + 3 * static_cast<int>(zone.gateways.size()));
@@ -446,18 +444,13 @@
   CHECK(rc::check([] {
     Zone zone(12, kOperatorPace);
     zone.store.Put("a");
-    Duration time{0};
-    for (; time < 5s; time += 10ms) {
-      zone.Step(At(time));
-    }
+    zone.RunUntil(5s);
     for (Gateway& gateway : zone.gateways) {
       gateway.silent = gateway.call.has_value() || *rc::gen::inRange(0, 3) == 0;
     }
     zone.gateways[*rc::gen::inRange<size_t>(0, 12)].silent = false;
     zone.store.Put("b");
-    for (; time < 5s + 1700ms; time += 10ms) {
-      zone.Step(At(time));
-    }
+    zone.RunUntil(5s + 1700ms);
     for (const Gateway& gateway : zone.gateways) {
       RC_ASSERT(gateway.known.contains("b"));
     }
@@ -469,23 +462,16 @@
   // against a return that is noticed late.
   Zone zone(30);
   zone.store.Put("a");
-  Duration time{0};
-  for (; time < 5s; time += 10ms) {
-    zone.Step(At(time));
-  }
+  zone.RunUntil(5s);
   const int before = zone.calls();
   zone.SetReachable(false);
-  for (; time < 15s; time += 10ms) {
-    zone.Step(At(time));
-  }
+  zone.RunUntil(15s);
   // One call of each to notice, then those of the shared turns and one of each in the time between
   // the turns of one gateway.
   CHECK(zone.calls() - before <= 30 * (2 + 10s / TableWatch::kGreatestSharedRetry) + 30);
   zone.SetReachable(true);
   zone.store.Put("b");
-  for (; time < 15s + 500ms; time += 10ms) {
-    zone.Step(At(time));
-  }
+  zone.RunUntil(15s + 500ms);
   for (const Gateway& gateway : zone.gateways) {
     CHECK(gateway.known.contains("b"));
   }
@@ -496,19 +482,12 @@
   // Guards against gateways that put each other off while one of them could read.
   Zone zone(12);
   zone.store.Put("a");
-  Duration time{0};
-  for (; time < 5s; time += 10ms) {
-    zone.Step(At(time));
-  }
+  zone.RunUntil(5s);
   zone.SetReachable(false);
-  for (; time < 10s; time += 10ms) {
-    zone.Step(At(time));
-  }
+  zone.RunUntil(10s);
   zone.gateways[7].reachable = true;
   zone.store.Put("b");
-  for (; time < 10s + TableWatch::kGreatestSharedRetry; time += 10ms) {
-    zone.Step(At(time));
-  }
+  zone.RunUntil(10s + TableWatch::kGreatestSharedRetry);
   for (const Gateway& gateway : zone.gateways) {
     CHECK(gateway.known.contains("b"));
   }
