--- a/cluster/membership.cc
+++ b/cluster/membership.cc
@@ -157,6 +157,19 @@
   return roster_;
 }
 
+std::optional<GatewayId> Membership::LastHeard() const {
+  std::optional<GatewayId> last;
+  MonoTime last_heard;
+  for (const auto& [id, member] : members_) {
+    const bool heard = member.state == MemberState::kLive || member.state == MemberState::kOneWay;
+    if (heard && member.ready && (!last || member.last_heard > last_heard)) {
+      last = id;
+      last_heard = member.last_heard;
+    }
+  }
+  return last;
+}
+
 bool Membership::IsOutdated(const GatewayId& from, Incarnation incarnation) const {
   const auto member = members_.find(from);
   return member != members_.end() && incarnation < member->second.incarnation;
--- a/cluster/membership.h
+++ b/cluster/membership.h
@@ -110,6 +110,8 @@
   /// latest VM list, or this gateway and the seeds if no list has been read yet.
   std::vector<GatewayId> roster() const;
   const std::map<GatewayId, Member>& members() const { return members_; }
+  /// Returns the ready peer whose heartbeat arrived last, or nothing if none was heard.
+  std::optional<GatewayId> LastHeard() const;
   /// Returns whether a message with this incarnation comes from an earlier process of the gateway
   /// than the latest one known.
   bool IsOutdated(const GatewayId& from, Incarnation incarnation) const;
--- a/cluster/node.cc
+++ b/cluster/node.cc
@@ -277,25 +277,60 @@
 }
 
 void Node::OnTableRead(Now now, const TableUpdate& update, NodeActions* actions) {
-  for (const auto& [id, member] : membership_.members()) {
-    if (member.state == MemberState::kLive) {
-      SendTo(now, id, update, actions);
-    }
+  TableUpdate sent = update;
+  sent.reader = settings_.id;
+  sent.reader_zone = settings_.zone;
+  // Peers that have just started are included, although no heartbeat has confirmed them yet:
+  // without updates each of them would read the store.
+  SendToAll(now, sent, actions);
+  if (update.failed) {
+    return;
+  }
+  sent.relay = true;
+  for (const GatewayId& contact : zone_contacts_.contacts()) {
+    SendTo(now, contact, sent, actions);
+  }
+}
+
+void Node::OnTableUpdate(Now now, const TableUpdate& update, NodeActions* actions) {
+  zone_contacts_.OnReader(update.reader, update.reader_zone);
+  if (update.relay) {
+    TableUpdate relayed = update;
+    relayed.relay = false;
+    SendToAll(now, relayed, actions);
   }
+  actions->push_back(ApplyTableUpdate{update});
+}
+
+void Node::RequestTables(Now now,
+                         const std::optional<GatewayId>& peer,
+                         const TableFetch& fetch,
+                         NodeActions* actions) {
+  const std::optional<GatewayId> asked = peer ? peer : membership_.LastHeard();
+  if (asked) {
+    SendTo(now, *asked, fetch, actions);
+  }
+}
+
+void Node::SendTable(Now now,
+                     const GatewayId& peer,
+                     const TableUpdate& update,
+                     NodeActions* actions) {
+  SendTo(now, peer, update, actions);
 }
 
 void Node::SetOtherZoneGateways(const VmList& gateways, NodeActions* actions) {
   if (!settings_.peers_in_local_zone_only) {
     return;
   }
-  other_zone_gateways_.clear();
+  VmList others;
   for (const Vm& vm : gateways) {
     if (vm.zone != settings_.zone) {
-      const GatewayId id(vm.name);
-      other_zone_gateways_.insert(id);
-      actions->push_back(SetPeerAddress{id, vm.address, vm.port});
+      others.push_back(vm);
+      actions->push_back(SetPeerAddress{GatewayId(vm.name), vm.address, vm.port});
     }
   }
+  zone_contacts_.SetGateways(others);
 }
 
 void Node::UpdateProbeRate(Now now) {
--- a/cluster/node.h
+++ b/cluster/node.h
@@ -18,6 +18,7 @@
 #include "cluster/node_timeline.h"
 #include "cluster/probe_scheduler.h"
 #include "cluster/request_claims.h"
+#include "cluster/zone_contacts.h"
 #include "common/configuration.h"
 #include "common/now.h"
 #include "common/vm_list.h"
@@ -59,9 +60,17 @@
   /// Applies a change to the data that operators and upstreams write to the platform's store: the
   /// list of gateways and the configuration derived from the store's tables.
   void OnDiscovery(Now now, const DiscoveryUpdate& update, NodeActions* actions);
-  /// Sends the rows that this gateway read from a table of the store to every live peer, so that
-  /// the peers need not read them.
+  /// Sends the rows that this gateway read from a table of the store to every peer that is not
+  /// known to be dead and to the contacts of the other zones, so that they need not read them.
   void OnTableRead(Now now, const TableUpdate& update, NodeActions* actions);
+  /// Asks a peer for the list of gateways and its tables.
+  /// @param peer if absent, the peer that was heard last; nothing is sent if none was heard.
+  void RequestTables(Now now,
+                     const std::optional<GatewayId>& peer,
+                     const TableFetch& fetch,
+                     NodeActions* actions);
+  /// Sends a table, or a list that this gateway has read, to one peer.
+  void SendTable(Now now, const GatewayId& peer, const TableUpdate& update, NodeActions* actions);
   void OnProbeResult(Now now, const ProbeResult& result, NodeActions* actions);
   void OnOperatorRequest(Now now, const OperatorRequest& request, NodeActions* actions);
   void OnTimer(Now now, NodeActions* actions);
@@ -111,6 +120,9 @@
                         const EndpointNotice& notice,
                         bool tell_peers,
                         NodeActions* actions);
+  /// Passes an update of another gateway on to the local zone, if asked to, and to the discovery of
+  /// this gateway.
+  void OnTableUpdate(Now now, const TableUpdate& update, NodeActions* actions);
   void SendTo(Now now, const GatewayId& to, PeerBody body, NodeActions* actions);
   void SendToAll(Now now, const PeerBody& body, NodeActions* actions);
   /// Sets the addresses of the gateways in other zones. They are not peers, and receive only rare
@@ -151,7 +163,7 @@
   std::set<ZoneId> zones_out_;
   LatencyAverages latency_;
   MonoTime next_vm_list_;
-  std::set<GatewayId> other_zone_gateways_;
+  ZoneContacts zone_contacts_;
   size_t gateway_count_ = 0;  ///< Number of gateways that discovery lists, in all zones.
   bool stopping_ = false;
 };
--- a/cluster/node_action.h
+++ b/cluster/node_action.h
@@ -51,6 +51,12 @@
   TableUpdate update;
 };
 
+/// Tells the discovery of this gateway that a peer has asked for its tables.
+struct ServeTableFetch {
+  GatewayId from;
+  TableFetch fetch;
+};
+
 /// Writes an event to the log.
 struct WriteLog {
   Event event;
@@ -74,6 +80,7 @@
                                 SendProbe,
                                 ReplayCall,
                                 ApplyTableUpdate,
+                                ServeTableFetch,
                                 WriteLog,
                                 SendOperatorReply>;
 using NodeActions = std::vector<NodeAction>;
--- a/cluster/node_effects.cc
+++ b/cluster/node_effects.cc
@@ -36,7 +36,7 @@
       to->push_back(WriteLog{record->event});
     } else if (const auto* crash = std::get_if<AnnounceCrash>(&action)) {
       SendToAll(now, CrashNotice{crash->fingerprint}, to);
-      for (const GatewayId& id : other_zone_gateways_) {
+      for (const GatewayId& id : zone_contacts_.gateways()) {
         SendTo(now, id, CrashNotice{crash->fingerprint}, to);
       }
     } else if (const auto* send = std::get_if<SendAttempt>(&action)) {
@@ -88,7 +88,9 @@
   } else if (const auto* fetch = std::get_if<ConfigFetch>(&message.body)) {
     config_.OnConfigFetch(from, *fetch, &output);
   } else if (const auto* update = std::get_if<TableUpdate>(&message.body)) {
-    actions->push_back(ApplyTableUpdate{*update});
+    OnTableUpdate(now, *update, actions);
+  } else if (const auto* table_fetch = std::get_if<TableFetch>(&message.body)) {
+    actions->push_back(ServeTableFetch{from, *table_fetch});
   } else if (const auto* zone = std::get_if<UnrecordedZone>(&message.body)) {
     config_.OnUnrecordedZone(now, *zone, &output);
   }
--- a/cluster/peer_message.h
+++ b/cluster/peer_message.h
@@ -70,6 +70,12 @@
   std::string author;
 };
 
+/// Requests the list of gateways and, unless `list_only`, snapshots of the tables of the platform's
+/// store. The sender has just started.
+struct TableFetch {
+  bool list_only = false;
+};
+
 using PeerBody = std::variant<Heartbeat,
                               SlotRequest,
                               SlotGrant,
@@ -78,7 +84,8 @@
                               ConfigEntries,
                               ConfigFetch,
                               UnrecordedZone,
-                              TableUpdate>;
+                              TableUpdate,
+                              TableFetch>;
 
 /// A message between gateways. The shared key that authenticates it is added and checked by the
 /// transport.
--- a/cluster/table_watch.cc
+++ b/cluster/table_watch.cc
@@ -1,6 +1,7 @@
 #include "cluster/table_watch.h"
 
 #include <algorithm>
+#include <cassert>
 #include <random>
 #include <utility>
 
@@ -13,6 +14,20 @@
 // saturate a link of low capacity.
 constexpr size_t kMaxUpdateBytes = 16'384;
 
+TableUpdate MakeUpdate(const std::string& table,
+                       uint64_t after,
+                       uint64_t version,
+                       std::vector<WatchedRow> rows,
+                       std::vector<std::string> missing) {
+  TableUpdate update;
+  update.table = table;
+  update.after = after;
+  update.version = version;
+  update.rows = std::move(rows);
+  update.missing = std::move(missing);
+  return update;
+}
+
 }  // namespace
 
 std::optional<WatchCall> TableWatch::NextCall(MonoTime now) {
@@ -56,6 +71,9 @@
 
 std::vector<WatchedRow> TableWatch::OnPeerUpdate(MonoTime now, const TableUpdate& update) {
   std::vector<WatchedRow> changes;
+  if (update.snapshot) {
+    return AdoptSnapshot(now, update);
+  }
   if (update.failed) {
     OnPeerCallFailed(now);
     return changes;
@@ -81,6 +99,34 @@
   return changes;
 }
 
+void TableWatch::ScheduleFirstRead(MonoTime at) {
+  if (!complete_ && !call_pending_ && next_page_key_.empty()) {
+    due_ = at;
+  }
+}
+
+std::vector<WatchedRow> TableWatch::AdoptSnapshot(MonoTime now, const TableUpdate& snapshot) {
+  std::vector<WatchedRow> changes;
+  // A known table may be newer than the snapshot, and the reply to a call in progress would be
+  // applied to the wrong version.
+  if (complete_ || call_pending_) {
+    return changes;
+  }
+  ApplyRows(now, snapshot.rows, &changes);
+  for (const std::string& key : snapshot.missing) {
+    MarkMissing(key, now + kMissingRowGrace);
+  }
+  version_ = snapshot.version;
+  page_rows_.clear();
+  next_page_key_.clear();
+  full_read_pending_ = false;
+  complete_ = true;
+  connected_ = !snapshot.unconfirmed;
+  due_ = now + (connected_ ? RandomDelay(timing_.min_takeover_delay, timing_.max_takeover_delay)
+                           : RandomDelay(kMinRetryDelay / 2, kMinRetryDelay));
+  return changes;
+}
+
 void TableWatch::ApplyRows(MonoTime now,
                            const std::vector<WatchedRow>& rows,
                            std::vector<WatchedRow>* changes) {
@@ -94,11 +140,11 @@
 }
 
 void TableWatch::ApplyRow(const WatchedRow& row, std::vector<WatchedRow>* changes) {
-  uint64_t& version = row_versions_[row.key];
-  if (row.version <= version) {
+  WatchedRow& known = rows_[row.key];
+  if (row.version <= known.version) {
     return;
   }
-  version = row.version;
+  known = row;
   changes->push_back(row);
   changes->back().restored = missing_.erase(row.key) > 0;
 }
@@ -118,11 +164,15 @@
   for (const auto& [key, row] : page_rows_) {
     ApplyRow(row, changes);
   }
-  for (const auto& [key, version] : std::map(row_versions_)) {
+  std::vector<std::pair<std::string, uint64_t>> absent;
+  for (const auto& [key, row] : rows_) {
     if (!page_rows_.contains(key)) {
-      RemoveRow(now, key, version, changes);
+      absent.emplace_back(key, row.version);
     }
   }
+  for (const auto& [key, version] : absent) {
+    RemoveRow(now, key, version, changes);
+  }
   // Rows may change while the pages are read, so the next read asks for the changes since the
   // version of the first page.
   version_ = first_page_version_;
@@ -137,8 +187,8 @@
                            const std::string& key,
                            uint64_t version,
                            std::vector<WatchedRow>* changes) {
-  const auto known = row_versions_.find(key);
-  if (known == row_versions_.end() || known->second > version) {
+  const auto known = rows_.find(key);
+  if (known == rows_.end() || known->second.version > version) {
     return;
   }
   if (missing_.contains(key)) {
@@ -149,11 +199,11 @@
     return;
   }
   changes->push_back({key, {}, version, true});
-  row_versions_.erase(known);
+  rows_.erase(known);
 }
 
 void TableWatch::MarkMissing(const std::string& key, MonoTime until) {
-  if (row_versions_.contains(key)) {
+  if (rows_.contains(key)) {
     missing_.emplace(key, until);
   }
 }
@@ -177,8 +227,8 @@
       ++row;
       continue;
     }
-    expired.push_back({row->first, {}, row_versions_.at(row->first), true});
-    row_versions_.erase(row->first);
+    expired.push_back({row->first, {}, rows_.at(row->first).version, true});
+    rows_.erase(row->first);
     row = missing_.erase(row);
   }
   return expired;
@@ -210,13 +260,30 @@
     size += row.value.size();
   }
   if (size > kMaxUpdateBytes) {
-    return {table, version_, version_, {}, missing(), false};
+    return MakeUpdate(table, version_, version_, {}, missing());
+  }
+  return MakeUpdate(table, after, version_, rows, missing());
+}
+
+TableUpdate TableWatch::Snapshot(const std::string& table) const {
+  assert(complete_);
+  TableUpdate update;
+  update.table = table;
+  update.version = version_;
+  for (const auto& [key, row] : rows_) {
+    update.rows.push_back(row);
   }
-  return {table, after, version_, rows, missing(), false};
+  update.missing = missing();
+  update.snapshot = true;
+  update.unconfirmed = !connected_;
+  return update;
 }
 
 TableUpdate TableWatch::FailureUpdate(const std::string& table) const {
-  return {table, 0, 0, {}, {}, true};
+  TableUpdate update;
+  update.table = table;
+  update.failed = true;
+  return update;
 }
 
 void TableWatch::OnStoreReachable(MonoTime now) {
--- a/cluster/table_watch.h
+++ b/cluster/table_watch.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "common/ids.h"
 #include "common/random.h"
 #include "common/units.h"
 
@@ -56,6 +57,14 @@
   /// Keys of rows that disappeared during an outage and may be written again.
   std::vector<std::string> missing;
   bool failed = false;  ///< The call to the store failed, so nothing was read.
+  /// `rows` are all rows of the table rather than changes, for a gateway that has just started.
+  bool snapshot = false;
+  /// The sender of a snapshot cannot reach the store now, so the rows may be outdated.
+  bool unconfirmed = false;
+  /// The receiver is asked to pass the update on to the gateways of its zone.
+  bool relay = false;
+  GatewayId reader;    ///< The gateway that read the table; empty for a snapshot.
+  ZoneId reader_zone;  ///< Zone of `reader`.
 };
 
 /// Follows one table of the platform's store: reads the full table, then polls for changes, and
@@ -65,12 +74,15 @@
 /// reachable. A row that disappeared during an outage is therefore reported as deleted only if it
 /// is still missing after kMissingRowGrace.
 ///
-/// The gateways of a zone share their reads without electing a reader. A gateway that receives an
+/// The gateways share their reads without electing a reader. A gateway that receives an
 /// update from another gateway postpones its own next call, so that one gateway reads for all. When
 /// that gateway stops, the first gateway whose takeover delay expires becomes the reader. The new
 /// reader's first call does not wait for a change, so that its result reaches the others before
 /// they take over as well. Gateways that cannot reach the store notify each other of failed calls
 /// and take turns retrying.
+///
+/// A gateway that starts takes the table from a peer's snapshot instead of a full read if it gets
+/// one before its first read is due.
 class TableWatch {
  public:
   static constexpr Duration kMissingRowGrace = 2500ms;
@@ -101,6 +113,12 @@
   /// Updates the rows and the schedule from an update sent by another gateway.
   /// @return the rows that changed.
   std::vector<WatchedRow> OnPeerUpdate(MonoTime now, const TableUpdate& update);
+  /// Sets when the first read starts, unless a snapshot arrives before. Has no effect once a read
+  /// has started or the table is known.
+  void ScheduleFirstRead(MonoTime at);
+  /// Returns all known rows, for a gateway that has just started. Must not be called before the
+  /// table is complete.
+  TableUpdate Snapshot(const std::string& table) const;
   /// Makes no calls while `other` cannot reach the store. The retries of `other` detect when the
   /// store is reachable again.
   void PauseWhileUnavailable(const TableWatch* other) { availability_source_ = other; }
@@ -120,7 +138,7 @@
 
   /// Newest version of the store that the known rows cover.
   uint64_t version() const { return version_; }
-  /// Whether a full read has finished at least once.
+  /// Whether all rows of the table are known, from a full read or a snapshot.
   bool complete() const { return complete_; }
   /// Whether a full read is due or in progress; version() does not advance until it finishes.
   bool full_read_pending() const { return full_read_pending_; }
@@ -143,6 +161,7 @@
   void OnStoreReachable(MonoTime now);
   void OnCallFailed(MonoTime now);
   void OnPeerCallFailed(MonoTime now);
+  std::vector<WatchedRow> AdoptSnapshot(MonoTime now, const TableUpdate& snapshot);
   bool paused() const {
     return availability_source_ != nullptr && availability_source_->store_unavailable();
   }
@@ -151,9 +170,9 @@
   const TableWatch* availability_source_ = nullptr;
   Timing timing_;
   RandomEngine random_;
-  std::map<std::string, uint64_t> row_versions_;  ///< Version of each existing row by key.
-  std::map<std::string, MonoTime> missing_;       ///< By key: when the row is reported as deleted.
-  std::map<std::string, WatchedRow> page_rows_;   ///< Rows of the full read in progress.
+  std::map<std::string, WatchedRow> rows_;       ///< Existing rows by key.
+  std::map<std::string, MonoTime> missing_;      ///< By key: when the row is reported as deleted.
+  std::map<std::string, WatchedRow> page_rows_;  ///< Rows of the full read in progress.
   std::string next_page_key_;
   uint64_t first_page_version_ = 0;
   uint64_t version_ = 0;
--- /dev/null
+++ b/cluster/zone_contacts.cc
@@ -0,0 +1,36 @@
+#include "cluster/zone_contacts.h"
+
+#include <algorithm>
+
+namespace jd {
+
+void ZoneContacts::SetGateways(const VmList& gateways) {
+  gateways_.clear();
+  std::map<ZoneId, GatewayId> first;
+  for (const Vm& vm : gateways) {
+    const GatewayId id(vm.name);
+    gateways_.insert(id);
+    const auto [lowest, added] = first.emplace(vm.zone, id);
+    lowest->second = std::min(lowest->second, id);
+  }
+  std::erase_if(contacts_, [&](const auto& contact) {
+    return !first.contains(contact.first) || !gateways_.contains(contact.second);
+  });
+  contacts_.insert(first.begin(), first.end());
+}
+
+void ZoneContacts::OnReader(const GatewayId& reader, const ZoneId& zone) {
+  if (gateways_.contains(reader)) {
+    contacts_[zone] = reader;
+  }
+}
+
+std::vector<GatewayId> ZoneContacts::contacts() const {
+  std::vector<GatewayId> ids;
+  for (const auto& [zone, id] : contacts_) {
+    ids.push_back(id);
+  }
+  return ids;
+}
+
+}  // namespace jd
--- /dev/null
+++ b/cluster/zone_contacts.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <map>
+#include <set>
+#include <vector>
+
+#include "common/ids.h"
+#include "common/vm_list.h"
+
+namespace jd {
+
+/// The gateways of the other zones, and for each of these zones the one gateway, the contact, that
+/// passes table updates on to the others of its zone.
+///
+/// Gateways of other zones send no heartbeats, so a contact may have failed. The gateways of its
+/// zone then read the table themselves, and the one that did becomes the contact.
+class ZoneContacts {
+ public:
+  /// Sets the gateways of other zones. A contact that is no longer among them is replaced.
+  void SetGateways(const VmList& gateways);
+  /// Makes a gateway that has just read a table the contact of its zone. Has no effect if the
+  /// gateway is not known.
+  void OnReader(const GatewayId& reader, const ZoneId& zone);
+  /// Returns the contacts, one for each zone.
+  std::vector<GatewayId> contacts() const;
+  /// Returns all gateways of other zones.
+  const std::set<GatewayId>& gateways() const { return gateways_; }
+
+ private:
+  std::set<GatewayId> gateways_;
+  std::map<ZoneId, GatewayId> contacts_;
+};
+
+}  // namespace jd
--- a/control/gateway_command.cc
+++ b/control/gateway_command.cc
@@ -116,7 +116,12 @@
     if (settings.uses_discovery) {
       discovery = std::make_unique<PlatformDiscovery>(
           &loop, settings.platform.address, settings.platform.port,
-          MakeRegistryEntry(settings, links.port()), std::random_device()());
+          MakeRegistryEntry(settings, links.port()), settings.new_deployment,
+          std::random_device()());
+      discovery->tables_wanted().connect(sigc::mem_fun(gateway, &Gateway::RequestTables));
+      discovery->table_ready().connect(sigc::mem_fun(gateway, &Gateway::SendTable));
+      gateway.table_fetch_received().connect(
+          sigc::mem_fun(*discovery, &PlatformDiscovery::OnTableFetch));
       discovery->table_read().connect(sigc::mem_fun(gateway, &Gateway::OnTableRead));
       gateway.table_update_received().connect(
           sigc::mem_fun(*discovery, &PlatformDiscovery::OnPeerUpdate));
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -200,6 +200,14 @@
   NotifyNode([&](Now now, NodeActions* out) { node_.OnTableRead(now, update, out); });
 }
 
+void Gateway::RequestTables(const std::optional<GatewayId>& peer, const TableFetch& fetch) {
+  NotifyNode([&](Now now, NodeActions* out) { node_.RequestTables(now, peer, fetch, out); });
+}
+
+void Gateway::SendTable(const GatewayId& peer, const TableUpdate& update) {
+  NotifyNode([&](Now now, NodeActions* out) { node_.SendTable(now, peer, update, out); });
+}
+
 void Gateway::ScheduleIterationEnd() {
   if (!iteration_end_scheduled_) {
     iteration_end_scheduled_ = true;
@@ -378,6 +386,10 @@
   table_update_received_.emit(action.update);
 }
 
+void Gateway::ExecuteAction(const ServeTableFetch& action) {
+  table_fetch_received_.emit(action.from, action.fetch);
+}
+
 void Gateway::ExecuteAction(const WriteLog& action) {
   LogEvent(action.event);
 }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -57,6 +57,14 @@
   void OnDiscovery(const DiscoveryUpdate& update);
   /// Sends the rows that this gateway read from a table to the peers.
   void OnTableRead(const TableUpdate& update);
+  /// Asks a peer for the list of gateways and its tables, see Node::RequestTables.
+  void RequestTables(const std::optional<GatewayId>& peer, const TableFetch& fetch);
+  /// Sends a table to one peer.
+  void SendTable(const GatewayId& peer, const TableUpdate& update);
+  /// Emitted when a peer has asked for the tables of this gateway.
+  sigc::signal<void(const GatewayId&, const TableFetch&)>& table_fetch_received() {
+    return table_fetch_received_;
+  }
   /// Emitted when a peer has sent the rows that it read from a table.
   sigc::signal<void(const TableUpdate&)>& table_update_received() { return table_update_received_; }
   void OnPeerMessage(const PeerMessage& message);
@@ -132,6 +140,7 @@
   void ExecuteAction(const SendProbe& action);
   void ExecuteAction(const ReplayCall& action);
   void ExecuteAction(const ApplyTableUpdate& action);
+  void ExecuteAction(const ServeTableFetch& action);
   void ExecuteAction(const WriteLog& action);
   void ExecuteAction(const SendOperatorReply& action);
 
@@ -162,6 +171,7 @@
   sigc::signal<void(const SetPeerAddress&)> set_peer_address_;
   sigc::signal<void(const OperatorReply&)> operator_reply_;
   sigc::signal<void(const TableUpdate&)> table_update_received_;
+  sigc::signal<void(const GatewayId&, const TableFetch&)> table_fetch_received_;
 };
 
 }  // namespace jd
--- a/gateway/setting_table.cc
+++ b/gateway/setting_table.cc
@@ -128,6 +128,11 @@
      [](Settings& object, const SettingValue& value) {
        object.uses_discovery = value.string == "discovery";
      }},
+    {{"new_deployment", SettingKind::kBool, "", 0, 0, "", "false",
+      "Whether all gateways of the deployment start for the first time. They then spread their "
+      "first reads over a few seconds and pass on what they have read. Applies to the source "
+      "discovery."},
+     [](Settings& object, const SettingValue& value) { object.new_deployment = value.boolean; }},
 };
 
 constexpr SettingField<Settings> kRetriesFields[] = {
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -49,6 +49,8 @@
   /// Whether operators and upstreams write the configuration and the endpoints to the platform's
   /// store. If false, the gateways keep them in their own configuration log.
   bool uses_discovery = false;
+  /// Whether all gateways of the deployment start for the first time.
+  bool new_deployment = false;
   /// Largest share of a service's calls that all gateways together may retry or hedge in each
   /// window; 0: only the retry budget of each profile applies.
   double retry_share = 0;
--- a/rpc/convert.cc
+++ b/rpc/convert.cc
@@ -246,6 +246,11 @@
   }
   out.missing = in.missing;
   out.failed = in.failed;
+  out.snapshot = in.snapshot;
+  out.unconfirmed = in.unconfirmed;
+  out.relay = in.relay;
+  out.reader = in.reader.value;
+  out.reader_zone = in.reader_zone.value;
   return out;
 }
 
@@ -259,9 +264,24 @@
   }
   out.missing = in.missing;
   out.failed = in.failed;
+  out.snapshot = in.snapshot;
+  out.unconfirmed = in.unconfirmed;
+  out.relay = in.relay;
+  out.reader = GatewayId(in.reader);
+  out.reader_zone = ZoneId(in.reader_zone);
+  return out;
+}
+
+wire::TableFetch ToWire(const TableFetch& in) {
+  wire::TableFetch out;
+  out.list_only = in.list_only;
   return out;
 }
 
+TableFetch FromWire(const wire::TableFetch& in) {
+  return {in.list_only};
+}
+
 wire::CrashNotice ToWire(const CrashNotice& in) {
   wire::CrashNotice out;
   out.fingerprint = ToSigned(in.fingerprint.value);
@@ -342,6 +362,7 @@
   void operator()(const SlotGrant& in) { body->__set_slot_grant(ToWire(in)); }
   void operator()(const EndpointNotice& in) { body->__set_endpoint_notice(ToWire(in)); }
   void operator()(const TableUpdate& in) { body->__set_table_news(ToWire(in)); }
+  void operator()(const TableFetch& in) { body->__set_table_fetch(ToWire(in)); }
   void operator()(const CrashNotice& in) { body->__set_crash_notice(ToWire(in)); }
   void operator()(const ConfigEntries& in) { body->__set_config_entries(ToWire(in)); }
   void operator()(const ConfigFetch& in) { body->__set_config_fetch(ToWire(in)); }
@@ -365,6 +386,9 @@
   if (set.table_news) {
     return FromWire(body.table_news);
   }
+  if (set.table_fetch) {
+    return FromWire(body.table_fetch);
+  }
   if (set.crash_notice) {
     return FromWire(body.crash_notice);
   }
--- a/rpc/gen-cpp/jackdawdeck_types.cpp
+++ b/rpc/gen-cpp/jackdawdeck_types.cpp
@@ -2609,6 +2609,26 @@
 void TableNews::__set_failed(const bool val) {
   this->failed = val;
 }
+
+void TableNews::__set_snapshot(const bool val) {
+  this->snapshot = val;
+}
+
+void TableNews::__set_unconfirmed(const bool val) {
+  this->unconfirmed = val;
+}
+
+void TableNews::__set_relay(const bool val) {
+  this->relay = val;
+}
+
+void TableNews::__set_reader(const std::string& val) {
+  this->reader = val;
+}
+
+void TableNews::__set_reader_zone(const std::string& val) {
+  this->reader_zone = val;
+}
 std::ostream& operator<<(std::ostream& out, const TableNews& obj)
 {
   obj.printTo(out);
@@ -2709,6 +2729,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->snapshot);
+          this->__isset.snapshot = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->unconfirmed);
+          this->__isset.unconfirmed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->relay);
+          this->__isset.relay = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->reader);
+          this->__isset.reader = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->reader_zone);
+          this->__isset.reader_zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2766,6 +2826,26 @@
   xfer += oprot->writeBool(this->failed);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("snapshot", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->snapshot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("unconfirmed", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->unconfirmed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("relay", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->relay);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reader", ::apache::thrift::protocol::T_STRING, 10);
+  xfer += oprot->writeString(this->reader);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reader_zone", ::apache::thrift::protocol::T_STRING, 11);
+  xfer += oprot->writeString(this->reader_zone);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2779,6 +2859,11 @@
   swap(a.rows, b.rows);
   swap(a.missing, b.missing);
   swap(a.failed, b.failed);
+  swap(a.snapshot, b.snapshot);
+  swap(a.unconfirmed, b.unconfirmed);
+  swap(a.relay, b.relay);
+  swap(a.reader, b.reader);
+  swap(a.reader_zone, b.reader_zone);
   swap(a.__isset, b.__isset);
 }
 
@@ -2789,6 +2874,11 @@
   rows = other64.rows;
   missing = other64.missing;
   failed = other64.failed;
+  snapshot = other64.snapshot;
+  unconfirmed = other64.unconfirmed;
+  relay = other64.relay;
+  reader = other64.reader;
+  reader_zone = other64.reader_zone;
   __isset = other64.__isset;
 }
 TableNews& TableNews::operator=(const TableNews& other65) {
@@ -2798,6 +2888,11 @@
   rows = other65.rows;
   missing = other65.missing;
   failed = other65.failed;
+  snapshot = other65.snapshot;
+  unconfirmed = other65.unconfirmed;
+  relay = other65.relay;
+  reader = other65.reader;
+  reader_zone = other65.reader_zone;
   __isset = other65.__isset;
   return *this;
 }
@@ -2810,6 +2905,103 @@
   out << ", " << "rows=" << to_string(rows);
   out << ", " << "missing=" << to_string(missing);
   out << ", " << "failed=" << to_string(failed);
+  out << ", " << "snapshot=" << to_string(snapshot);
+  out << ", " << "unconfirmed=" << to_string(unconfirmed);
+  out << ", " << "relay=" << to_string(relay);
+  out << ", " << "reader=" << to_string(reader);
+  out << ", " << "reader_zone=" << to_string(reader_zone);
+  out << ")";
+}
+
+
+TableFetch::~TableFetch() noexcept {
+}
+
+
+void TableFetch::__set_list_only(const bool val) {
+  this->list_only = val;
+}
+std::ostream& operator<<(std::ostream& out, const TableFetch& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TableFetch::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->list_only);
+          this->__isset.list_only = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TableFetch::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TableFetch");
+
+  xfer += oprot->writeFieldBegin("list_only", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->list_only);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TableFetch &a, TableFetch &b) {
+  using ::std::swap;
+  swap(a.list_only, b.list_only);
+  swap(a.__isset, b.__isset);
+}
+
+TableFetch::TableFetch(const TableFetch& other66) noexcept {
+  list_only = other66.list_only;
+  __isset = other66.__isset;
+}
+TableFetch& TableFetch::operator=(const TableFetch& other67) noexcept {
+  list_only = other67.list_only;
+  __isset = other67.__isset;
+  return *this;
+}
+void TableFetch::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TableFetch(";
+  out << "list_only=" << to_string(list_only);
   out << ")";
 }
 
@@ -2940,19 +3132,19 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorRequest::OperatorRequest(const OperatorRequest& other66) {
-  id = other66.id;
-  command = other66.command;
-  body = other66.body;
-  timeout = other66.timeout;
-  __isset = other66.__isset;
+OperatorRequest::OperatorRequest(const OperatorRequest& other68) {
+  id = other68.id;
+  command = other68.command;
+  body = other68.body;
+  timeout = other68.timeout;
+  __isset = other68.__isset;
 }
-OperatorRequest& OperatorRequest::operator=(const OperatorRequest& other67) {
-  id = other67.id;
-  command = other67.command;
-  body = other67.body;
-  timeout = other67.timeout;
-  __isset = other67.__isset;
+OperatorRequest& OperatorRequest::operator=(const OperatorRequest& other69) {
+  id = other69.id;
+  command = other69.command;
+  body = other69.body;
+  timeout = other69.timeout;
+  __isset = other69.__isset;
   return *this;
 }
 void OperatorRequest::printTo(std::ostream& out) const {
@@ -3075,17 +3267,17 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorReply::OperatorReply(const OperatorReply& other68) {
-  id = other68.id;
-  status = other68.status;
-  body = other68.body;
-  __isset = other68.__isset;
+OperatorReply::OperatorReply(const OperatorReply& other70) {
+  id = other70.id;
+  status = other70.status;
+  body = other70.body;
+  __isset = other70.__isset;
 }
-OperatorReply& OperatorReply::operator=(const OperatorReply& other69) {
-  id = other69.id;
-  status = other69.status;
-  body = other69.body;
-  __isset = other69.__isset;
+OperatorReply& OperatorReply::operator=(const OperatorReply& other71) {
+  id = other71.id;
+  status = other71.status;
+  body = other71.body;
+  __isset = other71.__isset;
   return *this;
 }
 void OperatorReply::printTo(std::ostream& out) const {
@@ -3156,6 +3348,11 @@
   this->table_news = val;
 __isset.table_news = true;
 }
+
+void Body::__set_table_fetch(const TableFetch& val) {
+  this->table_fetch = val;
+__isset.table_fetch = true;
+}
 std::ostream& operator<<(std::ostream& out, const Body& obj)
 {
   obj.printTo(out);
@@ -3272,6 +3469,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->table_fetch.read(iprot);
+          this->__isset.table_fetch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3344,6 +3549,11 @@
     xfer += this->table_news.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.table_fetch) {
+    xfer += oprot->writeFieldBegin("table_fetch", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->table_fetch.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3362,36 +3572,39 @@
   swap(a.operator_request, b.operator_request);
   swap(a.operator_reply, b.operator_reply);
   swap(a.table_news, b.table_news);
+  swap(a.table_fetch, b.table_fetch);
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other70) {
-  heartbeat = other70.heartbeat;
-  slot_request = other70.slot_request;
-  slot_grant = other70.slot_grant;
-  endpoint_notice = other70.endpoint_notice;
-  crash_notice = other70.crash_notice;
-  config_entries = other70.config_entries;
-  config_fetch = other70.config_fetch;
-  unrecorded_zone = other70.unrecorded_zone;
-  operator_request = other70.operator_request;
-  operator_reply = other70.operator_reply;
-  table_news = other70.table_news;
-  __isset = other70.__isset;
+Body::Body(const Body& other72) {
+  heartbeat = other72.heartbeat;
+  slot_request = other72.slot_request;
+  slot_grant = other72.slot_grant;
+  endpoint_notice = other72.endpoint_notice;
+  crash_notice = other72.crash_notice;
+  config_entries = other72.config_entries;
+  config_fetch = other72.config_fetch;
+  unrecorded_zone = other72.unrecorded_zone;
+  operator_request = other72.operator_request;
+  operator_reply = other72.operator_reply;
+  table_news = other72.table_news;
+  table_fetch = other72.table_fetch;
+  __isset = other72.__isset;
 }
-Body& Body::operator=(const Body& other71) {
-  heartbeat = other71.heartbeat;
-  slot_request = other71.slot_request;
-  slot_grant = other71.slot_grant;
-  endpoint_notice = other71.endpoint_notice;
-  crash_notice = other71.crash_notice;
-  config_entries = other71.config_entries;
-  config_fetch = other71.config_fetch;
-  unrecorded_zone = other71.unrecorded_zone;
-  operator_request = other71.operator_request;
-  operator_reply = other71.operator_reply;
-  table_news = other71.table_news;
-  __isset = other71.__isset;
+Body& Body::operator=(const Body& other73) {
+  heartbeat = other73.heartbeat;
+  slot_request = other73.slot_request;
+  slot_grant = other73.slot_grant;
+  endpoint_notice = other73.endpoint_notice;
+  crash_notice = other73.crash_notice;
+  config_entries = other73.config_entries;
+  config_fetch = other73.config_fetch;
+  unrecorded_zone = other73.unrecorded_zone;
+  operator_request = other73.operator_request;
+  operator_reply = other73.operator_reply;
+  table_news = other73.table_news;
+  table_fetch = other73.table_fetch;
+  __isset = other73.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -3408,6 +3621,7 @@
   out << ", " << "operator_request="; (__isset.operator_request ? (out << to_string(operator_request)) : (out << "<null>"));
   out << ", " << "operator_reply="; (__isset.operator_reply ? (out << to_string(operator_reply)) : (out << "<null>"));
   out << ", " << "table_news="; (__isset.table_news ? (out << to_string(table_news)) : (out << "<null>"));
+  out << ", " << "table_fetch="; (__isset.table_fetch ? (out << to_string(table_fetch)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3555,21 +3769,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other72) {
-  key = other72.key;
-  sender = other72.sender;
-  incarnation = other72.incarnation;
-  stamp = other72.stamp;
-  body = other72.body;
-  __isset = other72.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other73) {
-  key = other73.key;
-  sender = other73.sender;
-  incarnation = other73.incarnation;
-  stamp = other73.stamp;
-  body = other73.body;
-  __isset = other73.__isset;
+Envelope::Envelope(const Envelope& other74) {
+  key = other74.key;
+  sender = other74.sender;
+  incarnation = other74.incarnation;
+  stamp = other74.stamp;
+  body = other74.body;
+  __isset = other74.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other75) {
+  key = other75.key;
+  sender = other75.sender;
+  incarnation = other75.incarnation;
+  stamp = other75.stamp;
+  body = other75.body;
+  __isset = other75.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/rpc/gen-cpp/jackdawdeck_types.h
+++ b/rpc/gen-cpp/jackdawdeck_types.h
@@ -51,6 +51,8 @@
 
 class TableNews;
 
+class TableFetch;
+
 class OperatorRequest;
 
 class OperatorReply;
@@ -1077,13 +1079,18 @@
 std::ostream& operator<<(std::ostream& out, const WatchedRow& obj);
 
 typedef struct _TableNews__isset {
-  _TableNews__isset() : table(false), after(false), version(false), rows(false), missing(false), failed(false) {}
+  _TableNews__isset() : table(false), after(false), version(false), rows(false), missing(false), failed(false), snapshot(false), unconfirmed(false), relay(false), reader(false), reader_zone(false) {}
   bool table :1;
   bool after :1;
   bool version :1;
   bool rows :1;
   bool missing :1;
   bool failed :1;
+  bool snapshot :1;
+  bool unconfirmed :1;
+  bool relay :1;
+  bool reader :1;
+  bool reader_zone :1;
 } _TableNews__isset;
 
 class TableNews : public virtual ::apache::thrift::TBase {
@@ -1095,7 +1102,12 @@
             : table(),
               after(0),
               version(0),
-              failed(0) {
+              failed(0),
+              snapshot(0),
+              unconfirmed(0),
+              relay(0),
+              reader(),
+              reader_zone() {
   }
 
   virtual ~TableNews() noexcept;
@@ -1105,6 +1117,11 @@
   std::vector<WatchedRow>  rows;
   std::vector<std::string>  missing;
   bool failed;
+  bool snapshot;
+  bool unconfirmed;
+  bool relay;
+  std::string reader;
+  std::string reader_zone;
 
   _TableNews__isset __isset;
 
@@ -1120,6 +1137,16 @@
 
   void __set_failed(const bool val);
 
+  void __set_snapshot(const bool val);
+
+  void __set_unconfirmed(const bool val);
+
+  void __set_relay(const bool val);
+
+  void __set_reader(const std::string& val);
+
+  void __set_reader_zone(const std::string& val);
+
   bool operator == (const TableNews & rhs) const
   {
     if (!(table == rhs.table))
@@ -1134,6 +1161,16 @@
       return false;
     if (!(failed == rhs.failed))
       return false;
+    if (!(snapshot == rhs.snapshot))
+      return false;
+    if (!(unconfirmed == rhs.unconfirmed))
+      return false;
+    if (!(relay == rhs.relay))
+      return false;
+    if (!(reader == rhs.reader))
+      return false;
+    if (!(reader_zone == rhs.reader_zone))
+      return false;
     return true;
   }
   bool operator != (const TableNews &rhs) const {
@@ -1152,6 +1189,49 @@
 
 std::ostream& operator<<(std::ostream& out, const TableNews& obj);
 
+typedef struct _TableFetch__isset {
+  _TableFetch__isset() : list_only(false) {}
+  bool list_only :1;
+} _TableFetch__isset;
+
+class TableFetch : public virtual ::apache::thrift::TBase {
+ public:
+
+  TableFetch(const TableFetch&) noexcept;
+  TableFetch& operator=(const TableFetch&) noexcept;
+  TableFetch() noexcept
+             : list_only(0) {
+  }
+
+  virtual ~TableFetch() noexcept;
+  bool list_only;
+
+  _TableFetch__isset __isset;
+
+  void __set_list_only(const bool val);
+
+  bool operator == (const TableFetch & rhs) const
+  {
+    if (!(list_only == rhs.list_only))
+      return false;
+    return true;
+  }
+  bool operator != (const TableFetch &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TableFetch & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TableFetch &a, TableFetch &b);
+
+std::ostream& operator<<(std::ostream& out, const TableFetch& obj);
+
 typedef struct _OperatorRequest__isset {
   _OperatorRequest__isset() : id(false), command(false), body(false), timeout(false) {}
   bool id :1;
@@ -1274,7 +1354,7 @@
 std::ostream& operator<<(std::ostream& out, const OperatorReply& obj);
 
 typedef struct _Body__isset {
-  _Body__isset() : heartbeat(false), slot_request(false), slot_grant(false), endpoint_notice(false), crash_notice(false), config_entries(false), config_fetch(false), unrecorded_zone(false), operator_request(false), operator_reply(false), table_news(false) {}
+  _Body__isset() : heartbeat(false), slot_request(false), slot_grant(false), endpoint_notice(false), crash_notice(false), config_entries(false), config_fetch(false), unrecorded_zone(false), operator_request(false), operator_reply(false), table_news(false), table_fetch(false) {}
   bool heartbeat :1;
   bool slot_request :1;
   bool slot_grant :1;
@@ -1286,6 +1366,7 @@
   bool operator_request :1;
   bool operator_reply :1;
   bool table_news :1;
+  bool table_fetch :1;
 } _Body__isset;
 
 /**
@@ -1311,6 +1392,7 @@
   OperatorRequest operator_request;
   OperatorReply operator_reply;
   TableNews table_news;
+  TableFetch table_fetch;
 
   _Body__isset __isset;
 
@@ -1336,6 +1418,8 @@
 
   void __set_table_news(const TableNews& val);
 
+  void __set_table_fetch(const TableFetch& val);
+
   bool operator == (const Body & rhs) const
   {
     if (__isset.heartbeat != rhs.__isset.heartbeat)
@@ -1382,6 +1466,10 @@
       return false;
     else if (__isset.table_news && !(table_news == rhs.table_news))
       return false;
+    if (__isset.table_fetch != rhs.__isset.table_fetch)
+      return false;
+    else if (__isset.table_fetch && !(table_fetch == rhs.table_fetch))
+      return false;
     return true;
   }
   bool operator != (const Body &rhs) const {
--- a/rpc/jackdawdeck.thrift
+++ b/rpc/jackdawdeck.thrift
@@ -131,6 +131,15 @@
   4: list<WatchedRow> rows
   5: list<string> missing
   6: bool failed
+  7: bool snapshot
+  8: bool unconfirmed
+  9: bool relay
+  10: string reader
+  11: string reader_zone
+}
+
+struct TableFetch {
+  1: bool list_only
 }
 
 struct OperatorRequest {
@@ -159,6 +168,7 @@
   9: OperatorRequest operator_request
   10: OperatorReply operator_reply
   11: TableNews table_news
+  12: TableFetch table_fetch
 }
 
 struct Envelope {
--- a/tests/discovery_test.cc
+++ b/tests/discovery_test.cc
@@ -2,6 +2,7 @@
 
 #include "cluster/catalog.h"
 #include "cluster/gateway_registry.h"
+#include "cluster/table_handoff.h"
 #include "common/route_table.h"
 
 namespace jd {
@@ -107,15 +108,18 @@
   return vm;
 }
 
-TEST_CASE("a gateway writes its row, then reads the list of gateways", "[discovery_test]") {
+TEST_CASE("a gateway of a new deployment writes its row, then reads the list of gateways",
+          "[discovery_test]") {
   // Guards against two gateways that start at the same time and do not find each other.
   const MonoTime start = MonoTime() + 1s;
-  GatewayRegistry registry(MakeGatewayVm("g"));
+  GatewayRegistry registry(MakeGatewayVm("g"), true, 1);
+  registry.Start(start);
   CHECK(registry.NextCall(start) == GatewayRegistry::Call::kWrite);
   CHECK_FALSE(registry.NextCall(start));
   registry.OnRowWritten(start);
   CHECK_FALSE(registry.NextCall(start));
-  const MonoTime later = start + GatewayRegistry::kReadDelay;
+  CHECK_FALSE(registry.NextCall(start + GatewayRegistry::kReadDelay - 1us));
+  const MonoTime later = start + GatewayRegistry::kReadDelay + GatewayRegistry::kReadSpread;
   CHECK(registry.NextCall(later) == GatewayRegistry::Call::kRead);
   registry.OnGatewayList(later,
                          {MakeGatewayVm("other"), MakeGatewayVm("g"), MakeGatewayVm("late")});
@@ -125,20 +129,23 @@
 
 TEST_CASE("a gateway that is not listed at its address writes its row again", "[discovery_test]") {
   const MonoTime start = MonoTime() + 1s;
-  GatewayRegistry registry(MakeGatewayVm("g"));
+  GatewayRegistry registry(MakeGatewayVm("g"), true, 1);
+  registry.Start(start);
   registry.NextCall(start);
   registry.OnRowWritten(start);
-  const MonoTime later = start + GatewayRegistry::kReadDelay;
+  const MonoTime later = start + GatewayRegistry::kReadDelay + GatewayRegistry::kReadSpread;
   registry.NextCall(later);
   registry.OnGatewayList(later, {MakeGatewayVm("other"), MakeGatewayVm("g", "10.0.0.9")});
   CHECK(registry.NextCall(later) == GatewayRegistry::Call::kWrite);
   registry.OnRowWritten(later);
-  CHECK(registry.NextCall(later + GatewayRegistry::kReadDelay) == GatewayRegistry::Call::kRead);
+  CHECK(registry.NextCall(later + GatewayRegistry::kReadDelay + GatewayRegistry::kReadSpread) ==
+        GatewayRegistry::Call::kRead);
 }
 
 TEST_CASE("the list shows whether a write without a reply took effect", "[discovery_test]") {
   const MonoTime start = MonoTime() + 1s;
-  GatewayRegistry registry(MakeGatewayVm("g"));
+  GatewayRegistry registry(MakeGatewayVm("g"), true, 1);
+  registry.Start(start);
   registry.NextCall(start);
   registry.OnCallFailed(start);
   CHECK_FALSE(registry.NextCall(start));
@@ -149,5 +156,94 @@
   CHECK(registry.next_timer().has_value() == !written);
 }
 
+TEST_CASE("a restarted gateway asks its peers for the list before it reads the list",
+          "[discovery_test]") {
+  // Guards against two calls to the store for each restart, which the store prices.
+  const MonoTime start = MonoTime() + 1s;
+  GatewayRegistry registry(MakeGatewayVm("g"), false, 1);
+  registry.Start(start);
+  const MonoTime asked = registry.next_timer().value();
+  CHECK(asked <= start + GatewayRegistry::kReadSpread);
+  CHECK(registry.NextCall(asked) == GatewayRegistry::Call::kAskPeers);
+  SECTION("a peer answers") {
+    CHECK(registry.OnPeerList({MakeGatewayVm("g"), MakeGatewayVm("o")}));
+    CHECK_FALSE(registry.next_timer());
+  }
+  SECTION("no peer answers") {
+    CHECK_FALSE(registry.NextCall(asked + GatewayRegistry::kPeerReplyTimeout - 1us));
+    const MonoTime later = asked + GatewayRegistry::kPeerReplyTimeout;
+    CHECK(registry.NextCall(later) == GatewayRegistry::Call::kRead);
+    const bool listed = GENERATE(true, false);
+    registry.OnGatewayList(later, listed ? VmList{MakeGatewayVm("g")} : VmList{MakeGatewayVm("o")});
+    CHECK((registry.NextCall(later) == GatewayRegistry::Call::kWrite) == !listed);
+  }
+}
+
+TEST_CASE("a list that a peer has read replaces the read only if it has this gateway",
+          "[discovery_test]") {
+  // Guards against a gateway that no other gateway finds, because a list from before its own row
+  // was written kept it from reading the list.
+  const MonoTime start = MonoTime() + 1s;
+  GatewayRegistry registry(MakeGatewayVm("g"), true, 1);
+  registry.Start(start);
+  registry.NextCall(start);
+  registry.OnRowWritten(start);
+  CHECK_FALSE(registry.OnPeerList({MakeGatewayVm("other")}));
+  CHECK(registry.next_timer());
+  CHECK(registry.OnPeerList({MakeGatewayVm("other"), MakeGatewayVm("g")}));
+  CHECK_FALSE(registry.next_timer());
+  CHECK(registry.gateways().size() == 2);
+  CHECK_FALSE(registry.OnPeerList({MakeGatewayVm("g")}));
+}
+
+TEST_CASE("gateways that start at the same time form a tree with bounded fan-out",
+          "[discovery_test]") {
+  // Guards against one gateway that sends the tables to every other one over a link of low
+  // capacity.
+  VmList gateways;
+  for (const int count : {1, 2, 30, 300}) {
+    while (gateways.size() < static_cast<size_t>(count)) {
+      gateways.push_back(MakeGatewayVm("g" + std::to_string(gateways.size())));
+    }
+    std::map<GatewayId, size_t> children;
+    size_t roots = 0;
+    for (const Vm& vm : gateways) {
+      size_t depth = 0;
+      std::optional<GatewayId> parent = TableHandoff::ParentOf(vm, gateways);
+      if (parent) {
+        ++children[*parent];
+      } else {
+        ++roots;
+      }
+      while (parent) {
+        ++depth;
+        parent = TableHandoff::ParentOf(MakeGatewayVm(parent->value), gateways);
+      }
+      CHECK(depth <= 5);
+    }
+    CHECK(roots == 1);
+    for (const auto& [id, number] : children) {
+      CHECK(number <= TableHandoff::kMaxChildren);
+    }
+  }
+  CHECK_FALSE(TableHandoff::ParentOf(MakeGatewayVm("unlisted"), gateways));
+}
+
+TEST_CASE("a gateway of another zone is not asked for the tables", "[discovery_test]") {
+  Vm remote = MakeGatewayVm("a");
+  remote.zone = ZoneId("remote");
+  const VmList gateways = {remote, MakeGatewayVm("g")};
+  CHECK_FALSE(TableHandoff::ParentOf(MakeGatewayVm("g"), gateways));
+}
+
+TEST_CASE("each peer that asked for the tables gets them once", "[discovery_test]") {
+  TableHandoff handoff;
+  handoff.AddRequester(GatewayId("a"));
+  handoff.AddRequester(GatewayId("a"));
+  handoff.AddRequester(GatewayId("b"));
+  CHECK(handoff.TakeRequesters() == std::vector<GatewayId>{GatewayId("a"), GatewayId("b")});
+  CHECK(handoff.TakeRequesters().empty());
+}
+
 }  // namespace
 }  // namespace jd
--- a/tests/rpc_test.cc
+++ b/tests/rpc_test.cc
@@ -54,6 +54,32 @@
   CHECK(std::get<SlotRequest>(received.body) == std::get<SlotRequest>(sent.body));
 }
 
+TEST_CASE("a table update is unchanged after encoding and decoding", "[rpc_test]") {
+  // Guards against a snapshot that is taken for a confirmed one, or an update that is passed on
+  // again and again.
+  TableUpdate sent;
+  sent.table = "t";
+  sent.version = 9;
+  sent.rows = {{"k", std::string("\0v", 2), 7, false}};
+  sent.missing = {"m"};
+  sent.snapshot = sent.unconfirmed = sent.relay = true;
+  sent.reader = GatewayId("g1");
+  sent.reader_zone = ZoneId("gasabo");
+  const wire::Envelope envelope = ToEnvelope({GatewayId("g1"), Incarnation(9), {}, sent}, "key");
+  const PeerMessage received = std::get<PeerMessage>(FromEnvelope(envelope));
+  const auto& update = std::get<TableUpdate>(received.body);
+  CHECK(update.table == sent.table);
+  CHECK(update.version == sent.version);
+  REQUIRE(update.rows.size() == 1);
+  CHECK(update.rows[0].value == sent.rows[0].value);
+  CHECK(update.missing == sent.missing);
+  CHECK(update.snapshot);
+  CHECK(update.unconfirmed);
+  CHECK(update.relay);
+  CHECK(update.reader == sent.reader);
+  CHECK(update.reader_zone == sent.reader_zone);
+}
+
 TEST_CASE("arbitrary bytes cause an error or a wait for more bytes, never a crash", "[rpc_test]") {
   const bool ok = rc::check([] {
     const std::string frame = EncodeFrame(ToEnvelope(SampleMessage(), "key"));
--- a/tests/table_watch_test.cc
+++ b/tests/table_watch_test.cc
@@ -262,7 +262,11 @@
   REQUIRE(call);
   const WatchReply late = store.Reply(*call);
   store.Put("a");
-  gateway.Apply(gateway.watch.OnPeerUpdate(At(1s), {"", 1, 3, {store.rows["a"]}, {}, false}));
+  TableUpdate newer;
+  newer.after = 1;
+  newer.version = 3;
+  newer.rows = {store.rows["a"]};
+  gateway.Apply(gateway.watch.OnPeerUpdate(At(1s), newer));
   gateway.Apply(gateway.watch.OnReply(At(1100ms), late));
   CHECK(gateway.known == std::map<std::string, std::string>{{"a", "v3"}});
 }
@@ -325,6 +329,97 @@
   CHECK(other.NextCall(At(2s)));
 }
 
+TEST_CASE("a gateway that starts takes the table from a snapshot and reads only what follows",
+          "[table_watch_test]") {
+  // Guards against a full read of the store for each gateway that starts.
+  Store store;
+  store.Put("a");
+  Gateway peer(1);
+  peer.Read(At(-1s), store);
+  Gateway gateway(2);
+  gateway.watch.ScheduleFirstRead(At(400ms));
+  CHECK_FALSE(gateway.watch.NextCall(At(399ms)));
+  gateway.Apply(gateway.watch.OnPeerUpdate(At(100ms), peer.watch.Snapshot("")));
+  CHECK(gateway.watch.complete());
+  CHECK(gateway.known.size() == 1);
+  CHECK_FALSE(gateway.watch.NextCall(At(400ms)));
+  store.Put("b");
+  store.Remove("a");
+  gateway.Read(At(2s), store);
+  CHECK(gateway.known == std::map<std::string, std::string>{{"b", "v2"}});
+  CHECK(gateway.calls == 1);
+}
+
+TEST_CASE("a snapshot changes nothing once the table is known or being read",
+          "[table_watch_test]") {
+  // Guards against a peer's older table that brings back a row that was removed.
+  Store store;
+  store.Put("a");
+  Gateway peer(1);
+  peer.Read(At(-1s), store);
+  const TableUpdate old = peer.watch.Snapshot("");
+  store.Remove("a");
+  const bool reading = GENERATE(false, true);
+  Gateway gateway(2);
+  if (reading) {
+    const std::optional<WatchCall> call = gateway.watch.NextCall(At(0s));
+    CHECK(gateway.watch.OnPeerUpdate(At(1ms), old).empty());
+    CHECK_FALSE(gateway.watch.complete());
+    gateway.Apply(gateway.watch.OnReply(At(2ms), store.Reply(*call)));
+  } else {
+    gateway.Read(At(0s), store);
+    CHECK(gateway.watch.OnPeerUpdate(At(1s), old).empty());
+  }
+  CHECK(gateway.known.empty());
+}
+
+TEST_CASE("a gateway that the store does not serve uses a peer's table and keeps trying",
+          "[table_watch_test]") {
+  // Guards against a gateway that answers 503 for as long as the store turns it away, although the
+  // peers of its zone know the table.
+  Store store;
+  store.Put("a");
+  store.Put("b");
+  Gateway peer(1);
+  peer.Read(At(-1s), store);
+  peer.reachable = false;
+  peer.Read(At(1s), store);
+  Gateway gateway(2);
+  gateway.reachable = false;
+  gateway.Read(At(0s), store);
+  const TableUpdate snapshot = peer.watch.Snapshot("");
+  CHECK(snapshot.unconfirmed);
+  gateway.Apply(gateway.watch.OnPeerUpdate(At(1s), snapshot));
+  CHECK(gateway.known.size() == 2);
+  CHECK(gateway.watch.store_unavailable());
+  // The rows that lapse during the outage are kept for the same time as elsewhere.
+  store.Remove("a");
+  gateway.reachable = true;
+  gateway.Read(At(2s), store);
+  CHECK(gateway.known.size() == 2);
+  gateway.Read(At(2s + TableWatch::kMissingRowGrace), store);
+  CHECK(gateway.known.size() == 1);
+}
+
+TEST_CASE("a snapshot carries the rows that may come back", "[table_watch_test]") {
+  // Guards against an endpoint that failed during an outage and that a gateway which started after
+  // the outage keeps calling.
+  Store store;
+  store.Put("a");
+  Gateway peer(1);
+  peer.Read(At(-1s), store);
+  peer.reachable = false;
+  peer.Read(At(1s), store);
+  store.Remove("a");
+  peer.reachable = true;
+  peer.Read(At(2s), store);
+  Gateway gateway(2);
+  gateway.Apply(gateway.watch.OnPeerUpdate(At(2100ms), peer.watch.Snapshot("")));
+  CHECK(gateway.known.size() == 1);
+  gateway.Apply(gateway.watch.ExpireMissingRows(At(2100ms + TableWatch::kMissingRowGrace)));
+  CHECK(gateway.known.empty());
+}
+
 // Gateways that send each other updates, simulated in steps of 10 ms.
 struct Zone {
   explicit Zone(size_t count, TableWatch::Timing timing = kTiming) {
