Read responses with a bounded parser, and never give a caller another caller's answer

Cause (shown on in the issue): evhttp's client keeps the headers of every 100 Continue, so a server that sends them without end filled 1.4 GB within a 2 s deadline; it passes 103 on as the final answer; it buffers the size line of a chunk without a limit (23 MB); and it accepts two different Content-Length headers. In the product's own format nothing tied an answer to its request, so a second copy of an answer that arrived while the connection was in use again went to the next caller.

Change: `HttpConnection` is a bufferevent with `HttpResponseReader` over it, which feeds Boost.Beast's parser and bounds every element before it is buffered: head, interim responses (at most 8, within the limit on headers; 101 refused), size line, trailers, body. Upstreams and the store use it. A response that names another request is dropped once and the connection is closed after the right one; without the right one the attempt may have run. In the own format a connection is reused only after an answer that names its request. A probe's answer that names a call is invalid.

Ruled out: a check in front of evhttp. It sees the bytes, but evhttp has consumed the status line of an interim response by the time its end is known, so it could only close the connection.

Tests: http_response_reader_test feeds 13 kinds of endless bytes, and every split of valid responses.

--- a/gateway/caller_server.cc
+++ b/gateway/caller_server.cc
@@ -247,12 +247,11 @@
   evhttp_send_reply(request, status, ReasonPhrase(status), body);
 }
 
-void CallerServer::Answer(CallId call, const RequestId& request_id, evhttp_request* response) {
+void CallerServer::Answer(CallId call, const RequestId& request_id, const HttpResponse& response) {
   evhttp_request* request = BeginAnswer(call);
   evkeyvalq* output = evhttp_request_get_output_headers(request);
-  const evkeyvalq* input = evhttp_request_get_input_headers(response);
   bool has_id = false;
-  for (const auto& [name, value] : EndToEndHeaders(input)) {
+  for (const auto& [name, value] : EndToEndHeaders(response.headers)) {
     if (dialect_->HidesResponseHeader(name)) {
       continue;
     }
@@ -262,12 +261,11 @@
   if (!has_id) {
     evhttp_add_header(output, dialect_->request_id_header(), request_id.value.c_str());
   }
-  const char* length = evhttp_find_header(input, "Content-Length");
+  const std::string* length = FindHeader(response.headers, "Content-Length");
   if (evhttp_request_get_command(request) == EVHTTP_REQ_HEAD && length != nullptr) {
-    evhttp_add_header(output, "Content-Length", length);
+    evhttp_add_header(output, "Content-Length", length->c_str());
   }
-  SendReply(request, evhttp_request_get_response_code(response),
-            evhttp_request_get_input_buffer(response));
+  SendReply(request, response.status, response.body.get());
 }
 
 void CallerServer::Refuse(CallId call, const RequestId& request_id, const Refusal& refusal) {
--- a/gateway/caller_server.h
+++ b/gateway/caller_server.h
@@ -52,7 +52,7 @@
   evhttp_request* request(CallId call) const { return calls_.at(call); }
   /// Relays the complete response of an upstream to the caller; the body is moved out of
   /// `response`.
-  void Answer(CallId call, const RequestId& request_id, evhttp_request* response);
+  void Answer(CallId call, const RequestId& request_id, const HttpResponse& response);
   /// Answers a call with a refusal by the gateway itself.
   void Refuse(CallId call, const RequestId& request_id, const Refusal& refusal);
   /// Answers a call with the response that was stored under its request key.
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -58,13 +58,12 @@
   return headers;
 }
 
-StoredResponse ToStoredResponse(evhttp_request* response) {
+StoredResponse ToStoredResponse(const HttpResponse& response) {
   StoredResponse stored;
-  stored.status = evhttp_request_get_response_code(response);
-  stored.content_type = HeaderValue(evhttp_request_get_input_headers(response), "content-type");
-  evbuffer* body = evhttp_request_get_input_buffer(response);
-  stored.body.resize(evbuffer_get_length(body));
-  evbuffer_copyout(body, stored.body.data(), stored.body.size());
+  stored.status = response.status;
+  stored.content_type = HeaderValue(response.headers, "content-type");
+  stored.body.resize(evbuffer_get_length(response.body.get()));
+  evbuffer_copyout(response.body.get(), stored.body.data(), stored.body.size());
   return stored;
 }
 
@@ -263,7 +262,7 @@
   NotifyNode([call, this](Now now, NodeActions* out) { node_.OnCallerGone(now, call, out); });
 }
 
-void Gateway::OnAttemptEnded(const AttemptResult& result, HttpRequestPtr& response) {
+void Gateway::OnAttemptEnded(const AttemptResult& result, HttpResponsePtr& response) {
   metrics_.CountAttempt(result);
   const auto attempt = attempts_.extract(result.attempt);
   const auto call = attempt.empty() ? calls_.end() : calls_.find(attempt.mapped());
@@ -342,11 +341,11 @@
                    [&](const auto& entry) { return entry.first == action.attempt; });
   assert(response != call->responses.end());
   if (action.keyed) {
-    const StoredResponse stored = ToStoredResponse(response->second.get());
+    const StoredResponse stored = ToStoredResponse(*response->second);
     NotifyNode(
         [&](Now now, NodeActions* out) { node_.OnCallAnswered(now, action.call, stored, out); });
   }
-  callers_.Answer(action.call, call->request_id, response->second.get());
+  callers_.Answer(action.call, call->request_id, *response->second);
   const Duration call_latency = loop_->ReadClocks().mono - call->arrived;
   metrics_.ObserveCallLatency(call_latency);
   metrics_.ObserveAddedLatency(call_latency - call->upstream_time);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -89,7 +89,7 @@
     MonoTime running_since;     ///< When `running_attempts` last rose from 0.
     Duration upstream_time{0};  ///< Time during which at least one attempt ran.
     UpstreamRequest upstream_request;
-    std::vector<std::pair<AttemptId, HttpRequestPtr>> responses;  ///< Complete responses.
+    std::vector<std::pair<AttemptId, HttpResponsePtr>> responses;  ///< Complete responses.
   };
 
   /// Passes one event to the node and executes the actions that the node returns.
@@ -109,7 +109,7 @@
   void ApplyConfiguration();
   void OnCall(const CallRequest& arrived);
   void OnCallerGone(CallId call);
-  void OnAttemptEnded(const AttemptResult& result, HttpRequestPtr& response);
+  void OnAttemptEnded(const AttemptResult& result, HttpResponsePtr& response);
   void ScheduleNodeTimer();
   /// Schedules a call of Node::OnLoopIterationEnd after the events of the current iteration of the
   /// event loop.
--- a/gateway/header_rules.cc
+++ b/gateway/header_rules.cc
@@ -1,12 +1,11 @@
 #include "gateway/header_rules.h"
 
 #include <event2/keyvalq_struct.h>
-#include <strings.h>
-
 #include <algorithm>
 #include <array>
 #include <cctype>
 #include <charconv>
+#include <iterator>
 #include <vector>
 
 namespace jd {
@@ -87,26 +86,26 @@
 
 }  // namespace
 
-bool EqualsIgnoreCase(std::string_view a, std::string_view b) {
-  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
+HttpHeaders EndToEndHeaders(const evkeyvalq* headers) {
+  HttpHeaders all;
+  for (const evkeyval* header = headers->tqh_first; header != nullptr;
+       header = header->next.tqe_next) {
+    all.emplace_back(header->key, header->value);
+  }
+  return EndToEndHeaders(all);
 }
 
-HttpHeaders EndToEndHeaders(const evkeyvalq* headers) {
+HttpHeaders EndToEndHeaders(const HttpHeaders& headers) {
   std::vector<std::string_view> dropped(kHopByHop.begin(), kHopByHop.end());
   dropped.emplace_back("content-length");
-  for (const evkeyval* header = headers->tqh_first; header != nullptr;
-       header = header->next.tqe_next) {
-    if (EqualsIgnoreCase(header->key, "connection")) {
-      AppendTokens(header->value, &dropped);
+  for (const auto& [name, value] : headers) {
+    if (EqualsIgnoreCase(name, "connection")) {
+      AppendTokens(value, &dropped);
     }
   }
   HttpHeaders kept;
-  for (const evkeyval* header = headers->tqh_first; header != nullptr;
-       header = header->next.tqe_next) {
-    if (!Contains(dropped, header->key)) {
-      kept.emplace_back(header->key, header->value);
-    }
-  }
+  std::copy_if(headers.begin(), headers.end(), std::back_inserter(kept),
+               [&](const auto& header) { return !Contains(dropped, header.first); });
   return kept;
 }
 
--- a/gateway/header_rules.h
+++ b/gateway/header_rules.h
@@ -14,6 +14,7 @@
 /// Returns a copy of the end-to-end headers. Omits hop-by-hop headers, headers that are named in
 /// Connection, and Content-Length, which the HTTP library sets itself.
 HttpHeaders EndToEndHeaders(const evkeyvalq* headers);
+HttpHeaders EndToEndHeaders(const HttpHeaders& headers);
 
 /// Checks the framing and the target of a request. To prevent request smuggling, requests that two
 /// servers could parse differently are invalid.
@@ -28,8 +29,4 @@
 /// @return nothing unless the text is a whole number of milliseconds from 0 to one day.
 std::optional<Duration> ParseDeadline(std::string_view text);
 
-/// Returns whether two strings, such as header names, are equal except for the case of ASCII
-/// letters.
-bool EqualsIgnoreCase(std::string_view a, std::string_view b);
-
 }  // namespace jd
--- a/gateway/http_dialect.h
+++ b/gateway/http_dialect.h
@@ -28,6 +28,8 @@
   /// Time after which the upstream closes the connection if the connection stays idle; empty if the
   /// upstream does not announce it.
   std::optional<Duration> idle_timeout;
+  /// Whether the connection may carry another request.
+  bool reusable = true;
 };
 
 /// The HTTP headers and status codes that callers, the gateway and upstreams exchange. A deployment
@@ -48,7 +50,13 @@
   virtual HttpHeaders ProbeHeaders(const ServiceId& service, uint64_t probe) const = 0;
   /// Interprets an upstream's response.
   /// @param request_id the request id that was sent to the upstream; empty for a probe.
-  virtual UpstreamReply ParseReply(const RequestId& request_id, evhttp_request* response) const = 0;
+  virtual UpstreamReply ParseReply(const RequestId& request_id,
+                                   const HttpResponse& response) const = 0;
+  /// Returns whether a response names another request than the one that was sent, and so is a late
+  /// second response to that request.
+  /// @param request_id as for ParseReply.
+  virtual bool AnswersOtherRequest(const RequestId& request_id,
+                                   const HttpResponse& response) const = 0;
   /// Returns whether a header of an upstream's response must not be forwarded to the caller.
   virtual bool HidesResponseHeader(std::string_view name) const = 0;
   /// Returns the name of the header that carries the request id.
@@ -68,7 +76,10 @@
   bool ReplacesRequestHeader(std::string_view name) const override;
   void AddAttemptHeaders(const AttemptMetadata& attempt, HttpHeaders* headers) const override;
   HttpHeaders ProbeHeaders(const ServiceId& service, uint64_t probe) const override;
-  UpstreamReply ParseReply(const RequestId& request_id, evhttp_request* response) const override;
+  UpstreamReply ParseReply(const RequestId& request_id,
+                           const HttpResponse& response) const override;
+  bool AnswersOtherRequest(const RequestId& request_id,
+                           const HttpResponse& response) const override;
   bool HidesResponseHeader(std::string_view name) const override;
   const char* request_id_header() const override { return "x-request-id"; }
   int StatusOf(const Refusal& refusal) const override;
--- a/gateway/http_server.cc
+++ b/gateway/http_server.cc
@@ -38,30 +38,6 @@
   evbuffer_add(body, text.data(), text.size());
 }
 
-std::string MethodName(evhttp_cmd_type method) {
-  switch (method) {
-    case EVHTTP_REQ_GET:
-      return "GET";
-    case EVHTTP_REQ_POST:
-      return "POST";
-    case EVHTTP_REQ_HEAD:
-      return "HEAD";
-    case EVHTTP_REQ_PUT:
-      return "PUT";
-    case EVHTTP_REQ_DELETE:
-      return "DELETE";
-    case EVHTTP_REQ_OPTIONS:
-      return "OPTIONS";
-    case EVHTTP_REQ_TRACE:
-      return "TRACE";
-    case EVHTTP_REQ_CONNECT:
-      return "CONNECT";
-    case EVHTTP_REQ_PATCH:
-      return "PATCH";
-  }
-  return "UNKNOWN";
-}
-
 const char* ReasonPhrase(int status) {
   switch (status) {
     case 422:
--- a/gateway/http_server.h
+++ b/gateway/http_server.h
@@ -22,9 +22,6 @@
 /// Appends a JSON value to a body and adds the Content-Type header.
 void AddJsonBody(evkeyvalq* headers, evbuffer* body, const nlohmann::json& value);
 
-/// Returns the name of a method, for example "GET".
-std::string MethodName(evhttp_cmd_type method);
-
 /// Returns the reason phrase of a status code for which evhttp has none, or null for other codes.
 const char* ReasonPhrase(int status);
 
--- a/gateway/native_dialect.cc
+++ b/gateway/native_dialect.cc
@@ -4,6 +4,12 @@
 #include "gateway/http_dialect.h"
 
 namespace jd {
+namespace {
+
+// Calls have no request id with this prefix.
+constexpr const char* kProbeIdPrefix = "probe-";
+
+}  // namespace
 
 std::string FormatTimeout(Duration timeout) {
   const int64_t millis = std::chrono::floor<std::chrono::milliseconds>(timeout).count();
@@ -36,14 +42,20 @@
 HttpHeaders NativeDialect::ProbeHeaders(const ServiceId& service, uint64_t probe) const {
   // A server that hosts several services needs the service name. The request id lets the server's
   // log show which requests are probes.
-  return {{"x-service", service.value}, {"x-request-id", "probe-" + std::to_string(probe)}};
+  return {{"x-service", service.value}, {"x-request-id", kProbeIdPrefix + std::to_string(probe)}};
 }
 
-UpstreamReply NativeDialect::ParseReply(const RequestId&, evhttp_request* response) const {
-  const evkeyvalq* headers = evhttp_request_get_input_headers(response);
+UpstreamReply NativeDialect::ParseReply(const RequestId& request_id,
+                                        const HttpResponse& response) const {
+  const HttpHeaders& headers = response.headers;
   UpstreamReply reply;
-  if (evhttp_request_get_response_code(response) == 503 &&
-      HeaderValue(headers, "x-refused") == "not-run") {
+  if (AnswersOtherRequest(request_id, response)) {
+    reply.outcome = AttemptOutcome::kInvalid;
+    return reply;
+  }
+  // Without the id, a late second response could be taken for the response to the next request.
+  reply.reusable = FindHeader(headers, "x-request-id") != nullptr;
+  if (response.status == 503 && HeaderValue(headers, "x-refused") == "not-run") {
     reply.outcome = AttemptOutcome::kRefused;
   }
   reply.report = ParseLoadReport(HeaderValue(headers, "x-load"),
@@ -51,6 +63,14 @@
   return reply;
 }
 
+bool NativeDialect::AnswersOtherRequest(const RequestId& request_id,
+                                        const HttpResponse& response) const {
+  const std::string* echoed = FindHeader(response.headers, "x-request-id");
+  // The id of a probe is not passed here.
+  const bool names_probe = echoed != nullptr && echoed->starts_with(kProbeIdPrefix);
+  return echoed != nullptr && (request_id.empty() ? !names_probe : *echoed != request_id.value);
+}
+
 bool NativeDialect::HidesResponseHeader(std::string_view name) const {
   // The caller must only receive the verdict of this gateway. An upstream might forward the verdict
   // of a call that it made itself; the caller would then retry a request that has run.
--- a/gateway/upstream_pool.cc
+++ b/gateway/upstream_pool.cc
@@ -161,8 +161,12 @@
     body.reset(evbuffer_new());
     evbuffer_add_buffer_reference(body.get(), request.body);
   }
-  http->Send(request.method, request.target, headers, body.get(),
-             [this, id](HttpExchange result) { OnExchangeDone(id, std::move(result)); });
+  http->Send(
+      request.method, request.target, headers, body.get(),
+      [this, id](HttpExchange result) { OnExchangeDone(id, std::move(result)); },
+      [this, request_id = request.request_id](const HttpResponse& response) {
+        return dialect_->AnswersOtherRequest(request_id, response);
+      });
 }
 
 void UpstreamPool::OnExchangeDone(uint64_t id, HttpExchange result) {
@@ -172,7 +176,7 @@
   deadlines_.erase({exchange.deadline, id});
   UpstreamReply reply;
   if (result.response != nullptr) {
-    reply = dialect_->ParseReply(exchange.request_id, result.response.get());
+    reply = dialect_->ParseReply(exchange.request_id, *result.response);
   } else {
     reply.outcome =
         result.request_written ? AttemptOutcome::kConnectionLost : AttemptOutcome::kConnectFailed;
@@ -189,7 +193,7 @@
   // The bytes of an invalid response may belong to another request, so the connection is not
   // reused.
   if (result.response != nullptr && connection->http->usable() &&
-      reply.outcome != AttemptOutcome::kInvalid) {
+      reply.outcome != AttemptOutcome::kInvalid && reply.reusable) {
     if (!exchange.is_probe) {
       connection->last_answered = loop_->ReadClocks().mono;
     }
@@ -293,8 +297,7 @@
                                 HttpExchange result,
                                 const UpstreamReply& reply) {
   const Duration latency = loop_->ReadClocks().mono - exchange.sent;
-  const int status =
-      result.response == nullptr ? 0 : evhttp_request_get_response_code(result.response.get());
+  const int status = result.response == nullptr ? 0 : result.response->status;
   if (exchange.is_probe) {
     probe_ended_.emit(
         {exchange.connection->endpoint, result.response != nullptr, status, latency, reply.report});
--- a/gateway/upstream_pool.h
+++ b/gateway/upstream_pool.h
@@ -39,7 +39,7 @@
 
   /// Emitted once per attempt that was sent, also if it was cancelled. The response is null unless
   /// it arrived completely. May be emitted before Send or Cancel returns.
-  sigc::signal<void(const AttemptResult&, HttpRequestPtr&)>& attempt_ended() {
+  sigc::signal<void(const AttemptResult&, HttpResponsePtr&)>& attempt_ended() {
     return attempt_ended_;
   }
   /// Emitted once per probe, possibly before Probe returns.
@@ -150,7 +150,7 @@
   Timer deadline_timer_;
   std::optional<MonoTime> deadline_timer_due_;  ///< When deadline_timer_ fires.
   Timer discard_timer_;
-  sigc::signal<void(const AttemptResult&, HttpRequestPtr&)> attempt_ended_;
+  sigc::signal<void(const AttemptResult&, HttpResponsePtr&)> attempt_ended_;
   sigc::signal<void(const ProbeResult&)> probe_ended_;
 };
 
--- a/net/http_client.cc
+++ b/net/http_client.cc
@@ -13,10 +13,9 @@
 constexpr int64_t kMaxReplyBytes = 64 << 20;
 constexpr int64_t kMaxHeaderBytes = 65536;
 
-std::string ReadBody(evhttp_request* response) {
-  evbuffer* buffer = evhttp_request_get_input_buffer(response);
-  std::string text(evbuffer_get_length(buffer), '\0');
-  evbuffer_copyout(buffer, text.data(), text.size());
+std::string ReadBody(const HttpResponse& response) {
+  std::string text(evbuffer_get_length(response.body.get()), '\0');
+  evbuffer_copyout(response.body.get(), text.data(), text.size());
   return text;
 }
 
@@ -83,8 +82,7 @@
     done(0, {}, exchange.request_written);
     return;
   }
-  done(evhttp_request_get_response_code(exchange.response.get()), ReadBody(exchange.response.get()),
-       true);
+  done(exchange.response->status, ReadBody(*exchange.response), true);
 }
 
 void HttpClient::OnTimeout(uint64_t id) {
--- a/net/http_connection.cc
+++ b/net/http_connection.cc
@@ -1,14 +1,14 @@
 #include "net/http_connection.h"
 
 #include <event2/bufferevent.h>
-#include <event2/http_struct.h>
+#include <event2/util.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <sys/socket.h>
 
+#include <algorithm>
 #include <cassert>
-#include <cerrno>
 #include <stdexcept>
+#include <utility>
 
 namespace jd {
 namespace {
@@ -18,71 +18,113 @@
 constexpr int kKeepAliveSeconds = 1;
 constexpr int kKeepAliveProbes = 2;
 
-}  // namespace
+sockaddr_storage ParseAddress(const std::string& address, uint16_t port, socklen_t* size) {
+  sockaddr_storage storage{};
+  auto* ipv4 = reinterpret_cast<sockaddr_in*>(&storage);
+  auto* ipv6 = reinterpret_cast<sockaddr_in6*>(&storage);
+  if (evutil_inet_pton(AF_INET, address.c_str(), &ipv4->sin_addr) == 1) {
+    ipv4->sin_family = AF_INET;
+    ipv4->sin_port = htons(port);
+    *size = sizeof(*ipv4);
+  } else if (evutil_inet_pton(AF_INET6, address.c_str(), &ipv6->sin6_addr) == 1) {
+    ipv6->sin6_family = AF_INET6;
+    ipv6->sin6_port = htons(port);
+    *size = sizeof(*ipv6);
+  } else {
+    throw std::runtime_error("cannot create a connection to " + address);
+  }
+  return storage;
+}
+
+// Returns the value of a header on one line. A line end would end the header early.
+std::string OneLine(std::string value) {
+  std::replace_if(
+      value.begin(), value.end(), [](char c) { return c == '\r' || c == '\n'; }, ' ');
+  return value;
+}
 
-std::string HeaderValue(const evkeyvalq* headers, const char* name) {
-  const char* value = evhttp_find_header(headers, name);
-  return value == nullptr ? std::string() : std::string(value);
+bool MayHaveBody(evhttp_cmd_type method) {
+  return method == EVHTTP_REQ_POST || method == EVHTTP_REQ_PUT || method == EVHTTP_REQ_PATCH;
 }
 
+}  // namespace
+
 HttpConnection::HttpConnection(event_base* base,
                                const std::string& address,
                                uint16_t port,
                                const Limits& limits)
-    : response_ready_event_(event_new(base, -1, 0, &OnResponseReady, this)),
-      connection_(evhttp_connection_base_new(base, nullptr, address.c_str(), port)) {
-  if (response_ready_event_ == nullptr || connection_ == nullptr) {
+    : limits_(limits),
+      address_(ParseAddress(address, port, &address_size_)),
+      stream_(bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE)) {
+  if (stream_ == nullptr) {
     throw std::runtime_error("cannot create a connection to " + address);
   }
-  // Disables libevent's own retries: only the dispatcher decides whether to retry a request.
-  evhttp_connection_set_retries(connection_.get(), 0);
-  evhttp_connection_set_max_headers_size(connection_.get(), limits.header_bytes);
-  evhttp_connection_set_max_body_size(connection_.get(), limits.body_bytes);
-  evhttp_connection_set_closecb(connection_.get(), &OnClose, this);
-  bufferevent* stream = evhttp_connection_get_bufferevent(connection_.get());
-  evbuffer_add_cb(bufferevent_get_output(stream), &OnOutputChange, this);
-  evbuffer_add_cb(bufferevent_get_input(stream), &OnInputChange, this);
-}
-
-HttpConnection::~HttpConnection() {
-  evhttp_connection_set_closecb(connection_.get(), nullptr, nullptr);
+  bufferevent_setcb(stream_.get(), &OnReadable, nullptr, &OnEvent, this);
+  evbuffer_add_cb(bufferevent_get_output(stream_.get()), &OnOutputChange, this);
 }
 
 void HttpConnection::Send(evhttp_cmd_type method,
                           const std::string& target,
                           const HttpHeaders& headers,
                           evbuffer* body,
-                          Done done) {
+                          Done done,
+                          IsForeign is_foreign) {
   assert(done_ == nullptr);
   done_ = std::move(done);
+  is_foreign_ = std::move(is_foreign);
   request_written_ = false;
   response_started_ = false;
-  evhttp_request* request = evhttp_request_new(&OnResponse, this);
-  if (request == nullptr) {
-    throw std::bad_alloc();
+  foreign_response_dropped_ = false;
+  head_request_ = method == EVHTTP_REQ_HEAD;
+  reader_ = std::make_unique<HttpResponseReader>(limits_, head_request_);
+  if (!opened_ && !Open()) {
+    Close();
+    ReportResult({});
+    return;
+  }
+  WriteRequest(method, target, headers, body);
+}
+
+bool HttpConnection::Open() {
+  opened_ = true;
+  if (bufferevent_socket_connect(stream_.get(), reinterpret_cast<const sockaddr*>(&address_),
+                                 static_cast<int>(address_size_)) != 0) {
+    return false;
   }
-  evkeyvalq* output = evhttp_request_get_output_headers(request);
+  SetSocketOptions();
+  bufferevent_enable(stream_.get(), EV_READ | EV_WRITE);
+  return true;
+}
+
+void HttpConnection::WriteRequest(evhttp_cmd_type method,
+                                  const std::string& target,
+                                  const HttpHeaders& headers,
+                                  evbuffer* body) {
+  std::string head = MethodName(method) + " " + target + " HTTP/1.1\r\n";
   for (const auto& [name, value] : headers) {
-    evhttp_add_header(output, name.c_str(), value.c_str());
+    head += name + ": " + OneLine(value) + "\r\n";
   }
+  if (body != nullptr || MayHaveBody(method)) {
+    const size_t length = body == nullptr ? 0 : evbuffer_get_length(body);
+    head += "Content-Length: " + std::to_string(length) + "\r\n";
+  }
+  head += "\r\n";
+  evbuffer* output = bufferevent_get_output(stream_.get());
+  // The head and the body are added in one step, so that they leave in one segment if they fit.
+  const BufferPtr request(evbuffer_new());
+  evbuffer_add(request.get(), head.data(), head.size());
   if (body != nullptr) {
-    // evhttp adds Content-Length for POST and PUT only. Without the header, the server would parse
-    // the body as another request.
-    const std::string length = std::to_string(evbuffer_get_length(body));
-    evhttp_add_header(output, "Content-Length", length.c_str());
-    evbuffer_add_buffer(evhttp_request_get_output_buffer(request), body);
-  }
-  if (evhttp_make_request(connection_.get(), request, method, target.c_str()) != 0) {
-    usable_ = false;
-    ReportResult({});
+    evbuffer_add_buffer(request.get(), body);
   }
+  evbuffer_add_buffer(output, request.get());
 }
 
 void HttpConnection::SetSocketOptions() {
-  const int descriptor = bufferevent_getfd(evhttp_connection_get_bufferevent(connection_.get()));
+  const int descriptor = bufferevent_getfd(stream_.get());
   const auto set = [descriptor](int level, int option, int value) {
     setsockopt(descriptor, level, option, &value, sizeof(value));
   };
+  // Without TCP_NODELAY, Nagle's algorithm delays the second segment of a request by up to 40 ms.
   set(IPPROTO_TCP, TCP_NODELAY, 1);
   if (tcp_keep_alive_) {
     set(SOL_SOCKET, SO_KEEPALIVE, 1);
@@ -95,13 +137,20 @@
 
 HttpExchange HttpConnection::Abandon() {
   done_ = nullptr;
-  response_.reset();
+  Close();
+  HttpExchange exchange;
+  exchange.request_written = request_written_;
+  exchange.response_started = response_started_;
+  return exchange;
+}
+
+void HttpConnection::Close() {
   usable_ = false;
-  return {nullptr, request_written_, response_started_};
+  bufferevent_disable(stream_.get(), EV_READ | EV_WRITE);
 }
 
 bool HttpConnection::PeerClosed() const {
-  const int descriptor = bufferevent_getfd(evhttp_connection_get_bufferevent(connection_.get()));
+  const int descriptor = bufferevent_getfd(stream_.get());
   char byte = 0;
   return descriptor >= 0 && recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0;
 }
@@ -114,55 +163,81 @@
   done_ = nullptr;
   exchange.request_written = request_written_;
   exchange.response_started = response_started_;
+  if (reader_ != nullptr) {
+    exchange.error = reader_->error();
+  }
   done(std::move(exchange));
 }
 
-void HttpConnection::OnResponse(evhttp_request* request, void* argument) {
-  auto* self = static_cast<HttpConnection*>(argument);
-  if (self->done_ == nullptr) {
+void HttpConnection::OnReadable(bufferevent*, void* argument) {
+  static_cast<HttpConnection*>(argument)->OnInput();
+}
+
+void HttpConnection::OnInput() {
+  evbuffer* input = bufferevent_get_input(stream_.get());
+  if (done_ == nullptr) {
+    // Bytes that answer no request, for example a second answer to the last one.
+    evbuffer_drain(input, evbuffer_get_length(input));
+    Close();
     return;
   }
-  // libevent reports a failed connection attempt as a request with status 0.
-  if (request == nullptr || evhttp_request_get_response_code(request) == 0) {
-    self->usable_ = false;
-    self->ReportResult({});
+  response_started_ = true;
+  const HttpResponseReader::State state = reader_->Read(input);
+  if (state == HttpResponseReader::State::kFailed) {
+    Close();
+    ReportResult({});
+  } else if (state == HttpResponseReader::State::kComplete) {
+    OnResponse();
+  }
+}
+
+void HttpConnection::OnResponse() {
+  const bool keep_alive = reader_->keep_alive();
+  HttpResponsePtr response = reader_->TakeResponse();
+  evbuffer* input = bufferevent_get_input(stream_.get());
+  if (!foreign_response_dropped_ && keep_alive && is_foreign_ != nullptr &&
+      is_foreign_(*response)) {
+    foreign_response_dropped_ = true;
+    reader_ = std::make_unique<HttpResponseReader>(limits_, head_request_);
+    if (evbuffer_get_length(input) > 0) {
+      OnInput();
+    }
     return;
   }
-  // libevent reads an owned request once more after this callback returns, so the request must not
-  // be freed before. Therefore `done_` is called later, from another event.
-  evhttp_request_own(request);
-  self->response_.reset(request);
-  event_active(self->response_ready_event_.get(), EV_TIMEOUT, 0);
+  if (!keep_alive || foreign_response_dropped_ || evbuffer_get_length(input) > 0) {
+    Close();
+  }
+  HttpExchange exchange;
+  exchange.response = std::move(response);
+  ReportResult(std::move(exchange));
 }
 
-void HttpConnection::OnResponseReady(evutil_socket_t, short, void* argument) {
+void HttpConnection::OnEvent(bufferevent*, short what, void* argument) {
+  if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0) {
+    return;
+  }
   auto* self = static_cast<HttpConnection*>(argument);
-  self->ReportResult({std::move(self->response_)});
+  self->Close();
+  if (self->done_ != nullptr && (what & BEV_EVENT_EOF) != 0) {
+    self->OnStreamEnd();
+  } else {
+    self->ReportResult({});
+  }
 }
 
-void HttpConnection::OnClose(evhttp_connection*, void* argument) {
-  static_cast<HttpConnection*>(argument)->usable_ = false;
+void HttpConnection::OnStreamEnd() {
+  HttpExchange exchange;
+  // A response without a length ends with the connection. One that was reset is not complete.
+  if (reader_->OnEndOfStream() == HttpResponseReader::State::kComplete) {
+    exchange.response = reader_->TakeResponse();
+  }
+  ReportResult(std::move(exchange));
 }
 
 void HttpConnection::OnOutputChange(evbuffer*, const evbuffer_cb_info* info, void* argument) {
-  auto* self = static_cast<HttpConnection*>(argument);
-  if (info->n_added > 0 && !self->socket_options_set_) {
-    // Sets TCP_NODELAY among others. Without it, Nagle's algorithm delays the second segment of a
-    // request by up to 40 ms.
-    self->socket_options_set_ = true;
-    self->SetSocketOptions();
-  }
-  // Bytes are removed from the buffer when they are written to the socket, or when a failed
-  // connection is reset. Both cases count as written, so that a request which may have reached the
-  // server is never treated as unsent.
+  // Bytes are removed from the buffer when they are written to the socket.
   if (info->n_deleted > 0) {
-    self->request_written_ = true;
-  }
-}
-
-void HttpConnection::OnInputChange(evbuffer*, const evbuffer_cb_info* info, void* argument) {
-  if (info->n_added > 0) {
-    static_cast<HttpConnection*>(argument)->response_started_ = true;
+    static_cast<HttpConnection*>(argument)->request_written_ = true;
   }
 }
 
--- a/net/http_connection.h
+++ b/net/http_connection.h
@@ -3,30 +3,26 @@
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/http.h>
+#include <sys/socket.h>
 
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
-#include <utility>
-#include <vector>
 
+#include "net/http_message.h"
+#include "net/http_response_reader.h"
 #include "net/libevent_ptr.h"
 
 namespace jd {
 
-using HttpRequestPtr = LibeventPtr<evhttp_request>;
-using BufferPtr = LibeventPtr<evbuffer>;
-using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
-
-/// Returns the value of a header, or an empty string if the header is absent.
-std::string HeaderValue(const evkeyvalq* headers, const char* name);
-
 /// The result of one request on a client connection.
 struct HttpExchange {
-  HttpRequestPtr response;        ///< The complete response, or null.
+  HttpResponsePtr response;       ///< The complete response, or null.
   bool request_written = false;   ///< A byte of the request may have reached the socket.
   bool response_started = false;  ///< A byte of the response was received.
+  /// Why the bytes received are no response; empty if they are one, or if none arrived.
+  std::string error;
 };
 
 /// A client connection, which carries one request at a time and never sends a request twice: a
@@ -34,28 +30,28 @@
 class HttpConnection {
  public:
   using Done = std::function<void(HttpExchange)>;
-
-  /// Maximum sizes of a response.
-  struct Limits {
-    int64_t header_bytes = 65536;
-    int64_t body_bytes = 16 << 20;
-  };
+  /// Returns whether a response answers another request than the one in progress.
+  using IsForeign = std::function<bool(const HttpResponse&)>;
+  using Limits = HttpResponseLimits;
 
   /// The first call of Send opens the connection.
   /// @param address IP address of the server.
+  /// @throws std::runtime_error if the address is not an IP address.
   HttpConnection(event_base* base, const std::string& address, uint16_t port, const Limits& limits);
-  ~HttpConnection();
   HttpConnection(const HttpConnection&) = delete;
   HttpConnection& operator=(const HttpConnection&) = delete;
 
   /// Sends a request and calls `done` once. If the request fails, `done` may be called before Send
   /// returns.
   /// @param body body of the request, whose bytes are moved out of the buffer; may be null.
+  /// @param is_foreign if set, a foreign response before the response to this request is dropped.
+  /// The connection is not usable afterwards.
   void Send(evhttp_cmd_type method,
             const std::string& target,
             const HttpHeaders& headers,
             evbuffer* body,
-            Done done);
+            Done done,
+            IsForeign is_foreign = nullptr);
   /// Stops waiting for the response of the current request, without calling `done`. The connection
   /// must not be used again.
   /// @return the state of the exchange, without a response.
@@ -74,25 +70,38 @@
   bool PeerClosed() const;
 
  private:
+  /// @return false if the connection cannot be opened.
+  bool Open();
+  void WriteRequest(evhttp_cmd_type method,
+                    const std::string& target,
+                    const HttpHeaders& headers,
+                    evbuffer* body);
+  void OnInput();
+  void OnResponse();
+  void OnStreamEnd();
+  void Close();
   void ReportResult(HttpExchange exchange);
   void SetSocketOptions();
-  static void OnResponse(evhttp_request* request, void* argument);
-  static void OnResponseReady(evutil_socket_t, short, void* argument);
-  static void OnClose(evhttp_connection* connection, void* argument);
+  static void OnReadable(bufferevent* stream, void* argument);
+  static void OnEvent(bufferevent* stream, short what, void* argument);
   static void OnOutputChange(evbuffer* buffer, const evbuffer_cb_info* info, void* argument);
-  static void OnInputChange(evbuffer* buffer, const evbuffer_cb_info* info, void* argument);
 
+  Limits limits_;
+  socklen_t address_size_ = 0;  // Declared before address_, whose initializer sets it.
+  sockaddr_storage address_{};
   Done done_;
-  HttpRequestPtr response_;  ///< Response that was received and not yet passed to `done_`.
-  LibeventPtr<event> response_ready_event_;
-  bool socket_options_set_ = false;
+  IsForeign is_foreign_;
+  std::unique_ptr<HttpResponseReader> reader_;
+  bool head_request_ = false;
+  bool opened_ = false;
   bool tcp_keep_alive_ = false;
   bool usable_ = true;
+  bool foreign_response_dropped_ = false;
   bool request_written_ = false;
   bool response_started_ = false;
-  // Declared last and so destroyed first, because freeing the connection invokes callbacks that use
+  // Declared last and so destroyed first, because freeing the stream may invoke callbacks that use
   // the other members.
-  LibeventPtr<evhttp_connection> connection_;
+  LibeventPtr<bufferevent> stream_;
 };
 
 }  // namespace jd
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -40,7 +40,7 @@
   /// Lets the endpoint answer each further request with the same response.
   void AnswerAll(const std::string& headers = "", const std::string& body = "done") {
     upstream.on_request = [headers, body](TextConnection& connection) {
-      connection.Send(HttpResponse("200 OK", headers, body));
+      connection.Answer(HttpResponse("200 OK", headers, body));
     };
   }
   std::unique_ptr<TextConnection> Connect() {
--- a/tests/http_harness.h
+++ b/tests/http_harness.h
@@ -50,6 +50,19 @@
   TextConnection& operator=(const TextConnection&) = delete;
 
   void Send(const std::string& text) { bufferevent_write(stream_, text.data(), text.size()); }
+  /// Sends a response that names the latest request received, if that request has an id.
+  void Answer(const std::string& response) {
+    const std::string name = "x-request-id: ";
+    const size_t at = received.rfind(name);
+    if (at == std::string::npos) {
+      Send(response);
+      return;
+    }
+    const size_t end = received.find("\r\n", at) + 2;
+    const size_t status_line_end = response.find("\r\n") + 2;
+    Send(response.substr(0, status_line_end) + received.substr(at, end - at) +
+         response.substr(status_line_end));
+  }
   void Close() {
     if (stream_ != nullptr) {
       shutdown(bufferevent_getfd(stream_), SHUT_RDWR);  // bufferevent_free closes the socket later.
--- /dev/null
+++ b/tests/http_response_reader_test.cc
@@ -0,0 +1,131 @@
+#include "net/http_response_reader.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+namespace jd {
+namespace {
+
+using State = HttpResponseReader::State;
+
+// A reader and the input that it has not consumed yet.
+struct Stream {
+  explicit Stream(bool head_request = false) : reader(Limits(), head_request) {}
+  static HttpResponseLimits Limits() { return {1000, 5000}; }
+
+  State Feed(const std::string& text) {
+    evbuffer_add(input.get(), text.data(), text.size());
+    return reader.Read(input.get());
+  }
+  // Repeats `text` until the reader fails or 1 MB was fed. Returns the most bytes left unconsumed.
+  size_t FeedWithoutEnd(const std::string& start, const std::string& text) {
+    Feed(start);
+    size_t most = 0;
+    for (size_t fed = 0; fed < (1 << 20) && reader.error().empty(); fed += text.size()) {
+      Feed(text);
+      most = std::max(most, evbuffer_get_length(input.get()));
+    }
+    return most;
+  }
+  std::string Body() {
+    const HttpResponsePtr response = reader.TakeResponse();
+    std::string body(evbuffer_get_length(response->body.get()), '\0');
+    evbuffer_copyout(response->body.get(), body.data(), body.size());
+    return body;
+  }
+
+  BufferPtr input = BufferPtr(evbuffer_new());
+  HttpResponseReader reader;
+};
+
+const std::string kHead = "HTTP/1.1 200 OK\r\n";
+const std::string kChunked = kHead + "Transfer-Encoding: chunked\r\n\r\n";
+
+TEST_CASE("a response is complete at the same byte however it is split",
+          "[http_response_reader_test]") {
+  const std::string response =
+      GENERATE(kHead + "Content-Length: 3\r\n\r\nabc",
+               kChunked + "2\r\nab\r\n1;x=y\r\nc\r\n0\r\nt: v\r\n\r\n",
+               "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n" + kHead +
+                   "Content-Length: 3\r\n\r\nabc");
+  for (size_t split = 1; split < response.size(); ++split) {
+    Stream stream;
+    CHECK(stream.Feed(response.substr(0, split)) == State::kIncomplete);
+    CHECK(stream.Feed(response.substr(split) + "next") == State::kComplete);
+    CHECK(evbuffer_get_length(stream.input.get()) == 4);
+    CHECK(stream.reader.keep_alive());
+    CHECK(stream.Body() == "abc");
+  }
+}
+
+TEST_CASE("every element without end is refused in bounded memory", "[http_response_reader_test]") {
+  // Guards against a server that sends bytes until the caller closes.
+  struct Case {
+    std::string start;
+    std::string endless;
+  };
+  const Case c = GENERATE(
+      Case{"", "x"}, Case{"HTTP/1.1 200 ", "O"}, Case{kHead, "a"}, Case{kHead + "a: ", "b"},
+      Case{kHead, "a: b\r\n"}, Case{"", "HTTP/1.1 100 Continue\r\n\r\n"},
+      Case{"", "HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n"}, Case{kChunked, "0"},
+      Case{kChunked + "1;", "x"}, Case{kChunked, "1;x=y\r\na\r\n"},
+      Case{kChunked + "0\r\n", "t: v\r\n"}, Case{kChunked + "0\r\nt: ", "v"},
+      Case{kHead + "Connection: close\r\n\r\n", "body"});
+  INFO(c.start + " | " + c.endless);
+  for (const size_t repeat : {size_t{1}, size_t{300}}) {
+    Stream stream;
+    std::string part;
+    for (size_t i = 0; i < repeat; ++i) {
+      part += c.endless;
+    }
+    const size_t most = stream.FeedWithoutEnd(c.start, part);
+    CHECK_FALSE(stream.reader.error().empty());
+    CHECK(most <= 2000 + part.size());
+  }
+}
+
+TEST_CASE("a response that breaks off is never complete", "[http_response_reader_test]") {
+  // Guards against a partial response that is relayed as a complete one.
+  const std::string response =
+      GENERATE("", "HTTP/1.1 200", kHead, kHead + "Content-Length: 3\r\n\r\n",
+               kHead + "Content-Length: 3\r\n\r\nab", kChunked, kChunked + "2\r\nab\r\n",
+               kChunked + "0\r\n", kChunked + "2\r\na", "HTTP/1.1 100 Continue\r\n\r\n");
+  Stream stream;
+  CHECK(stream.Feed(response) == State::kIncomplete);
+  CHECK(stream.reader.OnEndOfStream() == State::kFailed);
+}
+
+TEST_CASE("a response without a length ends with the stream", "[http_response_reader_test]") {
+  Stream stream;
+  CHECK(stream.Feed(kHead + "\r\nabc") == State::kIncomplete);
+  CHECK(stream.reader.OnEndOfStream() == State::kComplete);
+  CHECK_FALSE(stream.reader.keep_alive());
+  CHECK(stream.Body() == "abc");
+}
+
+TEST_CASE("ambiguous framing is refused", "[http_response_reader_test]") {
+  // Guards against two parties that see the end of a response at different bytes.
+  for (const char* headers :
+       {"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabc", "Content-Length: +3\r\n\r\nabc",
+        "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc",
+        "Transfer-Encoding: gzip\r\n\r\nabc", "Content-Length : 3\r\n\r\nabc"}) {
+    INFO(headers);
+    Stream stream;
+    CHECK(stream.Feed(kHead + headers) == State::kFailed);
+  }
+  Stream switching;
+  CHECK(switching.Feed("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n") == State::kFailed);
+}
+
+TEST_CASE("responses that have no body are complete after their headers",
+          "[http_response_reader_test]") {
+  Stream head(true);
+  CHECK(head.Feed(kHead + "Content-Length: 3\r\n\r\n") == State::kComplete);
+  CHECK(head.Body().empty());
+  Stream not_modified;
+  CHECK(not_modified.Feed("HTTP/1.1 304 Not Modified\r\n\r\n") == State::kComplete);
+}
+
+}  // namespace
+}  // namespace jd
--- a/tests/platform_adapter_test.cc
+++ b/tests/platform_adapter_test.cc
@@ -134,13 +134,10 @@
 
 struct ReplyParser {
   UpstreamReply Parse(int status, const std::vector<std::pair<std::string, std::string>>& headers) {
-    LibeventPtr<evhttp_request> response(evhttp_request_new(nullptr, nullptr));
-    response->response_code = status;
-    for (const auto& [name, value] : headers) {
-      evhttp_add_header(evhttp_request_get_input_headers(response.get()), name.c_str(),
-                        value.c_str());
-    }
-    return dialect.ParseReply(RequestId("r1"), response.get());
+    HttpResponse response;
+    response.status = status;
+    response.headers = headers;
+    return dialect.ParseReply(RequestId("r1"), response);
   }
   PlatformDialect dialect;
 };
@@ -166,6 +163,19 @@
   CHECK(outcome(500, Headers{{"Request-Id", "r1"}}) == AttemptOutcome::kAnswered);
 }
 
+TEST_CASE("a probe's response that names a call is invalid", "[platform_adapter_test]") {
+  // Guards against a late second response to a call that is taken for the response to a probe: the
+  // probe's own response would then be taken for the response to the next call.
+  const PlatformDialect dialect;
+  HttpResponse response;
+  response.status = 200;
+  CHECK(dialect.ParseReply(RequestId(), response).outcome == AttemptOutcome::kAnswered);
+  CHECK_FALSE(dialect.AnswersOtherRequest(RequestId(), response));
+  response.headers = {{"Request-Id", "r1"}};
+  CHECK(dialect.ParseReply(RequestId(), response).outcome == AttemptOutcome::kInvalid);
+  CHECK(dialect.AnswersOtherRequest(RequestId(), response));
+}
+
 TEST_CASE("a call counts as not executed only if the upstream says so", "[platform_adapter_test]") {
   // Guards against telling a caller that its call was not executed although it may have been.
   ReplyParser parser;
--- a/tests/upstream_test.cc
+++ b/tests/upstream_test.cc
@@ -10,7 +10,7 @@
 struct Fixture {
   Fixture() : server(&loop), pool(&loop, HttpConnection::Limits(), &dialect) {
     Configure(4);
-    pool.attempt_ended().connect([this](const AttemptResult& result, HttpRequestPtr&) {
+    pool.attempt_ended().connect([this](const AttemptResult& result, HttpResponsePtr&) {
       results[result.attempt.value].push_back(result);
     });
     pool.probe_ended().connect([this](const ProbeResult& result) { probes.push_back(result); });
@@ -29,6 +29,7 @@
     UpstreamRequest request;
     request.method = EVHTTP_REQ_POST;
     request.target = "/order";
+    request.request_id = RequestId("r" + std::to_string(attempt));
     const BufferPtr body(evbuffer_new());
     evbuffer_add_printf(body.get(), "body");
     request.body = body.get();
@@ -40,7 +41,7 @@
     return results[attempt].front();
   }
   void AnswerAll(const std::string& response) {
-    server.on_request = [response](TextConnection& connection) { connection.Send(response); };
+    server.on_request = [response](TextConnection& connection) { connection.Answer(response); };
   }
   void RunLoopBriefly() {
     for (int i = 0; i < 20; ++i) {
@@ -99,16 +100,16 @@
   REQUIRE(RunUntil(&f.loop, [&] { return f.server.requests() == 2; }));
   REQUIRE(f.server.connections.size() == 2);
   const size_t call_connection = f.server.connections[0]->Count("POST") == 1 ? 0 : 1;
-  f.server.connections[1 - call_connection]->Send(kOk);
+  f.server.connections[1 - call_connection]->Answer(kOk);
   REQUIRE(RunUntil(&f.loop, [&] { return f.probes.size() == 1; }));
-  f.server.connections[call_connection]->Send(kOk);
+  f.server.connections[call_connection]->Answer(kOk);
   f.WaitForResult(1);
   f.Send(2);
   REQUIRE(RunUntil(&f.loop, [&] { return f.server.requests() == 3; }));
-  f.server.connections[call_connection]->Send(kOk);
+  f.server.connections[call_connection]->Answer(kOk);
   f.RunLoopBriefly();
   CHECK(f.results[2].empty());
-  f.server.connections[1 - call_connection]->Send(kOk);
+  f.server.connections[1 - call_connection]->Answer(kOk);
   CHECK(f.WaitForResult(2).outcome == AttemptOutcome::kAnswered);
 }
 
@@ -122,7 +123,7 @@
   REQUIRE(RunUntil(&f.loop, [&] { return f.server.requests() == 2; }));
   REQUIRE(f.server.connections.size() == 2);
   for (const auto& connection : f.server.connections) {
-    connection->Send(kOk);
+    connection->Answer(kOk);
   }
   f.WaitForResult(1);
   f.WaitForResult(2);
@@ -133,7 +134,7 @@
     if (dropped) {
       connection.Close();
     } else {
-      connection.Send(kOk);
+      connection.Answer(kOk);
     }
   };
   f.pool.Probe({EndpointId("e"), 10s});
@@ -210,7 +211,7 @@
   const AttemptResult result = f.WaitForResult(1);
   CHECK(result.outcome == AttemptOutcome::kCancelled);
   CHECK(result.request_written);
-  f.server.connections[0]->Send(kOk);
+  f.server.connections[0]->Answer(kOk);
   f.pool.Cancel(AttemptId(1));
   f.AnswerAll(HttpResponse("201 Created", "", ""));
   f.Send(2);
@@ -302,7 +303,7 @@
   f.pool.CloseOldConnections({EndpointId("e"), between, after});
   CHECK(f.WaitForResult(1).outcome == AttemptOutcome::kConnectionLost);
   CHECK(f.results[2].empty());
-  f.server.connections[1]->Send(kOk);
+  f.server.connections[1]->Answer(kOk);
   CHECK(f.WaitForResult(2).outcome == AttemptOutcome::kAnswered);
 }
 
@@ -321,18 +322,80 @@
   REQUIRE(RunUntil(&f.loop, [&] { return f.server.requests() == 2; }));
   f.pool.CloseOldConnections({EndpointId("e"), opened, opened});
   CHECK(f.results[2].empty());
-  f.server.connections[0]->Send(kOk.substr(0, 20));
+  const std::string answer = kOk.substr(0, kOk.find("\r\n") + 2) + "x-request-id: r2\r\n" +
+                             kOk.substr(kOk.find("\r\n") + 2);
+  f.server.connections[0]->Send(answer.substr(0, 20));
   f.RunLoopBriefly();
   const MonoTime later = f.loop.ReadClocks().mono + 1s;
   f.pool.CloseOldConnections({EndpointId("e"), later, later});
   CHECK(f.results[2].empty());
-  f.server.connections[0]->Send(kOk.substr(20));
+  f.server.connections[0]->Send(answer.substr(20));
   CHECK(f.WaitForResult(2).outcome == AttemptOutcome::kAnswered);
   CHECK(f.server.connections.size() == 1);
   f.pool.CloseOldConnections({EndpointId("e"), later, MonoTime()});
   CHECK(f.pool.connections() == 0);
 }
 
+TEST_CASE("a second copy of an answer does not reach the next call", "[upstream_test]") {
+  // Guards against a caller that gets the answer to another caller's request, because the server
+  // sent that answer twice on a connection that was in use again.
+  Fixture f;
+  f.AnswerAll(kOk);
+  f.Send(1);
+  f.WaitForResult(1);
+  f.server.on_request = nullptr;
+  f.Send(2);
+  REQUIRE(RunUntil(&f.loop, [&] { return f.server.requests() == 2; }));
+  TextConnection& connection = *f.server.connections.back();
+  connection.Send(HttpResponse("200 OK", "x-request-id: r1\r\n", "first"));
+  f.RunLoopBriefly();
+  CHECK(f.results[2].empty());
+  connection.Send(HttpResponse("201 Created", "x-request-id: r2\r\n", "second"));
+  const AttemptResult result = f.WaitForResult(2);
+  CHECK(result.outcome == AttemptOutcome::kAnswered);
+  CHECK(result.status == 201);
+  // More copies may follow, so the connection is closed.
+  CHECK(f.pool.connections() == 0);
+}
+
+TEST_CASE("a connection is not reused after an answer that names no request", "[upstream_test]") {
+  // Guards against a second copy that cannot be told from the answer to the next request.
+  Fixture f;
+  f.server.on_request = [](TextConnection& connection) { connection.Send(kOk); };
+  f.Send(1);
+  CHECK(f.WaitForResult(1).outcome == AttemptOutcome::kAnswered);
+  CHECK(f.pool.connections() == 0);
+}
+
+TEST_CASE("a call is lost, and may have run, if only foreign answers arrive", "[upstream_test]") {
+  Fixture f;
+  f.Send(1);
+  REQUIRE(RunUntil(&f.loop, [&] { return f.server.requests() == 1; }));
+  const std::string foreign = HttpResponse("200 OK", "x-request-id: other\r\n", "foreign");
+  f.server.connections[0]->Send(foreign + foreign);
+  const AttemptResult result = f.WaitForResult(1);
+  CHECK(result.outcome == AttemptOutcome::kInvalid);
+  CHECK(VerdictOf(result) == Verdict::kMayHaveRun);
+}
+
+TEST_CASE("interim answers without end close the connection", "[upstream_test]") {
+  // Guards against memory that grows until the deadline, and against an interim answer that is
+  // relayed as the final one.
+  Fixture f;
+  const std::string status = GENERATE("100 Continue", "103 Early Hints");
+  f.Send(1);
+  REQUIRE(RunUntil(&f.loop, [&] { return f.server.requests() == 1; }));
+  std::string interim;
+  for (int i = 0; i < 1000; ++i) {
+    interim += "HTTP/1.1 " + status + "\r\nlink: x\r\n\r\n";
+  }
+  f.server.connections[0]->Send(interim);
+  const AttemptResult result = f.WaitForResult(1);
+  CHECK(result.outcome == AttemptOutcome::kConnectionLost);
+  CHECK(result.response_started);
+  CHECK(f.pool.connections() == 0);
+}
+
 TEST_CASE("a probe requests the health path", "[upstream_test]") {
   Fixture f;
   f.AnswerAll(kOk);
