Answer every request that was sent before a planned stop ends

Cause: when the last call was answered the process ended at once.

Change: after the last call the gateway accepts what waits, closes the port, answers what arrives meanwhile (503, not run, Connection: close), and closes each connection in two steps (`LingeringCloser`): the sending side first, then, for at most 0.5 s, what the caller still sends is read and discarded.

Ruled out: closing the port at the start of the refusing phase. A refused connection tells a caller less than a 503 with Retry-After, and the platform's balancer may still send to the last gateways of a zone.

Test: planned_stop_test, 20 stops with 18 callers (new, kept and pipelined connections), more than 10,000 requests, none cut; three runs in a row. With the old end of the stop it does not finish, because a connection that the kernel accepted is never answered.

--- a/gateway/caller_server.cc
+++ b/gateway/caller_server.cc
@@ -27,6 +27,14 @@
 // Limit on the bytes that a caller may pipeline while its current request is not answered yet.
 constexpr size_t kMaxPipelinedBytes = 65536;
 constexpr int kBadRequest = 400;
+// Interval between the steps of Close.
+constexpr Duration kCloseStep = 5ms;
+
+// Returns whether bytes of a request have arrived that were not read yet.
+bool HasUnreadBytes(bufferevent* stream) {
+  char byte = 0;
+  return recv(bufferevent_getfd(stream), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
 
 timeval ToTimeval(Duration interval) {
   return {interval.count() / 1'000'000, interval.count() % 1'000'000};
@@ -61,7 +69,9 @@
       http_(NewHttpServer(loop, settings.callers, &port_)),
       register_timer_(loop, [this] { RegisterConnections(); }),
       expiry_timer_(loop, [this] { CloseExpiredConnections(); }),
-      close_marked_timer_(loop, [this] { CloseMarkedConnections(); }) {
+      close_marked_timer_(loop, [this] { CloseMarkedConnections(); }),
+      close_timer_(loop, [this] { ContinueClose(); }),
+      lingering_(loop) {
   ApplyLimits();
   evhttp_set_allowed_methods(http_.get(), EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
                                               EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
@@ -312,6 +322,10 @@
   auto* connection = static_cast<CallerConnection*>(argument);
   CallerServer* self = connection->server;
   evbuffer_remove_cb(bufferevent_get_input(connection->stream), &OnInput, connection);
+  if (self->close_announced_ || connection->must_close) {
+    // The caller may have sent more, for example a pipelined request.
+    self->lingering_.Add(bufferevent_getfd(connection->stream));
+  }
   const CallId call = connection->call;
   self->connections_.erase(http);
   if (call != CallId()) {
@@ -339,7 +353,7 @@
 void CallerServer::CloseIdleConnections() {
   std::vector<CallerConnection*> idle;
   for (const auto& [http, connection] : connections_) {
-    if (connection->state == CallerState::kIdle) {
+    if (connection->state == CallerState::kIdle && !HasUnreadBytes(connection->stream)) {
       idle.push_back(connection.get());
     }
   }
@@ -348,6 +362,26 @@
   }
 }
 
+void CallerServer::Close() {
+  AnnounceClose();
+  // Close may be called while evhttp finishes an answer, when no connection may be closed.
+  close_timer_.ScheduleNow();
+}
+
+void CallerServer::ContinueClose() {
+  // The event loop accepts pending connections before the next step.
+  if (listening_ && !HasPendingConnections(http_.get())) {
+    StopListening(http_.get());
+    listening_ = false;
+  }
+  CloseIdleConnections();
+  if (!listening_ && connections_.empty() && unregistered_streams_.empty() && lingering_.empty()) {
+    closed_.emit();
+    return;
+  }
+  close_timer_.Schedule(kCloseStep);
+}
+
 void CallerServer::CloseExpiredConnections() {
   const MonoTime now = loop_->ReadClocks().mono;
   std::vector<CallerConnection*> overdue;
--- a/gateway/caller_server.h
+++ b/gateway/caller_server.h
@@ -14,7 +14,8 @@
 #include "gateway/http_server.h"
 #include "gateway/settings.h"
 #include "net/event_loop.h"
-#include "net/http_connection.h"
+#include "net/http_message.h"
+#include "net/lingering_closer.h"
 #include "policy/call_request.h"
 #include "policy/refusal.h"
 
@@ -47,6 +48,8 @@
   /// Emitted when an invalid request was rejected without becoming a call; the argument is the HTTP
   /// status.
   sigc::signal<void(int)>& rejected() { return rejected_; }
+  /// Emitted once after Close, when every connection is closed.
+  sigc::signal<void()>& closed() { return closed_; }
 
   /// Returns the HTTP request of a call that has not ended.
   evhttp_request* request(CallId call) const { return calls_.at(call); }
@@ -63,8 +66,12 @@
               const std::string& body);
   /// From now on adds "Connection: close" to each answer. Idle connections stay open.
   void AnnounceClose() { close_announced_ = true; }
-  /// Closes the connections that are between two requests.
+  /// Closes the connections that are between two requests, except those on which the next request
+  /// has already arrived.
   void CloseIdleConnections();
+  /// Accepts the connections that wait to be accepted, closes the port, and closes each connection
+  /// once its last request is answered. Requests that arrive meanwhile must be answered as usual.
+  void Close();
   /// Replaces the limits from the settings file; open connections keep their limits on the size of
   /// headers and bodies.
   void SetLimits(const CallerLimits& limits);
@@ -103,6 +110,8 @@
   /// Closes the connections that exceed a time limit, and the longest idle ones if more are idle
   /// than allowed.
   void CloseExpiredConnections();
+  /// Advances Close and schedules its next step.
+  void ContinueClose();
   /// Returns the number of connections that are not idle.
   size_t busy_connections() const;
   void SetState(CallerConnection* connection, CallerState state);
@@ -122,10 +131,14 @@
   Timer register_timer_;
   Timer expiry_timer_;
   Timer close_marked_timer_;
+  Timer close_timer_;
+  bool listening_ = true;
+  LingeringCloser lingering_;
   sigc::signal<void(const CallRequest&)> call_arrived_;
   sigc::signal<void(CallId)> caller_gone_;
   sigc::signal<void()> became_idle_;
   sigc::signal<void(int)> rejected_;
+  sigc::signal<void()> closed_;
 };
 
 }  // namespace jd
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -105,6 +105,10 @@
   callers_.call_arrived().connect(sigc::mem_fun(*this, &Gateway::OnCall));
   callers_.caller_gone().connect(sigc::mem_fun(*this, &Gateway::OnCallerGone));
   callers_.became_idle().connect(sigc::mem_fun(*this, &Gateway::FinishIfDrained));
+  callers_.closed().connect([this] {
+    LogInfo(LogPart::kGateway, "Drained.");
+    stopped_.emit();
+  });
   upstreams_.attempt_ended().connect(sigc::mem_fun(*this, &Gateway::OnAttemptEnded));
   upstreams_.probe_ended().connect([this](const ProbeResult& result) {
     metrics_.CountProbe(result.answered);
@@ -141,8 +145,7 @@
 void Gateway::FinishIfDrained() {
   if (refusing_ && !executing_ && node_.drained() && callers_.idle()) {
     refusing_ = false;
-    LogInfo(LogPart::kGateway, "Drained.");
-    stopped_.emit();
+    callers_.Close();
   }
 }
 
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -114,7 +114,8 @@
   /// Schedules a call of Node::OnLoopIterationEnd after the events of the current iteration of the
   /// event loop.
   void ScheduleIterationEnd();
-  /// Emits the signal `stopped` if the gateway is stopping and all calls and answers are complete.
+  /// Closes the port for callers and the connections if the gateway is stopping and all calls and
+  /// answers are complete. The signal `stopped` follows.
   void FinishIfDrained();
   /// Ends the grace period of a graceful stop: refuses new calls and closes idle connections.
   void BeginRefusing();
--- a/gateway/http_server.cc
+++ b/gateway/http_server.cc
@@ -3,11 +3,42 @@
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <stdexcept>
+#include <vector>
 
 namespace jd {
+namespace {
+
+std::vector<evhttp_bound_socket*> BoundSockets(evhttp* server) {
+  std::vector<evhttp_bound_socket*> sockets;
+  evhttp_foreach_bound_socket(
+      server,
+      [](evhttp_bound_socket* socket, void* out) {
+        static_cast<std::vector<evhttp_bound_socket*>*>(out)->push_back(socket);
+      },
+      &sockets);
+  return sockets;
+}
+
+}  // namespace
+
+bool HasPendingConnections(evhttp* server) {
+  const std::vector<evhttp_bound_socket*> sockets = BoundSockets(server);
+  return std::any_of(sockets.begin(), sockets.end(), [](evhttp_bound_socket* socket) {
+    pollfd poll_fd{evhttp_bound_socket_get_fd(socket), POLLIN, 0};
+    return poll(&poll_fd, 1, 0) > 0;
+  });
+}
+
+void StopListening(evhttp* server) {
+  for (evhttp_bound_socket* socket : BoundSockets(server)) {
+    evhttp_del_accept_socket(server, socket);
+  }
+}
 
 HttpServerPtr NewHttpServer(EventLoop* loop, const ListenAddress& address, uint16_t* bound_port) {
   HttpServerPtr server(evhttp_new(loop->base()));
--- a/gateway/http_server.h
+++ b/gateway/http_server.h
@@ -19,6 +19,13 @@
 /// @throws std::runtime_error if the port cannot be opened.
 HttpServerPtr NewHttpServer(EventLoop* loop, const ListenAddress& address, uint16_t* bound_port);
 
+/// Returns whether connections wait to be accepted.
+bool HasPendingConnections(evhttp* server);
+
+/// Closes the port of a server. Its open connections stay. A connection that still waits to be
+/// accepted is reset.
+void StopListening(evhttp* server);
+
 /// Appends a JSON value to a body and adds the Content-Type header.
 void AddJsonBody(evkeyvalq* headers, evbuffer* body, const nlohmann::json& value);
 
