Close a caller's connection whose chunk size line has no end

Cause: evhttp buffers the size line of a chunk without a limit and scans it again with each read. On one connection held 33 MB after 6 s, and no limit of [limits] ended it (shown in the issue).

Change: `ChunkSizeGuard` follows the chunks of a request body and closes the connection when a size line with its extensions exceeds the limit on headers.

Ruled out: a limit on what stays in the input buffer while a body arrives. evhttp leaves a body with a length, and each chunk, there until it is complete; the test of a body of maximum size failed with it. A look at evhttp's own state of the request: the hook for new requests is not in this version of libevent.

--- a/gateway/caller_connection.h
+++ b/gateway/caller_connection.h
@@ -10,6 +10,7 @@
 
 #include "common/ids.h"
 #include "common/units.h"
+#include "gateway/chunk_size_guard.h"
 
 namespace jd {
 
@@ -35,18 +36,25 @@
   int consecutive_line_ends = 0;  ///< Number of consecutive line ends received; two end the header.
   std::string method;             ///< The part of the method that has arrived.
   bool method_known = false;  ///< The method has arrived completely, or is too long to be valid.
-  /// The method is not supported and the connection must be closed, because evhttp might parse the
-  /// body as the next request.
+  /// The request has a method that is not supported, so that evhttp might parse its body as the
+  /// next request, or an element that is too long. The connection must be closed.
   bool must_close = false;
 
   /// Returns to the state kIdle to wait for the next request.
   void ResetForNextRequest(MonoTime now);
   /// Updates the state with received bytes. This is needed for the time limits of headers and
   /// bodies, because evhttp reports only complete requests.
-  void TrackBytes(std::string_view bytes, MonoTime now);
+  /// @param max_chunk_line_bytes limit on the size line of a chunk.
+  void TrackBytes(std::string_view bytes, MonoTime now, size_t max_chunk_line_bytes);
 
  private:
   void TrackMethodByte(char c);
+  void TrackHeaderByte(char c);
+
+  /// The start of the current header line, as far as needed to recognize Transfer-Encoding.
+  std::string header_line_;
+  bool chunked_ = false;  ///< The body is chunked.
+  ChunkSizeGuard chunk_size_guard_;
 };
 
 }  // namespace jd
--- a/gateway/caller_server.cc
+++ b/gateway/caller_server.cc
@@ -135,7 +135,8 @@
 void CallerServer::OnInput(evbuffer*, const evbuffer_cb_info* info, void* argument) {
   auto* connection = static_cast<CallerConnection*>(argument);
   if (info->n_added > 0 &&
-      (connection->state == CallerState::kIdle || connection->state == CallerState::kHeader)) {
+      (connection->state == CallerState::kIdle || connection->state == CallerState::kHeader ||
+       connection->state == CallerState::kBody)) {
     connection->server->TrackRequestBytes(connection, info->orig_size);
   }
 }
@@ -149,7 +150,8 @@
   evbuffer_peek(buffer, -1, &start, parts.data(), static_cast<int>(parts.size()));
   const MonoTime now = loop_->ReadClocks().mono;
   for (const evbuffer_iovec& part : parts) {
-    connection->TrackBytes({static_cast<const char*>(part.iov_base), part.iov_len}, now);
+    connection->TrackBytes({static_cast<const char*>(part.iov_base), part.iov_len}, now,
+                           static_cast<size_t>(limits_.header_bytes));
   }
   if (connection->must_close) {
     // The connection cannot be closed here, because evhttp is in the middle of reading from it.
--- a/tests/callers_test.cc
+++ b/tests/callers_test.cc
@@ -160,6 +160,23 @@
   CHECK(f.WaitFor(*caller, "done", 3));
 }
 
+TEST_CASE("a size line of a chunk without end is rejected", "[callers_test]") {
+  // Guards against a caller whose bytes are buffered for as long as it sends.
+  GatewayFixture f("[limits]\nheader_bytes = 2048\nbody_bytes = 100000\n");
+  const std::string size_line = GENERATE("0", "1;x", "5\r\nabcde\r\n2;");
+  const auto caller = f.Connect();
+  caller->Send("POST /a HTTP/1.1\r\nx-service: s\r\nTransfer-Encoding: chunked\r\n\r\n" +
+               size_line);
+  Timer send_more(&f.loop, [&] {
+    caller->Send(std::string(1000, size_line == "0" ? '0' : 'x'));
+    send_more.Schedule(1ms);
+  });
+  send_more.Schedule(1ms);
+  CHECK(f.Wait([&] { return caller->closed; }));
+  CHECK(f.upstream.connections.empty());
+  CHECK(f.Status("/metrics").find("jackdawdeck_caller_connections 0") != std::string::npos);
+}
+
 TEST_CASE("slow senders and idle connections are closed", "[callers_test]") {
   GatewayFixture f(
       "[limits]\nheader_timeout_ms = 200\nbody_timeout_ms = 200\nidle_timeout_ms = 400\n");
