Spread reads of the store that many gateways have a reason to make at once

Change: a read after a gap or a pause is delayed by a random time of up to 200 ms, so that the read of the first covers the others; a full read makes no gateway the reader.

Ruled out: a longer time between the calls of a gateway during an outage (5 s in place of 1.2 s). With it a gateway that alone reaches the store again would read for the others up to 5 s late, which a test of table_sharing_test forbids.

--- a/cluster/table_watch.cc
+++ b/cluster/table_watch.cc
@@ -31,7 +31,14 @@
 }  // namespace
 
 std::optional<WatchCall> TableWatch::NextCall(MonoTime now) {
-  if (call_pending_ || now < due_ || paused()) {
+  if (paused()) {
+    was_paused_ = true;
+    return std::nullopt;
+  }
+  if (std::exchange(was_paused_, false)) {
+    due_ = std::max(due_, now + RandomDelay(Duration(0), kMaxReadSpread));
+  }
+  if (call_pending_ || now < due_) {
     return std::nullopt;
   }
   call_pending_ = true;
@@ -82,7 +89,9 @@
     return changes;
   }
   if (update.after > version_) {
-    due_ = now;  // Changes between the two versions were missed, so read the store directly.
+    // Changes between the two versions were missed, so read the store soon. Other gateways may have
+    // missed them too, and the first read covers the gap for all.
+    due_ = std::min(due_, now + RandomDelay(Duration(0), kMaxReadSpread));
     return changes;
   }
   OnStoreReachable(now);
@@ -180,6 +189,8 @@
   next_page_key_.clear();
   full_read_pending_ = false;
   complete_ = true;
+  // Gateways that start at the same time have all read the table, so none is the reader yet.
+  is_reader_ = false;
   due_ = std::max(due_, now + RandomDelay(timing_.min_takeover_delay, timing_.max_takeover_delay));
 }
 
--- a/cluster/table_watch.h
+++ b/cluster/table_watch.h
@@ -92,6 +92,9 @@
   static constexpr Duration kMaxRetryDelay = 1s;
   /// Maximum delay between the calls of a gateway while the calls of other gateways fail too.
   static constexpr Duration kMaxSharedRetryDelay = 1200ms;
+  /// A read that many gateways have a reason to make at the same moment is delayed by a random time
+  /// up to this, so that the update of the first one spares the others the read.
+  static constexpr Duration kMaxReadSpread = 200ms;
 
   struct Timing {
     Duration interval{0};  ///< Minimum time between the starts of two calls.
@@ -170,6 +173,7 @@
   const TableWatch* availability_source_ = nullptr;
   Timing timing_;
   RandomEngine random_;
+  bool was_paused_ = false;  ///< PauseWhileUnavailable kept the previous NextCall from a call.
   std::map<std::string, WatchedRow> rows_;       ///< Existing rows by key.
   std::map<std::string, MonoTime> missing_;      ///< By key: when the row is reported as deleted.
   std::map<std::string, WatchedRow> page_rows_;  ///< Rows of the full read in progress.
