--- a/gateway/caller_server.cc
+++ b/gateway/caller_server.cc
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <array>
 #include <cassert>
+#include <cctype>
 #include <cmath>
 #include <cstdio>
 #include <nlohmann/json.hpp>
@@ -17,6 +18,7 @@
 
 #include "gateway/header_rules.h"
 #include "gateway/http_server.h"
+#include "gateway/log.h"
 
 namespace jd {
 namespace {
@@ -36,6 +38,13 @@
   return recv(bufferevent_getfd(stream), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+// Returns a text from a caller without bytes that could break a log line.
+std::string Printable(std::string text) {
+  std::replace_if(
+      text.begin(), text.end(), [](unsigned char c) { return std::isgraph(c) == 0; }, '?');
+  return text;
+}
+
 timeval ToTimeval(Duration interval) {
   return {interval.count() / 1'000'000, interval.count() % 1'000'000};
 }
@@ -167,6 +176,8 @@
     }
   }
   for (const CallerConnection* connection : marked) {
+    LogWarning(LogPart::kCalls, "event=request-unreadable method=" + Printable(connection->method) +
+                                    " fault=unsupported method or chunk size line over the limit");
     rejected_.emit(kBadRequest);
     bufferevent_trigger_event(connection->stream, BEV_EVENT_TIMEOUT | BEV_EVENT_READING, 0);
   }
--- a/gateway/upstream_pool.cc
+++ b/gateway/upstream_pool.cc
@@ -4,6 +4,7 @@
 #include <cassert>
 
 #include "gateway/header_rules.h"
+#include "gateway/log.h"
 
 namespace jd {
 namespace {
@@ -175,6 +176,11 @@
   Exchange exchange = std::move(entry.mapped());
   deadlines_.erase({exchange.deadline, id});
   UpstreamReply reply;
+  if (!result.error.empty()) {
+    LogWarning(LogPart::kCalls,
+               "event=answer-unreadable endpoint=" + exchange.connection->endpoint.value +
+                   " request=" + exchange.request_id.value + " fault=" + result.error);
+  }
   if (result.response != nullptr) {
     reply = dialect_->ParseReply(exchange.request_id, *result.response);
   } else {
--- a/net/http_response_reader.cc
+++ b/net/http_response_reader.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <new>
 #include <utility>
 
 namespace jd {
@@ -25,15 +26,17 @@
 // Returns a buffer that owns the text, without a copy.
 BufferPtr ToBuffer(std::string text) {
   BufferPtr buffer(evbuffer_new());
-  if (!text.empty()) {
-    auto owned = std::make_unique<std::string>(std::move(text));
-    const auto release = [](const void*, size_t, void* owner) {
-      delete static_cast<std::string*>(owner);
-    };
-    if (evbuffer_add_reference(buffer.get(), owned->data(), owned->size(), release, owned.get()) ==
-        0) {
-      owned.release();
-    }
+  if (text.empty()) {
+    return buffer;
+  }
+  auto owned = std::make_unique<std::string>(std::move(text));
+  const char* data = owned->data();
+  const size_t size = owned->size();
+  const auto release = [](const void*, size_t, void* owner) {
+    delete static_cast<std::string*>(owner);
+  };
+  if (evbuffer_add_reference(buffer.get(), data, size, release, owned.release()) != 0) {
+    throw std::bad_alloc();
   }
   return buffer;
 }
--- a/tests/fuzz.cc
+++ b/tests/fuzz.cc
@@ -22,6 +22,7 @@
 #include "gateway/header_rules.h"
 #include "gateway/settings.h"
 #include "gateway/table_codec.h"
+#include "net/http_response_reader.h"
 #include "rpc/convert.h"
 #include "rpc/frame.h"
 
@@ -342,6 +343,34 @@
   });
 }
 
+TEST_CASE("responses", "[.fuzz]") {
+  const std::vector<Bytes> samples = {
+      "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\na: b\r\n\r\nHTTP/1.1 200 OK\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n2;x=y\r\nab\r\n0\r\nt: v\r\n\r\n",
+      "HTTP/1.0 200 OK\r\n\r\nuntil the end"};
+  constexpr HttpResponseLimits kLimits = {200, 1000};
+  Fuzz("responses", samples, [&](const Bytes& bytes) {
+    // The bytes arrive in two parts, and then the stream ends.
+    HttpResponseReader reader(kLimits, false);
+    const BufferPtr input(evbuffer_new());
+    const size_t split = bytes.size() / 2;
+    evbuffer_add(input.get(), bytes.data(), split);
+    reader.Read(input.get());
+    evbuffer_add(input.get(), bytes.data() + split, bytes.size() - split);
+    const bool complete = reader.Read(input.get()) == HttpResponseReader::State::kComplete;
+    const bool ended = reader.OnEndOfStream() == HttpResponseReader::State::kComplete;
+    REQUIRE((!complete || ended));
+    REQUIRE(ended == reader.error().empty());
+    if (ended) {
+      const HttpResponsePtr response = reader.TakeResponse();
+      REQUIRE(response->status >= 200);
+      REQUIRE(evbuffer_get_length(response->body.get()) <= 1000);
+    }
+    return ended;
+  });
+}
+
 TEST_CASE("table replies", "[.fuzz]") {
   const std::vector<Bytes> samples = {
       R"({"versions":{"a":3,"b":4}})", R"({"key":"a","value":"v","version":3})",
