Make the test of a common gap catch reads that start at the same moment

The mutant reads_not_spread was missed: the simulation answers a call within its step, so the first gateway's update reached the others before their turn. The test now also counts the gateways whose read is due within 20 ms.

--- a/tests/table_sharing_test.cc
+++ b/tests/table_sharing_test.cc
@@ -137,6 +137,11 @@
   for (Gateway& gateway : zone.gateways) {
     gateway.Apply(gateway.watch.OnPeerUpdate(At(zone.time), update));
   }
+  // Their reads must not start at the same moment, because a reply takes some time.
+  const MonoTime soon = At(zone.time + 20ms);
+  CHECK(std::count_if(zone.gateways.begin(), zone.gateways.end(), [&](const Gateway& gateway) {
+          return gateway.watch.next_timer() <= soon;
+        }) <= 60 / 4);
   zone.RunUntil(5s + TableWatch::kMaxReadSpread + 20ms);
   for (const Gateway& gateway : zone.gateways) {
     CHECK(gateway.known.size() == 3);
