Give the generators of three tests strings of their own

valgrind showed reads of uninitialised bytes in http_response_reader_test: a generator whose first value is a literal kept pointers to temporaries. With strings it is silent over the tests of the upstream pool, the response reader, the chunk guard, the caller server and the stop.

--- a/tests/callers_test.cc
+++ b/tests/callers_test.cc
@@ -163,7 +163,7 @@
 TEST_CASE("a size line of a chunk without end is rejected", "[callers_test]") {
   // Guards against a caller whose bytes are buffered for as long as it sends.
   GatewayFixture f("[limits]\nheader_bytes = 2048\nbody_bytes = 100000\n");
-  const std::string size_line = GENERATE("0", "1;x", "5\r\nabcde\r\n2;");
+  const std::string size_line = GENERATE(as<std::string>{}, "0", "1;x", "5\r\nabcde\r\n2;");
   const auto caller = f.Connect();
   caller->Send("POST /a HTTP/1.1\r\nx-service: s\r\nTransfer-Encoding: chunked\r\n\r\n" +
                size_line);
--- a/tests/http_response_reader_test.cc
+++ b/tests/http_response_reader_test.cc
@@ -88,7 +88,7 @@
 TEST_CASE("a response that breaks off is never complete", "[http_response_reader_test]") {
   // Guards against a partial response that is relayed as a complete one.
   const std::string response =
-      GENERATE("", "HTTP/1.1 200", kHead, kHead + "Content-Length: 3\r\n\r\n",
+      GENERATE(as<std::string>{}, "", "HTTP/1.1 200", kHead, kHead + "Content-Length: 3\r\n\r\n",
                kHead + "Content-Length: 3\r\n\r\nab", kChunked, kChunked + "2\r\nab\r\n",
                kChunked + "0\r\n", kChunked + "2\r\na", "HTTP/1.1 100 Continue\r\n\r\n");
   Stream stream;
--- a/tests/upstream_test.cc
+++ b/tests/upstream_test.cc
@@ -382,7 +382,7 @@
   // Guards against memory that grows until the deadline, and against an interim answer that is
   // relayed as the final one.
   Fixture f;
-  const std::string status = GENERATE("100 Continue", "103 Early Hints");
+  const std::string status = GENERATE(as<std::string>{}, "100 Continue", "103 Early Hints");
   f.Send(1);
   REQUIRE(RunUntil(&f.loop, [&] { return f.server.requests() == 1; }));
   std::string interim;
