Set up the response parser in one place

The limits and the handling of HEAD were set twice, at the start and after an interim response. The parser's constructor sets them now.

--- a/net/http_response_reader.cc
+++ b/net/http_response_reader.cc
@@ -43,14 +43,19 @@
 
 }  // namespace
 
-class HttpResponseReader::Parser : public http::response_parser<http::string_body> {};
+class HttpResponseReader::Parser : public http::response_parser<http::string_body> {
+ public:
+  Parser(const HttpResponseLimits& limits, bool head_request) {
+    header_limit(static_cast<uint32_t>(limits.header_bytes));
+    body_limit(static_cast<uint64_t>(limits.body_bytes));
+    skip(head_request);
+  }
+};
 
 HttpResponseReader::HttpResponseReader(const HttpResponseLimits& limits, bool head_request)
-    : limits_(limits), head_request_(head_request), parser_(std::make_unique<Parser>()) {
-  parser_->header_limit(static_cast<uint32_t>(limits.header_bytes));
-  parser_->body_limit(static_cast<uint64_t>(limits.body_bytes));
-  parser_->skip(head_request);
-}
+    : limits_(limits),
+      head_request_(head_request),
+      parser_(std::make_unique<Parser>(limits, head_request)) {}
 
 HttpResponseReader::~HttpResponseReader() = default;
 
@@ -117,10 +122,7 @@
     Fail("too many interim responses");
     return;
   }
-  parser_ = std::make_unique<Parser>();
-  parser_->header_limit(static_cast<uint32_t>(limits_.header_bytes));
-  parser_->body_limit(static_cast<uint64_t>(limits_.body_bytes));
-  parser_->skip(head_request_);
+  parser_ = std::make_unique<Parser>(limits_, head_request_);
 }
 
 HttpResponseReader::State HttpResponseReader::OnEndOfStream() {
