Log the limit that an endpoint names

platform/server_limit reads the header Server-Limit of every response, of probes and of calls. What is no decimal number from 0 on, or is repeated with another value, is refused with event=limit-unreadable and leaves the known limit in force. A change is logged as event=endpoint-limit with the source, and attempt-started shows limit_per_s=. No decision uses it yet.

--- a/common/event_ring.cc
+++ b/common/event_ring.cc
@@ -24,6 +24,8 @@
       return "endpoint-draining";
     case EventKind::kEndpointEjected:
       return "endpoint-ejected";
+    case EventKind::kEndpointLimit:
+      return "endpoint-limit";
     case EventKind::kSlotsLent:
       return "slots-lent";
     case EventKind::kSlotsExpired:
--- a/common/event_ring.h
+++ b/common/event_ring.h
@@ -22,6 +22,7 @@
   kEndpointWarm,
   kEndpointDraining,
   kEndpointEjected,
+  kEndpointLimit,
   kSlotsLent,
   kSlotsExpired,
   kOwnerChanged,
--- a/common/load_report.h
+++ b/common/load_report.h
@@ -12,6 +12,14 @@
 /// State of an endpoint: warming up after a start, fully available, or about to stop.
 enum class EndpointState : uint8_t { kCold, kWarm, kDraining };
 
+/// The limit that an upstream names in a response: the calls per second that it accepts from all
+/// gateways together, until a later response names another limit or none.
+struct NamedLimit {
+  std::optional<CallRate> rate;  ///< Absent: the upstream names no limit.
+  bool readable = true;          ///< False: the limit is malformed, so the known one stays.
+  bool operator==(const NamedLimit&) const = default;
+};
+
 /// The load and state that an upstream reports about itself in the headers of responses, including
 /// those of its health check path.
 struct LoadReport {
@@ -26,6 +34,7 @@
   /// Current service time in percent of the usual service time.
   int32_t slowdown_percent = kNormalSlowdownPercent;
   Duration cold_remaining{0};  ///< Remaining time until the upstream is warm, if reported.
+  NamedLimit limit = {};
   bool operator==(const LoadReport&) const = default;
 };
 
--- a/common/units.h
+++ b/common/units.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <compare>
 #include <cstdint>
 
 namespace jd {
@@ -33,6 +34,12 @@
 using std::chrono_literals::operator""s;
 using std::chrono_literals::operator""min;
 
+/// A rate of calls, in calls per second.
+struct CallRate {
+  double per_second = 0;
+  auto operator<=>(const CallRate&) const = default;
+};
+
 /// Returns `time` in microseconds since the epoch of its clock.
 constexpr int64_t Micros(MonoTime time) {
   return time.time_since_epoch().count();
--- a/gateway/http_dialect.h
+++ b/gateway/http_dialect.h
@@ -28,6 +28,9 @@
   /// Time after which the upstream closes the connection if the connection stays idle; empty if the
   /// upstream does not announce it.
   std::optional<Duration> idle_timeout;
+  /// Whether the response names a limit that is malformed, and its text for the log.
+  bool limit_unreadable = false;
+  std::string unreadable_limit = {};
   /// Whether the connection may carry another request.
   bool reusable = true;
 };
--- a/gateway/log.cc
+++ b/gateway/log.cc
@@ -120,6 +120,7 @@
     case EventKind::kEndpointWarm:
     case EventKind::kEndpointDraining:
     case EventKind::kEndpointEjected:
+    case EventKind::kEndpointLimit:
     case EventKind::kProbe:
       return LogPart::kEndpoints;
     case EventKind::kPeerLive:
--- a/gateway/upstream_pool.cc
+++ b/gateway/upstream_pool.cc
@@ -183,6 +183,12 @@
   }
   if (result.response != nullptr) {
     reply = dialect_->ParseReply(exchange.request_id, *result.response);
+    if (reply.limit_unreadable) {
+      LogWarning(LogPart::kCalls,
+                 "event=limit-unreadable endpoint=" + exchange.connection->endpoint.value +
+                     " request=" + exchange.request_id.value + " value='" + reply.unreadable_limit +
+                     "'");
+    }
   } else {
     reply.outcome =
         result.request_written ? AttemptOutcome::kConnectionLost : AttemptOutcome::kConnectFailed;
--- a/policy/dispatcher.h
+++ b/policy/dispatcher.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -95,6 +96,13 @@
   /// Ends a round of probes: sends the call to a probed endpoint, probes further endpoints or
   /// refuses the call.
   void FinishProbeRound(MonoTime now, CallId id, CallActions* actions);
+  /// Returns the limit that the endpoint names, or nothing.
+  std::optional<CallRate> KnownLimit(const EndpointId& endpoint) const;
+  /// Records the limit of an endpoint if it differs from the one known before.
+  void RecordLimitChange(const EndpointId& endpoint,
+                         std::optional<CallRate> before,
+                         std::string_view source,
+                         CallActions* actions) const;
   /// Sends the waiting calls of a service until no slot is free.
   void SendWaitingCalls(MonoTime now, const ServiceId& service, CallActions* actions);
   /// Reports the queue lengths that changed to the routing policy.
@@ -142,7 +150,9 @@
   const AttemptContext& context = ended->attempt.context();
   policy_->Release(now, context.endpoint, ended->result);
   if (result.report) {
+    const std::optional<CallRate> limit = KnownLimit(context.endpoint);
     policy_->OnLoadReport(now, context.endpoint, *result.report);
+    RecordLimitChange(context.endpoint, limit, "call", actions);
   }
   Call* retry = call_manager_.HandleEndedAttempt(now, *ended, actions);
   if (retry != nullptr) {
@@ -278,13 +288,44 @@
     if (result.answered) {
       probe_rounds_.RecordLatency(result.latency);
     }
+    const std::optional<CallRate> limit = KnownLimit(result.endpoint);
     const bool decides = policy_->OnProbeResult(now, result);
+    RecordLimitChange(result.endpoint, limit, "probe", actions);
     for (const CallId id : probe_rounds_.OnProbeResult(result.endpoint, result.answered, decides)) {
       FinishProbeRound(now, id, actions);
     }
   }
 }
 
+template <RoutingPolicy Policy>
+std::optional<CallRate> Dispatcher<Policy>::KnownLimit(const EndpointId& endpoint) const {
+  if constexpr (ProbingPolicy<Policy>) {
+    return policy_->KnownLimit(endpoint);
+  } else {
+    return std::nullopt;
+  }
+}
+
+template <RoutingPolicy Policy>
+void Dispatcher<Policy>::RecordLimitChange(const EndpointId& endpoint,
+                                           std::optional<CallRate> before,
+                                           std::string_view source,
+                                           CallActions* actions) const {
+  const std::optional<CallRate> limit = KnownLimit(endpoint);
+  if (limit == before) {
+    return;
+  }
+  const auto describe = [](std::optional<CallRate> rate) {
+    return rate ? std::to_string(rate->per_second) : "none";
+  };
+  Event event;
+  event.kind = EventKind::kEndpointLimit;
+  event.endpoint = endpoint;
+  event.detail =
+      "per_s=" + describe(limit) + " before=" + describe(before) + " source=" + std::string(source);
+  actions->push_back(RecordEvent{std::move(event)});
+}
+
 template <RoutingPolicy Policy>
 std::optional<MonoTime> Dispatcher<Policy>::next_timer() const {
   std::optional<MonoTime> next = call_manager_.next_timer();
--- a/policy/fresh_load.cc
+++ b/policy/fresh_load.cc
@@ -160,7 +160,15 @@
          " slots=" + std::to_string(record.report.slots) +
          " slowdown_percent=" + std::to_string(record.report.slowdown_percent) +
          " sent_since=" + std::to_string(record.sent_since_report) +
-         " report_age_us=" + std::to_string((now - record.report_time).count());
+         " report_age_us=" + std::to_string((now - record.report_time).count()) +
+         (record.report.limit.rate
+              ? " limit_per_s=" + std::to_string(record.report.limit.rate->per_second)
+              : "");
+}
+
+std::optional<CallRate> FreshLoad::KnownLimit(const EndpointId& endpoint) const {
+  const auto found = records_.find(endpoint);
+  return found == records_.end() ? std::nullopt : found->second.report.limit.rate;
 }
 
 void FreshLoad::Release(MonoTime now, const EndpointId& endpoint, const AttemptResult& result) {
@@ -232,7 +240,11 @@
     return;
   }
   EndpointRecord& record = found->second;
+  const NamedLimit known_limit = record.report.limit;
   record.report = report;
+  if (!report.limit.readable) {
+    record.report.limit = known_limit;
+  }
   record.has_report = true;
   record.report_time = now;
   record.sent_since_report = 0;
--- a/policy/fresh_load.h
+++ b/policy/fresh_load.h
@@ -50,6 +50,8 @@
 
   /// Returns the latest load report of an endpoint and its age as name=value pairs for the log.
   std::string DescribeLoad(MonoTime now, const EndpointId& endpoint) const;
+  /// Returns the limit in the latest load report of an endpoint, or nothing.
+  std::optional<CallRate> KnownLimit(const EndpointId& endpoint) const;
 
   /// Chooses the endpoint with the lowest expected latency among those with a recent load report.
   /// @return nothing if no such endpoint may get the call.
--- a/policy/policy_variant.cc
+++ b/policy/policy_variant.cc
@@ -111,6 +111,18 @@
       policy_);
 }
 
+std::optional<CallRate> PolicyVariant::KnownLimit(const EndpointId& endpoint) const {
+  return std::visit(
+      [&](const auto& policy) -> std::optional<CallRate> {
+        if constexpr (ProbingPolicy<std::decay_t<decltype(policy)>>) {
+          return policy.KnownLimit(endpoint);
+        } else {
+          return std::nullopt;
+        }
+      },
+      policy_);
+}
+
 std::string_view PolicyVariant::name() const {
   return std::visit([](const auto& policy) { return std::decay_t<decltype(policy)>::kName; },
                     policy_);
--- a/policy/policy_variant.h
+++ b/policy/policy_variant.h
@@ -47,6 +47,7 @@
   void SetProbeRate(MonoTime now, double rate);
   bool OnProbeResult(MonoTime now, const ProbeResult& result);
   std::string DescribeLoad(MonoTime now, const EndpointId& endpoint) const;
+  std::optional<CallRate> KnownLimit(const EndpointId& endpoint) const;
 
   /// Returns the name of the policy.
   std::string_view name() const;
--- a/policy/routing_policy.h
+++ b/policy/routing_policy.h
@@ -102,6 +102,8 @@
   /// Returns the known load of an endpoint and the age of that information as name=value pairs for
   /// the log.
   { policy.DescribeLoad(now, endpoint) } -> std::same_as<std::string>;
+  /// Returns the limit that the endpoint names for the calls of all gateways together, or nothing.
+  { policy.KnownLimit(endpoint) } -> std::same_as<std::optional<CallRate>>;
 };
 
 }  // namespace jd
--- a/tests/fresh_load_test.cc
+++ b/tests/fresh_load_test.cc
@@ -76,6 +76,22 @@
   CHECK(f.ChooseEndpoint() == "none");
 }
 
+TEST_CASE("a limit that cannot be read leaves the known one in force", "[fresh_load_test]") {
+  // Guards against an endpoint that is sent calls without limit because of one malformed response.
+  Fixture f({View("a")});
+  const EndpointId endpoint("a");
+  LoadReport report;
+  report.slots = 4;
+  report.limit = {CallRate{2.5}, true};
+  f.policy.OnLoadReport(f.now, endpoint, report);
+  report.limit = {std::nullopt, false};
+  f.policy.OnLoadReport(f.now, endpoint, report);
+  CHECK(f.policy.KnownLimit(endpoint) == CallRate{2.5});
+  report.limit = {};
+  f.policy.OnLoadReport(f.now, endpoint, report);
+  CHECK_FALSE(f.policy.KnownLimit(endpoint));
+}
+
 TEST_CASE("calls sent since the load report count as load", "[fresh_load_test]") {
   // Guards against sending several calls to the same free slot because of the same probe result.
   Fixture f({View("a"), View("b")});
--- a/tests/platform_adapter_test.cc
+++ b/tests/platform_adapter_test.cc
@@ -7,6 +7,7 @@
 #include "platform/gateway_rows.h"
 #include "platform/operator_rows.h"
 #include "platform/platform_dialect.h"
+#include "platform/server_limit.h"
 #include "platform/store_rows.h"
 
 namespace jd {
@@ -37,6 +38,29 @@
   CHECK(error_message.empty());
 }
 
+TEST_CASE("an endpoint's limit is read only if it is one decimal number",
+          "[platform_adapter_test]") {
+  // Guards against a malformed limit that changes how many calls an endpoint gets.
+  const auto parse = [](const std::vector<std::string>& values) {
+    HttpHeaders headers = {{"Server-Load", "0,0,4"}};
+    for (const std::string& value : values) {
+      headers.emplace_back("server-limit", value);
+    }
+    std::string unreadable_value;
+    return ParseServerLimit(headers, &unreadable_value);
+  };
+  CHECK(parse({}) == NamedLimit());
+  CHECK(parse({"2.8"}) == NamedLimit{CallRate{2.8}, true});
+  CHECK(parse({"0"}) == NamedLimit{CallRate{0}, true});
+  CHECK(parse({"0.5", "0.5"}) == NamedLimit{CallRate{0.5}, true});
+  CHECK(parse({"90000000"}) == NamedLimit{CallRate{90'000'000}, true});
+  for (const std::string value : {"", "-1", "-0", "nan", "inf", "1e3", "2,8", "4 ", "x", "0x4"}) {
+    INFO(value);
+    CHECK(parse({value}) == NamedLimit{std::nullopt, false});
+  }
+  CHECK(parse({"3", "4"}) == NamedLimit{std::nullopt, false});
+}
+
 TEST_CASE("unusable responses of the store are reported as failures", "[platform_adapter_test]") {
   // Guards against an error response that is treated as an empty table: every endpoint would then
   // be removed.
