--- a/tests/load_simulation.h
+++ b/tests/load_simulation.h
@@ -56,6 +56,35 @@
     }
     Configure();
   }
+  /// Lets the first `share` of the endpoints name a limit, or none, from now on. The arrivals that
+  /// HighestArrivals counts begin anew.
+  void SetLimit(double share, std::optional<CallRate> limit) {
+    for (size_t i = 0; i < endpoints_.size(); ++i) {
+      const bool limited = static_cast<double>(i) < share * static_cast<double>(endpoints_.size());
+      endpoints_[i].limit = limited ? limit : std::nullopt;
+      endpoints_[i].arrivals.clear();
+    }
+    limit_set_at_ = now_;
+  }
+  /// Returns the highest number of calls that one endpoint with a limit got in a window that begins
+  /// at least `after` later than SetLimit.
+  int HighestArrivals(Duration after, Duration window) const {
+    size_t highest = 0;
+    for (const SimulatedEndpoint& endpoint : endpoints_) {
+      const std::vector<MonoTime>& arrivals = endpoint.arrivals;
+      size_t first = 0;
+      for (size_t last = 0; endpoint.limit && last < arrivals.size(); ++last) {
+        while (arrivals[first] <= arrivals[last] - window ||
+               arrivals[first] < limit_set_at_ + after) {
+          if (++first > last) {
+            break;
+          }
+        }
+        highest = std::max(highest, last + 1 - first);
+      }
+    }
+    return static_cast<int>(highest);
+  }
   void SetRetryLimits(const RetryBudget::Limits& limits) {
     for (auto& gateway : gateways_) {
       gateway->dispatcher.SetRetryLimits(limits);
@@ -102,6 +131,8 @@
     double slowdown = 1.0;  ///< Factor of the service time.
     MonoTime slowdown_until;
     bool failed = false;
+    std::optional<CallRate> limit;   ///< The limit that the endpoint names.
+    std::vector<MonoTime> arrivals;  ///< Of calls, since the limit was set.
   };
   struct Gateway {
     Gateway(const ZoneId& local_zone, uint64_t seed) : dispatcher(local_zone, &policy, seed) {}
@@ -198,6 +229,7 @@
   void StartAttempt(size_t index, const SendAttempt& send) {
     const size_t target = std::stoul(send.endpoint.value);
     SimulatedEndpoint& endpoint = endpoints_[target];
+    endpoint.arrivals.push_back(now_);
     ++attempts_sent_;
     retries_ += attempts_per_call_[{index, send.call}]++ > 0 ? 1 : 0;
     gateways_[index]->attempts[send.attempt] = target;
@@ -299,6 +331,7 @@
     result.report->waiting = static_cast<int32_t>(endpoint.waiting.size());
     result.report->slots = scenario_.slots;
     result.report->slowdown_percent = static_cast<int32_t>(endpoint.slowdown * 100);
+    result.report->limit.rate = endpoint.limit;
     CallActions actions;
     gateways_[probe.gateway]->dispatcher.OnProbeResult(now_, result, &actions);
     ApplyActions(probe.gateway, actions);
@@ -308,6 +341,7 @@
   RandomEngine random_;
   MonoTime now_ = MonoTime() + 100s;
   double refused_share_ = 0;
+  MonoTime limit_set_at_;
   std::vector<SimulatedEndpoint> endpoints_;
   std::vector<std::unique_ptr<Gateway>> gateways_;
   std::vector<AttemptEnd> attempt_ends_;
