--- a/cluster/node.h
+++ b/cluster/node.h
@@ -16,6 +16,7 @@
 #include "cluster/node_settings.h"
 #include "cluster/node_slots.h"
 #include "cluster/node_timeline.h"
+#include "cluster/permit_issuer.h"
 #include "cluster/probe_scheduler.h"
 #include "cluster/request_claims.h"
 #include "cluster/zone_contacts.h"
@@ -89,6 +90,8 @@
   /// Returns the configuration in use, or null.
   ConfigurationPtr configuration() const { return config_.configuration(); }
   const NodeSettings& settings() const { return settings_; }
+  /// Returns how this gateway's requests for permits have ended.
+  const PermitCounts& permit_counts() const { return dispatcher_.permit_counts(); }
   /// Returns the number of unfinished calls, including those whose request key is being claimed.
   size_t calls() const { return dispatcher_.calls() + calls_awaiting_claim_.size(); }
 
@@ -120,6 +123,23 @@
                         const EndpointNotice& notice,
                         bool tell_peers,
                         NodeActions* actions);
+  /// Returns the gateway that issues the permits for an endpoint of this zone, or, for another
+  /// zone, a gateway there that knows it.
+  /// @return nothing if no such gateway is known.
+  std::optional<GatewayId> PermitIssuerFor(const EndpointId& endpoint, const ZoneId& zone) const;
+  /// Returns whether this gateway's zone issues the permits for the endpoints of a zone.
+  bool IssuesPermitsFor(const ZoneId& zone) const;
+  /// Returns the part of a limit that this gateway may issue as the issuer.
+  /// @param zone zone of the endpoint.
+  double PermitShare(const ZoneId& zone) const;
+  /// Decides a request for a permit, or passes it on to the gateway that does.
+  void OnPermitRequest(Now now, const PermitRequest& request, NodeActions* actions);
+  /// Passes a decision to the dispatcher if this gateway requested it, or sends it.
+  void ReplyToPermitRequest(Now now,
+                            const PermitRequest& request,
+                            const PermitDecision& decision,
+                            NodeActions* actions);
+  void OnPermitReply(Now now, const PermitReply& reply, NodeActions* actions);
   /// Passes an update of another gateway on to the local zone, if asked to, and to the discovery of
   /// this gateway.
   void OnTableUpdate(Now now, const TableUpdate& update, NodeActions* actions);
@@ -164,6 +184,7 @@
   LatencyAverages latency_;
   MonoTime next_vm_list_;
   ZoneContacts zone_contacts_;
+  PermitIssuer permit_issuer_;
   size_t gateway_count_ = 0;  ///< Number of gateways that discovery lists, in all zones.
   bool stopping_ = false;
 };
--- a/cluster/node_effects.cc
+++ b/cluster/node_effects.cc
@@ -58,6 +58,13 @@
       to->push_back(*close);
     } else if (const auto* probe = std::get_if<SendProbe>(&action)) {
       to->push_back(*probe);
+    } else if (const auto* permit = std::get_if<RequestPermit>(&action)) {
+      const Endpoint* endpoint = directory_.FindEndpoint(permit->endpoint);
+      const ZoneId zone = endpoint == nullptr ? settings_.zone : endpoint->zone;
+      OnPermitRequest(now,
+                      {settings_.id, permit->call, permit->endpoint, zone, permit->limit,
+                       permit->priority, false},
+                      to);
     }
   }
 }
@@ -91,6 +98,10 @@
     OnTableUpdate(now, *update, actions);
   } else if (const auto* table_fetch = std::get_if<TableFetch>(&message.body)) {
     actions->push_back(ServeTableFetch{from, *table_fetch});
+  } else if (const auto* permit = std::get_if<PermitRequest>(&message.body)) {
+    OnPermitRequest(now, *permit, actions);
+  } else if (const auto* permit_reply = std::get_if<PermitReply>(&message.body)) {
+    OnPermitReply(now, *permit_reply, actions);
   } else if (const auto* zone = std::get_if<UnrecordedZone>(&message.body)) {
     config_.OnUnrecordedZone(now, *zone, &output);
   }
--- a/cluster/node_settings.h
+++ b/cluster/node_settings.h
@@ -35,6 +35,9 @@
   Duration heartbeat = 200ms;  ///< Interval between heartbeats to each peer.
   /// Whether only gateways of the local zone are peers.
   bool peers_in_local_zone_only = false;
+  /// Whether discovery lists the gateways. Until it has, no permits are issued, because the other
+  /// gateways that might issue them are unknown.
+  bool gateways_listed_by_discovery = false;
   /// Maximum number of probes that all gateways together send to an endpoint per second, on average
   /// over the endpoints of a service; 0: no limit. Only the policy "fresh_load" applies it.
   double probe_rate = 0;
--- a/cluster/peer_message.h
+++ b/cluster/peer_message.h
@@ -7,10 +7,12 @@
 
 #include "cluster/table_watch.h"
 #include "common/config_entry.h"
+#include "common/configuration.h"
 #include "common/event_ring.h"
 #include "common/hybrid_clock.h"
 #include "common/ids.h"
 #include "common/units.h"
+#include "policy/permit.h"
 #include "policy/slot_message.h"
 
 namespace jd {
@@ -76,6 +78,24 @@
   bool list_only = false;
 };
 
+/// Requests a permit to send one call to an endpoint that names a limit for all gateways together.
+struct PermitRequest {
+  GatewayId requester;  ///< Gateway that has the call and gets the reply.
+  CallId call;          ///< Echoed in the reply.
+  EndpointId endpoint;
+  ZoneId zone;  ///< Of the endpoint.
+  CallRate limit;
+  Priority priority = Priority::kNormal;
+  bool relayed = false;  ///< Another gateway than the requester has passed the request on.
+};
+
+/// The reply to a PermitRequest.
+struct PermitReply {
+  CallId call;
+  EndpointId endpoint;
+  PermitDecision decision;
+};
+
 using PeerBody = std::variant<Heartbeat,
                               SlotRequest,
                               SlotGrant,
@@ -85,7 +105,9 @@
                               ConfigFetch,
                               UnrecordedZone,
                               TableUpdate,
-                              TableFetch>;
+                              TableFetch,
+                              PermitRequest,
+                              PermitReply>;
 
 /// A message between gateways. The shared key that authenticates it is added and checked by the
 /// transport.
--- a/cluster/zone_contacts.cc
+++ b/cluster/zone_contacts.cc
@@ -25,6 +25,11 @@
   }
 }
 
+std::optional<GatewayId> ZoneContacts::contact(const ZoneId& zone) const {
+  const auto found = contacts_.find(zone);
+  return found == contacts_.end() ? std::nullopt : std::optional(found->second);
+}
+
 std::vector<GatewayId> ZoneContacts::contacts() const {
   std::vector<GatewayId> ids;
   for (const auto& [zone, id] : contacts_) {
--- a/cluster/zone_contacts.h
+++ b/cluster/zone_contacts.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -23,6 +24,8 @@
   void OnReader(const GatewayId& reader, const ZoneId& zone);
   /// Returns the contacts, one for each zone.
   std::vector<GatewayId> contacts() const;
+  /// Returns the contact of a zone, or nothing if the zone has no gateways.
+  std::optional<GatewayId> contact(const ZoneId& zone) const;
   /// Returns all gateways of other zones.
   const std::set<GatewayId>& gateways() const { return gateways_; }
 
--- a/common/event_ring.cc
+++ b/common/event_ring.cc
@@ -26,6 +26,8 @@
       return "endpoint-ejected";
     case EventKind::kEndpointLimit:
       return "endpoint-limit";
+    case EventKind::kPermitRefused:
+      return "permit-refused";
     case EventKind::kSlotsLent:
       return "slots-lent";
     case EventKind::kSlotsExpired:
--- a/common/event_ring.h
+++ b/common/event_ring.h
@@ -23,6 +23,7 @@
   kEndpointDraining,
   kEndpointEjected,
   kEndpointLimit,
+  kPermitRefused,
   kSlotsLent,
   kSlotsExpired,
   kOwnerChanged,
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -46,6 +46,7 @@
   // With discovery from the platform's store, taking a zone out of service concerns only the
   // upstreams of the zone, so the gateway stays ready.
   node.unready_when_zone_out = !settings.uses_discovery;
+  node.gateways_listed_by_discovery = settings.uses_discovery;
   node.event_capacity = static_cast<size_t>(settings.event_capacity);
   node.seed = SeedOf(settings);
   return node;
@@ -308,6 +309,7 @@
   values.upstream_connections = upstreams_.connections();
   values.config_version = configuration_ == nullptr ? 0 : configuration_->version.value;
   values.ready = ready();
+  values.permits = node_.permit_counts();
   if (peer_traffic_source_) {
     values.peer_traffic = peer_traffic_source_();
   }
--- a/gateway/log.cc
+++ b/gateway/log.cc
@@ -115,6 +115,7 @@
     case EventKind::kAttemptStarted:
     case EventKind::kAttemptEnded:
     case EventKind::kCrashFingerprint:
+    case EventKind::kPermitRefused:
       return LogPart::kCalls;
     case EventKind::kEndpointCold:
     case EventKind::kEndpointWarm:
--- a/gateway/metrics.cc
+++ b/gateway/metrics.cc
@@ -155,6 +155,12 @@
   peer_messages_sent_ =
       add("jackdawdeck_peer_messages_sent", "Messages sent to peers since the start.");
   config_version_ = add("jackdawdeck_config_version", "Configuration in use, 0: none.");
+  permits_granted_ =
+      add("jackdawdeck_permits_granted", "Granted permits for calls to endpoints with a limit.");
+  permits_refused_ =
+      add("jackdawdeck_permits_refused", "Refused permits for calls to endpoints with a limit.");
+  permits_unanswered_ =
+      add("jackdawdeck_permits_unanswered", "Requests for permits that got no reply in time.");
   ready_ = add("jackdawdeck_ready", "1 if the balancer may send calls.");
 }
 
@@ -200,6 +206,9 @@
   peer_messages_sent_->Set(static_cast<double>(values.peer_traffic.messages_sent));
   upstream_connections_->Set(static_cast<double>(values.upstream_connections));
   config_version_->Set(static_cast<double>(values.config_version));
+  permits_granted_->Set(static_cast<double>(values.permits.granted));
+  permits_refused_->Set(static_cast<double>(values.permits.refused));
+  permits_unanswered_->Set(static_cast<double>(values.permits.unanswered));
   ready_->Set(values.ready ? 1 : 0);
   return prometheus::TextSerializer().Serialize(registry_.Collect());
 }
--- a/gateway/metrics.h
+++ b/gateway/metrics.h
@@ -15,6 +15,7 @@
 #include "common/units.h"
 #include "gateway/peer_links.h"
 #include "policy/attempt_result.h"
+#include "policy/permit.h"
 #include "policy/refusal.h"
 
 namespace jd {
@@ -37,6 +38,7 @@
   size_t upstream_connections = 0;
   uint64_t config_version = 0;  ///< 0: none.
   bool ready = false;
+  PermitCounts permits;
 };
 
 /// The metrics of a gateway. Their names are a stable interface.
@@ -94,6 +96,9 @@
   Gauge* peer_messages_sent_ = nullptr;
   Gauge* upstream_connections_ = nullptr;
   Gauge* config_version_ = nullptr;
+  Gauge* permits_granted_ = nullptr;
+  Gauge* permits_refused_ = nullptr;
+  Gauge* permits_unanswered_ = nullptr;
   Gauge* ready_ = nullptr;
 };
 
--- a/policy/call_action.h
+++ b/policy/call_action.h
@@ -3,6 +3,7 @@
 #include <variant>
 #include <vector>
 
+#include "common/configuration.h"
 #include "common/event_ring.h"
 #include "common/ids.h"
 #include "common/units.h"
@@ -55,6 +56,15 @@
   Duration timeout{0};
 };
 
+/// Requests a permit to send a call to an endpoint that names a limit for all gateways together.
+/// The decision is passed to Dispatcher::OnPermitDecision.
+struct RequestPermit {
+  CallId call;
+  EndpointId endpoint;
+  CallRate limit;  ///< As the endpoint names it to this gateway.
+  Priority priority = Priority::kNormal;
+};
+
 /// Adds an event to the gateway's timeline and writes it to the log. The receiver fills in the
 /// timestamp and the gateway.
 struct RecordEvent {
@@ -73,6 +83,7 @@
                                 RefuseCall,
                                 CloseConnections,
                                 SendProbe,
+                                RequestPermit,
                                 RecordEvent,
                                 AnnounceCrash>;
 using CallActions = std::vector<CallAction>;
--- a/policy/dispatcher.h
+++ b/policy/dispatcher.h
@@ -14,6 +14,8 @@
 #include "policy/call_action.h"
 #include "policy/call_manager.h"
 #include "policy/call_request.h"
+#include "policy/permit.h"
+#include "policy/permit_waits.h"
 #include "policy/probe_rounds.h"
 #include "policy/routing_policy.h"
 
@@ -56,10 +58,17 @@
   void OnAttemptResult(MonoTime now, const AttemptResult& result, CallActions* actions);
   /// Handles the result of a probe that was requested with SendProbe.
   void OnProbeResult(MonoTime now, const ProbeResult& result, CallActions* actions);
+  /// Handles the answer to RequestPermit: sends the call to the endpoint, or looks for another one.
+  /// Has no effect if the call no longer waits for this permit.
+  void OnPermitDecision(MonoTime now,
+                        CallId call,
+                        const EndpointId& endpoint,
+                        const PermitDecision& decision,
+                        CallActions* actions);
   /// Sends waiting calls for which the policy now has a free slot. Must be called after slot grants
   /// and after changes of the usable endpoints.
   void OnCapacityChanged(MonoTime now, CallActions* actions);
-  /// Handles the deadlines, hedges and probe rounds that are due.
+  /// Handles the deadlines, hedges, probe rounds and waits for permits that are due.
   void OnTimer(MonoTime now, CallActions* actions);
   /// Refuses new calls from now on; calls in progress continue.
   void StopAdmission() { call_manager_.StopAdmission(); }
@@ -70,6 +79,7 @@
   size_t calls() const { return call_manager_.calls(); }
   /// Returns the number of attempts without a result yet, including those of calls that have ended.
   size_t attempts() const { return call_manager_.attempts(); }
+  const PermitCounts& permit_counts() const { return permit_counts_; }
 
  private:
   enum class SendOutcome : uint8_t { kSent, kProbing, kNoSlot, kCallEnded };
@@ -80,6 +90,10 @@
   /// A retried call may find a free slot only at endpoints that it must avoid. Up to this many such
   /// calls are skipped so that the calls queued behind them can be sent.
   static constexpr size_t kMaxSkipped = 8;
+  /// No permit for an endpoint is requested within this time after a request without a reply.
+  static constexpr Duration kRetryAfterNoReply = 500ms;
+  /// A limit from this rate on needs no permits, because no gateway reaches it.
+  static constexpr CallRate kUnreachableLimit{10'000};
 
   SendOutcome TrySend(MonoTime now, Call* call, CallActions* actions);
   void SendHedge(MonoTime now, Call* call, CallActions* actions);
@@ -91,11 +105,24 @@
   /// Probes the candidate endpoints of the call's next stage. If no candidates are left, sends the
   /// call to an endpoint that was probed before, or gives up.
   void ProbeCandidates(MonoTime now, Call* call, CallActions* actions);
-  /// Sends a call to a probed endpoint if one has room. @return whether the call was sent.
+  /// Sends a call to a probed endpoint if one has room, or requests the permit for it.
+  /// @return false if no endpoint has room.
   bool SendToProbedEndpoint(MonoTime now, Call* call, bool last_stage, CallActions* actions);
   /// Ends a round of probes: sends the call to a probed endpoint, probes further endpoints or
   /// refuses the call.
   void FinishProbeRound(MonoTime now, CallId id, CallActions* actions);
+  /// Returns whether calls to the endpoint need permits.
+  bool NeedsPermit(const EndpointId& endpoint) const;
+  /// Ends the wait of a call for a permit that was refused or not answered, and looks for another
+  /// endpoint.
+  /// @param reason for the log.
+  void HandleRefusedPermit(MonoTime now,
+                           const PermitWaits::Wait& wait,
+                           Duration retry_after,
+                           std::string_view reason,
+                           CallActions* actions);
+  /// Gives back the slot that a call has acquired for an endpoint and does not use.
+  void ReleaseUnused(MonoTime now, const PermitWaits::Wait& wait);
   /// Returns the limit that the endpoint names, or nothing.
   std::optional<CallRate> KnownLimit(const EndpointId& endpoint) const;
   /// Records the limit of an endpoint if it differs from the one known before.
@@ -113,6 +140,8 @@
   RandomEngine random_;
   CallManager call_manager_;
   ProbeRounds probe_rounds_;
+  PermitWaits permit_waits_;
+  PermitCounts permit_counts_;
 };
 
 template <RoutingPolicy Policy>
@@ -179,6 +208,10 @@
   for (const CallId id : probe_rounds_.TakeExpired(now)) {
     FinishProbeRound(now, id, actions);
   }
+  while (const std::optional<PermitWaits::Wait> wait = permit_waits_.TakeExpired(now)) {
+    ++permit_counts_.unanswered;
+    HandleRefusedPermit(now, *wait, kRetryAfterNoReply, "no-reply", actions);
+  }
   ReportQueueLengths(now);
 }
 
@@ -235,6 +268,9 @@
 template <RoutingPolicy Policy>
 void Dispatcher<Policy>::ProbeCandidates(MonoTime now, Call* call, CallActions* actions) {
   if constexpr (ProbingPolicy<Policy>) {
+    if (const std::optional<PermitWaits::Wait> wait = permit_waits_.Take(call->request.id)) {
+      ReleaseUnused(now, *wait);
+    }
     call_manager_.DequeueForProbing(now, call);
     const AcquireRequest request = MakeAcquireRequest(*call);
     std::vector<EndpointId> candidates;
@@ -274,10 +310,79 @@
   AcquireRequest request = MakeAcquireRequest(*call);
   request.last_stage = last_stage;
   const std::optional<EndpointId> endpoint = policy_->Acquire(now, request, random_);
-  if (endpoint) {
-    call_manager_.StartAttempt(now, call, *endpoint, DescribeChoice(now, *endpoint), actions);
+  if (!endpoint) {
+    return false;
+  }
+  if (NeedsPermit(*endpoint)) {
+    permit_waits_.Start(now, call->request.id, *endpoint);
+    actions->push_back(
+        RequestPermit{call->request.id, *endpoint, *KnownLimit(*endpoint), call->limits.priority});
+    return true;
+  }
+  call_manager_.StartAttempt(now, call, *endpoint, DescribeChoice(now, *endpoint), actions);
+  return true;
+}
+
+template <RoutingPolicy Policy>
+bool Dispatcher<Policy>::NeedsPermit(const EndpointId& endpoint) const {
+  const std::optional<CallRate> limit = KnownLimit(endpoint);
+  return limit && *limit < kUnreachableLimit;
+}
+
+template <RoutingPolicy Policy>
+void Dispatcher<Policy>::OnPermitDecision(MonoTime now,
+                                          CallId id,
+                                          const EndpointId& endpoint,
+                                          const PermitDecision& decision,
+                                          CallActions* actions) {
+  const std::optional<PermitWaits::Wait> wait = permit_waits_.Take(id, endpoint);
+  if (!wait) {
+    return;
+  }
+  if (!decision.granted) {
+    ++permit_counts_.refused;
+    HandleRefusedPermit(now, *wait, decision.retry_after, "limit", actions);
+    return;
+  }
+  ++permit_counts_.granted;
+  Call* call = call_manager_.Find(id);
+  if (call == nullptr || !call_manager_.CheckBeforeAttempt(now, call, actions)) {
+    ReleaseUnused(now, *wait);
+    return;
+  }
+  call_manager_.StartAttempt(now, call, endpoint, DescribeChoice(now, endpoint), actions);
+}
+
+template <RoutingPolicy Policy>
+void Dispatcher<Policy>::HandleRefusedPermit(MonoTime now,
+                                             const PermitWaits::Wait& wait,
+                                             Duration retry_after,
+                                             std::string_view reason,
+                                             CallActions* actions) {
+  ReleaseUnused(now, wait);
+  if constexpr (ProbingPolicy<Policy>) {
+    policy_->OnPermitRefused(wait.endpoint, now + retry_after);
+  }
+  const Call* call = call_manager_.Find(wait.call);
+  if (call == nullptr) {
+    return;
   }
-  return endpoint.has_value();
+  Event event;
+  event.kind = EventKind::kPermitRefused;
+  event.request = call->request.request_id;
+  event.endpoint = wait.endpoint;
+  event.detail =
+      "reason=" + std::string(reason) + " retry_after_us=" + std::to_string(retry_after.count());
+  actions->push_back(RecordEvent{std::move(event)});
+  FinishProbeRound(now, wait.call, actions);
+}
+
+template <RoutingPolicy Policy>
+void Dispatcher<Policy>::ReleaseUnused(MonoTime now, const PermitWaits::Wait& wait) {
+  AttemptResult unused;
+  unused.outcome = AttemptOutcome::kCancelled;
+  unused.latency = now - wait.started;
+  policy_->Release(now, wait.endpoint, unused);
 }
 
 template <RoutingPolicy Policy>
@@ -332,6 +437,9 @@
   if (const std::optional<MonoTime> round = probe_rounds_.next_timer()) {
     next = std::min(next.value_or(*round), *round);
   }
+  if (const std::optional<MonoTime> permit = permit_waits_.next_timer()) {
+    next = std::min(next.value_or(*permit), *permit);
+  }
   return next;
 }
 
--- a/policy/fresh_load.cc
+++ b/policy/fresh_load.cc
@@ -171,6 +171,13 @@
   return found == records_.end() ? std::nullopt : found->second.report.limit.rate;
 }
 
+void FreshLoad::OnPermitRefused(const EndpointId& endpoint, MonoTime retry_at) {
+  const auto found = records_.find(endpoint);
+  if (found != records_.end()) {
+    found->second.permit_retry_at = retry_at;
+  }
+}
+
 void FreshLoad::Release(MonoTime now, const EndpointId& endpoint, const AttemptResult& result) {
   const auto found = records_.find(endpoint);
   if (found == records_.end()) {
@@ -253,7 +260,7 @@
 
 bool FreshLoad::IsUsable(MonoTime now, const EndpointView& endpoint) const {
   const EndpointRecord& record = records_.at(endpoint.id);
-  return endpoint.usable && now >= record.retry_at;
+  return endpoint.usable && now >= record.retry_at && now >= record.permit_retry_at;
 }
 
 double FreshLoad::ProbeRank(MonoTime now, const EndpointRecord& record) const {
--- a/policy/fresh_load.h
+++ b/policy/fresh_load.h
@@ -52,6 +52,8 @@
   std::string DescribeLoad(MonoTime now, const EndpointId& endpoint) const;
   /// Returns the limit in the latest load report of an endpoint, or nothing.
   std::optional<CallRate> KnownLimit(const EndpointId& endpoint) const;
+  /// Sends neither probes nor calls to an endpoint before `retry_at`, because no permit is free.
+  void OnPermitRefused(const EndpointId& endpoint, MonoTime retry_at);
 
   /// Chooses the endpoint with the lowest expected latency among those with a recent load report.
   /// @return nothing if no such endpoint may get the call.
@@ -81,11 +83,12 @@
     int32_t sent_since_report = 0;     ///< Calls of this gateway sent after `report`.
     std::vector<SentCall> in_flight;   ///< Calls of this gateway in flight.
     int32_t consecutive_failures = 0;  ///< Consecutive failures of probes and calls.
-    MonoTime retry_at;    ///< After failures, neither probes nor calls are sent before this time.
-    MonoTime cold_until;  ///< The endpoint warms up until this time and gets no calls.
+    MonoTime retry_at;  ///< After failures, neither probes nor calls are sent before this time.
+    MonoTime permit_retry_at;  ///< No permit for a call is expected before this time.
+    MonoTime cold_until;       ///< The endpoint warms up until this time and gets no calls.
   };
 
-  /// Returns whether the endpoint may get probes and calls: it is usable and not in backoff.
+  /// Returns whether the endpoint may get probes and calls: it is usable and in no backoff.
   bool IsUsable(MonoTime now, const EndpointView& endpoint) const;
   /// Returns the rank by which endpoints are chosen for probing; lower is better.
   double ProbeRank(MonoTime now, const EndpointRecord& record) const;
--- a/policy/policy_variant.cc
+++ b/policy/policy_variant.cc
@@ -123,6 +123,16 @@
       policy_);
 }
 
+void PolicyVariant::OnPermitRefused(const EndpointId& endpoint, MonoTime retry_at) {
+  std::visit(
+      [&](auto& policy) {
+        if constexpr (ProbingPolicy<std::decay_t<decltype(policy)>>) {
+          policy.OnPermitRefused(endpoint, retry_at);
+        }
+      },
+      policy_);
+}
+
 std::string_view PolicyVariant::name() const {
   return std::visit([](const auto& policy) { return std::decay_t<decltype(policy)>::kName; },
                     policy_);
--- a/policy/policy_variant.h
+++ b/policy/policy_variant.h
@@ -48,6 +48,7 @@
   bool OnProbeResult(MonoTime now, const ProbeResult& result);
   std::string DescribeLoad(MonoTime now, const EndpointId& endpoint) const;
   std::optional<CallRate> KnownLimit(const EndpointId& endpoint) const;
+  void OnPermitRefused(const EndpointId& endpoint, MonoTime retry_at);
 
   /// Returns the name of the policy.
   std::string_view name() const;
--- a/policy/routing_policy.h
+++ b/policy/routing_policy.h
@@ -104,6 +104,8 @@
   { policy.DescribeLoad(now, endpoint) } -> std::same_as<std::string>;
   /// Returns the limit that the endpoint names for the calls of all gateways together, or nothing.
   { policy.KnownLimit(endpoint) } -> std::same_as<std::optional<CallRate>>;
+  /// Excludes an endpoint that names a limit from probes and calls until a permit may be free.
+  { policy.OnPermitRefused(endpoint, now) } -> std::same_as<void>;
 };
 
 }  // namespace jd
--- a/rpc/convert.cc
+++ b/rpc/convert.cc
@@ -282,6 +282,45 @@
   return {in.list_only};
 }
 
+wire::PermitRequest ToWire(const PermitRequest& in) {
+  wire::PermitRequest out;
+  out.requester = in.requester.value;
+  out.call = ToSigned(in.call.value);
+  out.endpoint = in.endpoint.value;
+  out.zone = in.zone.value;
+  out.limit = in.limit.per_second;
+  out.priority = static_cast<int8_t>(in.priority);
+  out.relayed = in.relayed;
+  return out;
+}
+
+PermitRequest FromWire(const wire::PermitRequest& in) {
+  if (!(in.limit >= 0)) {
+    throw FrameError("the limit of a permit request is negative or not a number");
+  }
+  return {GatewayId(in.requester),
+          CallId(ToUnsigned(in.call)),
+          EndpointId(in.endpoint),
+          ZoneId(in.zone),
+          CallRate{in.limit},
+          CheckedEnum(in.priority, Priority::kHigh),
+          in.relayed};
+}
+
+wire::PermitReply ToWire(const PermitReply& in) {
+  wire::PermitReply out;
+  out.call = ToSigned(in.call.value);
+  out.endpoint = in.endpoint.value;
+  out.granted = in.decision.granted;
+  out.retry_after = in.decision.retry_after.count();
+  return out;
+}
+
+PermitReply FromWire(const wire::PermitReply& in) {
+  return {
+      CallId(ToUnsigned(in.call)), EndpointId(in.endpoint), {in.granted, Duration(in.retry_after)}};
+}
+
 wire::CrashNotice ToWire(const CrashNotice& in) {
   wire::CrashNotice out;
   out.fingerprint = ToSigned(in.fingerprint.value);
@@ -363,6 +402,8 @@
   void operator()(const EndpointNotice& in) { body->__set_endpoint_notice(ToWire(in)); }
   void operator()(const TableUpdate& in) { body->__set_table_news(ToWire(in)); }
   void operator()(const TableFetch& in) { body->__set_table_fetch(ToWire(in)); }
+  void operator()(const PermitRequest& in) { body->__set_permit_request(ToWire(in)); }
+  void operator()(const PermitReply& in) { body->__set_permit_reply(ToWire(in)); }
   void operator()(const CrashNotice& in) { body->__set_crash_notice(ToWire(in)); }
   void operator()(const ConfigEntries& in) { body->__set_config_entries(ToWire(in)); }
   void operator()(const ConfigFetch& in) { body->__set_config_fetch(ToWire(in)); }
@@ -389,6 +430,12 @@
   if (set.table_fetch) {
     return FromWire(body.table_fetch);
   }
+  if (set.permit_request) {
+    return FromWire(body.permit_request);
+  }
+  if (set.permit_reply) {
+    return FromWire(body.permit_reply);
+  }
   if (set.crash_notice) {
     return FromWire(body.crash_notice);
   }
--- a/rpc/gen-cpp/jackdawdeck_types.cpp
+++ b/rpc/gen-cpp/jackdawdeck_types.cpp
@@ -3006,6 +3006,370 @@
 }
 
 
+PermitRequest::~PermitRequest() noexcept {
+}
+
+
+void PermitRequest::__set_requester(const std::string& val) {
+  this->requester = val;
+}
+
+void PermitRequest::__set_call(const int64_t val) {
+  this->call = val;
+}
+
+void PermitRequest::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
+}
+
+void PermitRequest::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void PermitRequest::__set_limit(const double val) {
+  this->limit = val;
+}
+
+void PermitRequest::__set_priority(const int8_t val) {
+  this->priority = val;
+}
+
+void PermitRequest::__set_relayed(const bool val) {
+  this->relayed = val;
+}
+std::ostream& operator<<(std::ostream& out, const PermitRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PermitRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->requester);
+          this->__isset.requester = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->call);
+          this->__isset.call = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          this->__isset.endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->limit);
+          this->__isset.limit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BYTE) {
+          xfer += iprot->readByte(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->relayed);
+          this->__isset.relayed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PermitRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PermitRequest");
+
+  xfer += oprot->writeFieldBegin("requester", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->requester);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("call", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->call);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("limit", ::apache::thrift::protocol::T_DOUBLE, 5);
+  xfer += oprot->writeDouble(this->limit);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_BYTE, 6);
+  xfer += oprot->writeByte(this->priority);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("relayed", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->relayed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PermitRequest &a, PermitRequest &b) {
+  using ::std::swap;
+  swap(a.requester, b.requester);
+  swap(a.call, b.call);
+  swap(a.endpoint, b.endpoint);
+  swap(a.zone, b.zone);
+  swap(a.limit, b.limit);
+  swap(a.priority, b.priority);
+  swap(a.relayed, b.relayed);
+  swap(a.__isset, b.__isset);
+}
+
+PermitRequest::PermitRequest(const PermitRequest& other68) {
+  requester = other68.requester;
+  call = other68.call;
+  endpoint = other68.endpoint;
+  zone = other68.zone;
+  limit = other68.limit;
+  priority = other68.priority;
+  relayed = other68.relayed;
+  __isset = other68.__isset;
+}
+PermitRequest& PermitRequest::operator=(const PermitRequest& other69) {
+  requester = other69.requester;
+  call = other69.call;
+  endpoint = other69.endpoint;
+  zone = other69.zone;
+  limit = other69.limit;
+  priority = other69.priority;
+  relayed = other69.relayed;
+  __isset = other69.__isset;
+  return *this;
+}
+void PermitRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PermitRequest(";
+  out << "requester=" << to_string(requester);
+  out << ", " << "call=" << to_string(call);
+  out << ", " << "endpoint=" << to_string(endpoint);
+  out << ", " << "zone=" << to_string(zone);
+  out << ", " << "limit=" << to_string(limit);
+  out << ", " << "priority=" << to_string(priority);
+  out << ", " << "relayed=" << to_string(relayed);
+  out << ")";
+}
+
+
+PermitReply::~PermitReply() noexcept {
+}
+
+
+void PermitReply::__set_call(const int64_t val) {
+  this->call = val;
+}
+
+void PermitReply::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
+}
+
+void PermitReply::__set_granted(const bool val) {
+  this->granted = val;
+}
+
+void PermitReply::__set_retry_after(const int64_t val) {
+  this->retry_after = val;
+}
+std::ostream& operator<<(std::ostream& out, const PermitReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PermitReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->call);
+          this->__isset.call = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          this->__isset.endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->granted);
+          this->__isset.granted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->retry_after);
+          this->__isset.retry_after = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PermitReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PermitReply");
+
+  xfer += oprot->writeFieldBegin("call", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->call);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->granted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retry_after", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->retry_after);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PermitReply &a, PermitReply &b) {
+  using ::std::swap;
+  swap(a.call, b.call);
+  swap(a.endpoint, b.endpoint);
+  swap(a.granted, b.granted);
+  swap(a.retry_after, b.retry_after);
+  swap(a.__isset, b.__isset);
+}
+
+PermitReply::PermitReply(const PermitReply& other70) {
+  call = other70.call;
+  endpoint = other70.endpoint;
+  granted = other70.granted;
+  retry_after = other70.retry_after;
+  __isset = other70.__isset;
+}
+PermitReply& PermitReply::operator=(const PermitReply& other71) {
+  call = other71.call;
+  endpoint = other71.endpoint;
+  granted = other71.granted;
+  retry_after = other71.retry_after;
+  __isset = other71.__isset;
+  return *this;
+}
+void PermitReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PermitReply(";
+  out << "call=" << to_string(call);
+  out << ", " << "endpoint=" << to_string(endpoint);
+  out << ", " << "granted=" << to_string(granted);
+  out << ", " << "retry_after=" << to_string(retry_after);
+  out << ")";
+}
+
+
 OperatorRequest::~OperatorRequest() noexcept {
 }
 
@@ -3132,19 +3496,19 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorRequest::OperatorRequest(const OperatorRequest& other68) {
-  id = other68.id;
-  command = other68.command;
-  body = other68.body;
-  timeout = other68.timeout;
-  __isset = other68.__isset;
+OperatorRequest::OperatorRequest(const OperatorRequest& other72) {
+  id = other72.id;
+  command = other72.command;
+  body = other72.body;
+  timeout = other72.timeout;
+  __isset = other72.__isset;
 }
-OperatorRequest& OperatorRequest::operator=(const OperatorRequest& other69) {
-  id = other69.id;
-  command = other69.command;
-  body = other69.body;
-  timeout = other69.timeout;
-  __isset = other69.__isset;
+OperatorRequest& OperatorRequest::operator=(const OperatorRequest& other73) {
+  id = other73.id;
+  command = other73.command;
+  body = other73.body;
+  timeout = other73.timeout;
+  __isset = other73.__isset;
   return *this;
 }
 void OperatorRequest::printTo(std::ostream& out) const {
@@ -3267,17 +3631,17 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorReply::OperatorReply(const OperatorReply& other70) {
-  id = other70.id;
-  status = other70.status;
-  body = other70.body;
-  __isset = other70.__isset;
+OperatorReply::OperatorReply(const OperatorReply& other74) {
+  id = other74.id;
+  status = other74.status;
+  body = other74.body;
+  __isset = other74.__isset;
 }
-OperatorReply& OperatorReply::operator=(const OperatorReply& other71) {
-  id = other71.id;
-  status = other71.status;
-  body = other71.body;
-  __isset = other71.__isset;
+OperatorReply& OperatorReply::operator=(const OperatorReply& other75) {
+  id = other75.id;
+  status = other75.status;
+  body = other75.body;
+  __isset = other75.__isset;
   return *this;
 }
 void OperatorReply::printTo(std::ostream& out) const {
@@ -3353,6 +3717,16 @@
   this->table_fetch = val;
 __isset.table_fetch = true;
 }
+
+void Body::__set_permit_request(const PermitRequest& val) {
+  this->permit_request = val;
+__isset.permit_request = true;
+}
+
+void Body::__set_permit_reply(const PermitReply& val) {
+  this->permit_reply = val;
+__isset.permit_reply = true;
+}
 std::ostream& operator<<(std::ostream& out, const Body& obj)
 {
   obj.printTo(out);
@@ -3477,6 +3851,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->permit_request.read(iprot);
+          this->__isset.permit_request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->permit_reply.read(iprot);
+          this->__isset.permit_reply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3554,6 +3944,16 @@
     xfer += this->table_fetch.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.permit_request) {
+    xfer += oprot->writeFieldBegin("permit_request", ::apache::thrift::protocol::T_STRUCT, 13);
+    xfer += this->permit_request.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.permit_reply) {
+    xfer += oprot->writeFieldBegin("permit_reply", ::apache::thrift::protocol::T_STRUCT, 14);
+    xfer += this->permit_reply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3573,38 +3973,44 @@
   swap(a.operator_reply, b.operator_reply);
   swap(a.table_news, b.table_news);
   swap(a.table_fetch, b.table_fetch);
+  swap(a.permit_request, b.permit_request);
+  swap(a.permit_reply, b.permit_reply);
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other72) {
-  heartbeat = other72.heartbeat;
-  slot_request = other72.slot_request;
-  slot_grant = other72.slot_grant;
-  endpoint_notice = other72.endpoint_notice;
-  crash_notice = other72.crash_notice;
-  config_entries = other72.config_entries;
-  config_fetch = other72.config_fetch;
-  unrecorded_zone = other72.unrecorded_zone;
-  operator_request = other72.operator_request;
-  operator_reply = other72.operator_reply;
-  table_news = other72.table_news;
-  table_fetch = other72.table_fetch;
-  __isset = other72.__isset;
-}
-Body& Body::operator=(const Body& other73) {
-  heartbeat = other73.heartbeat;
-  slot_request = other73.slot_request;
-  slot_grant = other73.slot_grant;
-  endpoint_notice = other73.endpoint_notice;
-  crash_notice = other73.crash_notice;
-  config_entries = other73.config_entries;
-  config_fetch = other73.config_fetch;
-  unrecorded_zone = other73.unrecorded_zone;
-  operator_request = other73.operator_request;
-  operator_reply = other73.operator_reply;
-  table_news = other73.table_news;
-  table_fetch = other73.table_fetch;
-  __isset = other73.__isset;
+Body::Body(const Body& other76) {
+  heartbeat = other76.heartbeat;
+  slot_request = other76.slot_request;
+  slot_grant = other76.slot_grant;
+  endpoint_notice = other76.endpoint_notice;
+  crash_notice = other76.crash_notice;
+  config_entries = other76.config_entries;
+  config_fetch = other76.config_fetch;
+  unrecorded_zone = other76.unrecorded_zone;
+  operator_request = other76.operator_request;
+  operator_reply = other76.operator_reply;
+  table_news = other76.table_news;
+  table_fetch = other76.table_fetch;
+  permit_request = other76.permit_request;
+  permit_reply = other76.permit_reply;
+  __isset = other76.__isset;
+}
+Body& Body::operator=(const Body& other77) {
+  heartbeat = other77.heartbeat;
+  slot_request = other77.slot_request;
+  slot_grant = other77.slot_grant;
+  endpoint_notice = other77.endpoint_notice;
+  crash_notice = other77.crash_notice;
+  config_entries = other77.config_entries;
+  config_fetch = other77.config_fetch;
+  unrecorded_zone = other77.unrecorded_zone;
+  operator_request = other77.operator_request;
+  operator_reply = other77.operator_reply;
+  table_news = other77.table_news;
+  table_fetch = other77.table_fetch;
+  permit_request = other77.permit_request;
+  permit_reply = other77.permit_reply;
+  __isset = other77.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -3622,6 +4028,8 @@
   out << ", " << "operator_reply="; (__isset.operator_reply ? (out << to_string(operator_reply)) : (out << "<null>"));
   out << ", " << "table_news="; (__isset.table_news ? (out << to_string(table_news)) : (out << "<null>"));
   out << ", " << "table_fetch="; (__isset.table_fetch ? (out << to_string(table_fetch)) : (out << "<null>"));
+  out << ", " << "permit_request="; (__isset.permit_request ? (out << to_string(permit_request)) : (out << "<null>"));
+  out << ", " << "permit_reply="; (__isset.permit_reply ? (out << to_string(permit_reply)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3769,21 +4177,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other74) {
-  key = other74.key;
-  sender = other74.sender;
-  incarnation = other74.incarnation;
-  stamp = other74.stamp;
-  body = other74.body;
-  __isset = other74.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other75) {
-  key = other75.key;
-  sender = other75.sender;
-  incarnation = other75.incarnation;
-  stamp = other75.stamp;
-  body = other75.body;
-  __isset = other75.__isset;
+Envelope::Envelope(const Envelope& other78) {
+  key = other78.key;
+  sender = other78.sender;
+  incarnation = other78.incarnation;
+  stamp = other78.stamp;
+  body = other78.body;
+  __isset = other78.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other79) {
+  key = other79.key;
+  sender = other79.sender;
+  incarnation = other79.incarnation;
+  stamp = other79.stamp;
+  body = other79.body;
+  __isset = other79.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/rpc/gen-cpp/jackdawdeck_types.h
+++ b/rpc/gen-cpp/jackdawdeck_types.h
@@ -53,6 +53,10 @@
 
 class TableFetch;
 
+class PermitRequest;
+
+class PermitReply;
+
 class OperatorRequest;
 
 class OperatorReply;
@@ -1232,6 +1236,155 @@
 
 std::ostream& operator<<(std::ostream& out, const TableFetch& obj);
 
+typedef struct _PermitRequest__isset {
+  _PermitRequest__isset() : requester(false), call(false), endpoint(false), zone(false), limit(false), priority(false), relayed(false) {}
+  bool requester :1;
+  bool call :1;
+  bool endpoint :1;
+  bool zone :1;
+  bool limit :1;
+  bool priority :1;
+  bool relayed :1;
+} _PermitRequest__isset;
+
+class PermitRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  PermitRequest(const PermitRequest&);
+  PermitRequest& operator=(const PermitRequest&);
+  PermitRequest() noexcept
+                : requester(),
+                  call(0),
+                  endpoint(),
+                  zone(),
+                  limit(0),
+                  priority(0),
+                  relayed(0) {
+  }
+
+  virtual ~PermitRequest() noexcept;
+  std::string requester;
+  int64_t call;
+  std::string endpoint;
+  std::string zone;
+  double limit;
+  int8_t priority;
+  bool relayed;
+
+  _PermitRequest__isset __isset;
+
+  void __set_requester(const std::string& val);
+
+  void __set_call(const int64_t val);
+
+  void __set_endpoint(const std::string& val);
+
+  void __set_zone(const std::string& val);
+
+  void __set_limit(const double val);
+
+  void __set_priority(const int8_t val);
+
+  void __set_relayed(const bool val);
+
+  bool operator == (const PermitRequest & rhs) const
+  {
+    if (!(requester == rhs.requester))
+      return false;
+    if (!(call == rhs.call))
+      return false;
+    if (!(endpoint == rhs.endpoint))
+      return false;
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(limit == rhs.limit))
+      return false;
+    if (!(priority == rhs.priority))
+      return false;
+    if (!(relayed == rhs.relayed))
+      return false;
+    return true;
+  }
+  bool operator != (const PermitRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PermitRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PermitRequest &a, PermitRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const PermitRequest& obj);
+
+typedef struct _PermitReply__isset {
+  _PermitReply__isset() : call(false), endpoint(false), granted(false), retry_after(false) {}
+  bool call :1;
+  bool endpoint :1;
+  bool granted :1;
+  bool retry_after :1;
+} _PermitReply__isset;
+
+class PermitReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  PermitReply(const PermitReply&);
+  PermitReply& operator=(const PermitReply&);
+  PermitReply() noexcept
+              : call(0),
+                endpoint(),
+                granted(0),
+                retry_after(0) {
+  }
+
+  virtual ~PermitReply() noexcept;
+  int64_t call;
+  std::string endpoint;
+  bool granted;
+  int64_t retry_after;
+
+  _PermitReply__isset __isset;
+
+  void __set_call(const int64_t val);
+
+  void __set_endpoint(const std::string& val);
+
+  void __set_granted(const bool val);
+
+  void __set_retry_after(const int64_t val);
+
+  bool operator == (const PermitReply & rhs) const
+  {
+    if (!(call == rhs.call))
+      return false;
+    if (!(endpoint == rhs.endpoint))
+      return false;
+    if (!(granted == rhs.granted))
+      return false;
+    if (!(retry_after == rhs.retry_after))
+      return false;
+    return true;
+  }
+  bool operator != (const PermitReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PermitReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PermitReply &a, PermitReply &b);
+
+std::ostream& operator<<(std::ostream& out, const PermitReply& obj);
+
 typedef struct _OperatorRequest__isset {
   _OperatorRequest__isset() : id(false), command(false), body(false), timeout(false) {}
   bool id :1;
@@ -1354,7 +1507,7 @@
 std::ostream& operator<<(std::ostream& out, const OperatorReply& obj);
 
 typedef struct _Body__isset {
-  _Body__isset() : heartbeat(false), slot_request(false), slot_grant(false), endpoint_notice(false), crash_notice(false), config_entries(false), config_fetch(false), unrecorded_zone(false), operator_request(false), operator_reply(false), table_news(false), table_fetch(false) {}
+  _Body__isset() : heartbeat(false), slot_request(false), slot_grant(false), endpoint_notice(false), crash_notice(false), config_entries(false), config_fetch(false), unrecorded_zone(false), operator_request(false), operator_reply(false), table_news(false), table_fetch(false), permit_request(false), permit_reply(false) {}
   bool heartbeat :1;
   bool slot_request :1;
   bool slot_grant :1;
@@ -1367,6 +1520,8 @@
   bool operator_reply :1;
   bool table_news :1;
   bool table_fetch :1;
+  bool permit_request :1;
+  bool permit_reply :1;
 } _Body__isset;
 
 /**
@@ -1393,6 +1548,8 @@
   OperatorReply operator_reply;
   TableNews table_news;
   TableFetch table_fetch;
+  PermitRequest permit_request;
+  PermitReply permit_reply;
 
   _Body__isset __isset;
 
@@ -1420,6 +1577,10 @@
 
   void __set_table_fetch(const TableFetch& val);
 
+  void __set_permit_request(const PermitRequest& val);
+
+  void __set_permit_reply(const PermitReply& val);
+
   bool operator == (const Body & rhs) const
   {
     if (__isset.heartbeat != rhs.__isset.heartbeat)
@@ -1470,6 +1631,14 @@
       return false;
     else if (__isset.table_fetch && !(table_fetch == rhs.table_fetch))
       return false;
+    if (__isset.permit_request != rhs.__isset.permit_request)
+      return false;
+    else if (__isset.permit_request && !(permit_request == rhs.permit_request))
+      return false;
+    if (__isset.permit_reply != rhs.__isset.permit_reply)
+      return false;
+    else if (__isset.permit_reply && !(permit_reply == rhs.permit_reply))
+      return false;
     return true;
   }
   bool operator != (const Body &rhs) const {
--- a/rpc/jackdawdeck.thrift
+++ b/rpc/jackdawdeck.thrift
@@ -142,6 +142,23 @@
   1: bool list_only
 }
 
+struct PermitRequest {
+  1: string requester
+  2: i64 call
+  3: string endpoint
+  4: string zone
+  5: double limit
+  6: i8 priority
+  7: bool relayed
+}
+
+struct PermitReply {
+  1: i64 call
+  2: string endpoint
+  3: bool granted
+  4: i64 retry_after
+}
+
 struct OperatorRequest {
   1: i64 id
   2: string command
@@ -169,6 +186,8 @@
   10: OperatorReply operator_reply
   11: TableNews table_news
   12: TableFetch table_fetch
+  13: PermitRequest permit_request
+  14: PermitReply permit_reply
 }
 
 struct Envelope {
--- a/tests/dispatcher_harness.h
+++ b/tests/dispatcher_harness.h
@@ -100,6 +100,7 @@
   void HandleAction(const CloseConnections& close) { closed_connections.push_back(close); }
   void HandleAction(const RecordEvent&) {}
   void HandleAction(const SendProbe&) {}
+  void HandleAction(const RequestPermit&) {}
   void HandleAction(const AnnounceCrash& crash) { announced.push_back(crash.fingerprint); }
 
   int endpoints_;
--- a/tests/load_simulation.h
+++ b/tests/load_simulation.h
@@ -9,6 +9,8 @@
 #include <string>
 #include <vector>
 
+#include "cluster/ownership.h"
+#include "cluster/permit_issuer.h"
 #include "policy/dispatcher.h"
 
 namespace jd {
@@ -25,6 +27,8 @@
   Duration deadline = 2500ms;
   double slow_share = 0.25;  ///< Share of the time in which an endpoint is slow.
   double slow_factor = 5.0;
+  /// Share of the calls that arrive at the first fifth of the gateways.
+  double skew = 0.2;
   double full_factor = 1.7;  ///< Slowdown if more than 0.8 of the slots are busy.
 };
 
@@ -106,6 +110,14 @@
   }
   /// Resets the counters of callers and retries.
   void ResetCounters() { callers_ = on_time_callers_ = attempts_sent_ = retries_ = 0; }
+  /// Returns the calls that the endpoints with a limit got since SetLimit.
+  int limited_arrivals() const {
+    size_t count = 0;
+    for (const SimulatedEndpoint& endpoint : endpoints_) {
+      count += endpoint.limit ? endpoint.arrivals.size() : 0;
+    }
+    return static_cast<int>(count);
+  }
   double on_time_share() const { return static_cast<double>(on_time_callers_) / callers_; }
   int callers() const { return callers_; }
   int retries() const { return retries_; }
@@ -140,8 +152,13 @@
     Dispatcher<Policy> dispatcher;
     std::map<CallId, Caller> callers;
     std::map<AttemptId, size_t> attempts;
+    PermitIssuer issuer;
     uint64_t next_call = 1;
   };
+  struct PendingPermit {
+    size_t gateway = 0;
+    RequestPermit request;
+  };
   struct PendingProbe {
     size_t gateway = 0;
     size_t endpoint = 0;
@@ -187,7 +204,10 @@
     if (left <= Duration(0)) {
       return;
     }
-    const size_t index = random_() % gateways_.size();
+    const size_t busy = (gateways_.size() + 4) / 5;
+    const bool to_busy = scenario_.skew > 0.2 &&
+                         std::uniform_real_distribution<double>(0, 1)(random_) < scenario_.skew;
+    const size_t index = random_() % (to_busy ? busy : gateways_.size());
     Gateway& gateway = *gateways_[index];
     CallRequest request;
     request.id = CallId(gateway.next_call++);
@@ -210,6 +230,8 @@
       } else if (const auto* probe = std::get_if<SendProbe>(&action)) {
         ++probes_;
         pending_probes_.push_back({index, std::stoul(probe->endpoint.value)});
+      } else if (const auto* permit = std::get_if<RequestPermit>(&action)) {
+        pending_permits_.push_back({index, *permit});
       } else if (const auto* answer = std::get_if<AnswerCall>(&action)) {
         const auto caller = gateways_[index]->callers.extract(answer->call);
         on_time_callers_ +=
@@ -277,6 +299,9 @@
     for (const PendingProbe& probe : std::exchange(pending_probes_, {})) {
       AnswerProbe(probe);
     }
+    for (const PendingPermit& permit : std::exchange(pending_permits_, {})) {
+      AnswerPermitRequest(permit);
+    }
     while (!retrying_callers_.empty() && retrying_callers_.begin()->first <= now_) {
       const Caller caller = retrying_callers_.begin()->second;
       retrying_callers_.erase(retrying_callers_.begin());
@@ -337,6 +362,30 @@
     ApplyActions(probe.gateway, actions);
   }
 
+  // One gateway of the endpoint's zone issues the permits; without one there, one of all gateways.
+  void AnswerPermitRequest(const PendingPermit& pending) {
+    const EndpointId& endpoint = pending.request.endpoint;
+    const auto zone = static_cast<size_t>(std::stoi(endpoint.value) % scenario_.zones);
+    std::vector<GatewayId> candidates;
+    for (size_t i = zone < gateways_.size() ? zone : 0; i < gateways_.size();
+         i += zone < gateways_.size() ? static_cast<size_t>(scenario_.zones) : 1) {
+      candidates.emplace_back(std::to_string(i));
+    }
+    const size_t issuer = std::stoul(OwnerOf(PoolId(endpoint.value), candidates).value);
+    const PermitRequest request{GatewayId(std::to_string(pending.gateway)),
+                                pending.request.call,
+                                endpoint,
+                                ZoneId(),
+                                pending.request.limit,
+                                pending.request.priority,
+                                false};
+    const PermitDecision decision = gateways_[issuer]->issuer.Decide(now_, request, 1.0);
+    CallActions actions;
+    gateways_[pending.gateway]->dispatcher.OnPermitDecision(now_, pending.request.call, endpoint,
+                                                            decision, &actions);
+    ApplyActions(pending.gateway, actions);
+  }
+
   LoadScenario scenario_;
   RandomEngine random_;
   MonoTime now_ = MonoTime() + 100s;
@@ -346,6 +395,7 @@
   std::vector<std::unique_ptr<Gateway>> gateways_;
   std::vector<AttemptEnd> attempt_ends_;
   std::vector<PendingProbe> pending_probes_;
+  std::vector<PendingPermit> pending_permits_;
   std::multimap<MonoTime, Caller> retrying_callers_;
   std::map<std::pair<size_t, CallId>, int> attempts_per_call_;
   int callers_ = 0;
