Log the store's era and versions that do not fit the known ones

HttpClient passes the headers of a reply on; store_rows reads Store-Era into WatchReply. No decision uses the era.

--- a/cluster/table_watch.cc
+++ b/cluster/table_watch.cc
@@ -151,6 +151,7 @@
 void TableWatch::ApplyRow(const WatchedRow& row, std::vector<WatchedRow>* changes) {
   WatchedRow& known = rows_[row.key];
   if (row.version <= known.version) {
+    ignored_rows_ += row.value != known.value ? 1 : 0;
     return;
   }
   known = row;
--- a/cluster/table_watch.h
+++ b/cluster/table_watch.h
@@ -45,6 +45,8 @@
   std::vector<WatchedRow> rows;
   bool has_more = false;  ///< A full read has further pages.
   uint64_t version = 0;   ///< Newest version in the store.
+  /// The history of the store that the versions belong to; absent if the store does not name it.
+  std::optional<StoreEra> era = {};
 };
 
 /// The result of one gateway's read of a table, sent to other gateways so that they need not read
@@ -141,6 +143,9 @@
 
   /// Newest version of the store that the known rows cover.
   uint64_t version() const { return version_; }
+  /// Number of rows that were ignored because their version is not above the known one, although
+  /// their content differs.
+  uint64_t ignored_rows() const { return ignored_rows_; }
   /// Whether all rows of the table are known, from a full read or a snapshot.
   bool complete() const { return complete_; }
   /// Whether a full read is due or in progress; version() does not advance until it finishes.
@@ -180,6 +185,7 @@
   std::string next_page_key_;
   uint64_t first_page_version_ = 0;
   uint64_t version_ = 0;
+  uint64_t ignored_rows_ = 0;
   bool full_read_pending_ = true;
   bool complete_ = false;
   bool connected_ = false;
--- a/common/ids.h
+++ b/common/ids.h
@@ -60,6 +60,9 @@
 /// value is a newer run.
 using Incarnation = NumberId<struct IncarnationTag>;
 using ConfigVersion = NumberId<struct ConfigVersionTag>;
+/// Identifies one history of the platform's store. It changes when the store has lost changes that
+/// it had confirmed, after which it counts versions from an earlier one again.
+using StoreEra = NumberId<struct StoreEraTag>;
 /// Hash of a request's method, target and body.
 using Fingerprint = NumberId<struct FingerprintTag>;
 
--- a/gateway/platform_client.cc
+++ b/gateway/platform_client.cc
@@ -9,21 +9,21 @@
                                       Duration timeout,
                                       TableCallback done) {
   http_.Send(ToHttpCall(request), timeout,
-             [request, done = std::move(done)](int status, const std::string& body, bool written) {
-               done(status == 0 ? FailedTableReply(request, written)
-                                : ParseTableReply(request, status, body));
+             [request, done = std::move(done)](const HttpReply& reply) {
+               done(reply.status == 0 ? FailedTableReply(request, reply.request_written)
+                                      : ParseTableReply(request, reply.status, reply.body));
              });
 }
 
 void PlatformClient::FetchVms(Duration timeout, VmListCallback done) {
   http_.Send({EVHTTP_REQ_GET, "/vms", {}}, timeout,
-             [done = std::move(done)](int status, const std::string& body, bool) {
-               if (status != 200) {
+             [done = std::move(done)](const HttpReply& reply) {
+               if (reply.status != 200) {
                  return;
                }
                VmList vms;
                try {
-                 vms = ParseVmList(body);
+                 vms = ParseVmList(reply.body);
                } catch (const nlohmann::json::exception&) {
                  return;  // The node keeps the last valid list.
                }
--- a/net/http_client.cc
+++ b/net/http_client.cc
@@ -79,10 +79,10 @@
     Discard(std::move(pending));
   }
   if (exchange.response == nullptr) {
-    done(0, {}, exchange.request_written);
+    done({0, {}, {}, exchange.request_written});
     return;
   }
-  done(exchange.response->status, ReadBody(*exchange.response), true);
+  done({exchange.response->status, exchange.response->headers, ReadBody(*exchange.response), true});
 }
 
 void HttpClient::OnTimeout(uint64_t id) {
@@ -90,7 +90,7 @@
   const Done done = std::move(pending.done);
   const bool request_written = pending.connection->Abandon().request_written;
   Discard(std::move(pending));
-  done(0, {}, request_written);
+  done({0, {}, {}, request_written});
 }
 
 void HttpClient::Discard(Pending pending) {
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -19,17 +19,21 @@
   std::string body;    ///< JSON; ignored if the method is GET.
 };
 
+/// The result of an HttpCall.
+struct HttpReply {
+  int status = 0;  ///< HTTP status; 0 if no complete response was received.
+  HttpHeaders headers;
+  std::string body;
+  bool request_written = false;  ///< A byte of the request may have reached the server.
+};
+
 /// Percent-encodes a string for use in a URL query.
 std::string EscapeQuery(const std::string& text);
 
 /// Sends requests to one server over persistent connections. Never sends a request twice.
 class HttpClient {
  public:
-  /// Receives the result of a request.
-  /// @param status HTTP status; 0 if no complete response was received.
-  /// @param body body of the response; empty if no complete response was received.
-  /// @param request_written whether a byte of the request may have reached the server.
-  using Done = std::function<void(int status, const std::string& body, bool request_written)>;
+  using Done = std::function<void(const HttpReply&)>;
 
   HttpClient(EventLoop* loop, std::string address, uint16_t port);
 
--- a/tests/platform_adapter_test.cc
+++ b/tests/platform_adapter_test.cc
@@ -17,13 +17,36 @@
     R"({"service":"s1","address":"10.1.2.3:8080","zone":"z1","config_version":"v1","slots":4,)"
     R"("state":"ready","warmup_left_ms":0,"seq":4,"born":1700000000000})";
 
+HttpReply Response(int status, const std::string& body, const std::string& era = "") {
+  HttpReply response;
+  response.status = status;
+  response.body = body;
+  if (!era.empty()) {
+    response.headers.emplace_back("store-era", era);
+  }
+  return response;
+}
+
+TEST_CASE("the era of the store is read from every response", "[platform_adapter_test]") {
+  // Guards against versions of another history that are taken for those of the known one.
+  std::string error_message;
+  CHECK(ParseWatchReply(Response(200, R"({"rows":[],"ver":1})", "3"), &error_message).era ==
+        StoreEra(3));
+  CHECK(ParseWatchReply(Response(410, "{}", "4"), &error_message).era == StoreEra(4));
+  CHECK(ParseWatchReply(Response(503, "{}", "5"), &error_message).era == StoreEra(5));
+  for (const std::string era : {"", "x", "-1", "1.5", "99999999999999999999"}) {
+    INFO(era);
+    CHECK_FALSE(ParseWatchReply(Response(200, "{}", era), &error_message).era);
+  }
+}
+
 TEST_CASE("rows are parsed from a full read and from the feed of changes",
           "[platform_adapter_test]") {
   std::string error_message;
   const WatchReply full_read = ParseWatchReply(
-      200,
-      R"({"rows":[{"table":"my","part":"","key":"owner","value":"bm9kZS0x","ver":412}],)"
-      R"("has_more":true,"ver":530,"now_ms":5})",
+      Response(200,
+               R"({"rows":[{"table":"my","part":"","key":"owner","value":"bm9kZS0x","ver":412}],)"
+               R"("has_more":true,"ver":530,"now_ms":5})"),
       &error_message);
   CHECK(full_read.status == WatchStatus::kDone);
   CHECK(full_read.has_more);
@@ -31,7 +54,8 @@
   REQUIRE(full_read.rows.size() == 1);
   CHECK(full_read.rows[0].value == "node-1");
   const WatchReply feed = ParseWatchReply(
-      200, R"({"rows":[{"table":"my","part":"","key":"k","ver":7,"deleted":true}],"ver":7})",
+      Response(200,
+               R"({"rows":[{"table":"my","part":"","key":"k","ver":7,"deleted":true}],"ver":7})"),
       &error_message);
   REQUIRE(feed.rows.size() == 1);
   CHECK(feed.rows[0].deleted);
@@ -65,17 +89,17 @@
   // Guards against an error response that is treated as an empty table: every endpoint would then
   // be removed.
   std::string error_message;
-  CHECK(ParseWatchReply(410, "{}", &error_message).status == WatchStatus::kHistoryLost);
+  CHECK(ParseWatchReply(Response(410, "{}"), &error_message).status == WatchStatus::kHistoryLost);
   for (const int status : {0, 403, 429, 500, 503}) {
     error_message.clear();
-    CHECK(ParseWatchReply(status, "{}", &error_message).status == WatchStatus::kFailed);
+    CHECK(ParseWatchReply(Response(status, "{}"), &error_message).status == WatchStatus::kFailed);
     CHECK_FALSE(error_message.empty());
   }
   for (const char* body : {"", "[]", "{}", R"({"ver":1})", R"({"rows":[1],"ver":1})",
                            R"({"rows":[{"key":"k","ver":1,"value":"\u0001!"}],"ver":1})"}) {
     error_message.clear();
     INFO(body);
-    CHECK(ParseWatchReply(200, body, &error_message).status == WatchStatus::kFailed);
+    CHECK(ParseWatchReply(Response(200, body), &error_message).status == WatchStatus::kFailed);
     CHECK_FALSE(error_message.empty());
   }
 }
@@ -87,7 +111,8 @@
     const std::string text = call.body.substr(begin, call.body.find('"', begin) - begin);
     std::string error_message;
     const WatchReply reply = ParseWatchReply(
-        200, R"({"rows":[{"key":"k","ver":1,"value":")" + text + R"("}],"ver":1})", &error_message);
+        Response(200, R"({"rows":[{"key":"k","ver":1,"value":")" + text + R"("}],"ver":1})"),
+        &error_message);
     RC_ASSERT(reply.rows.size() == 1U);
     RC_ASSERT(reply.rows[0].value == value);
   }));
@@ -126,7 +151,7 @@
     ParseEndpointRow("i", bytes, &error_message);
     ParseOperatorConfiguration(bytes, &error_message);
     ParseGatewayRow("g", bytes);
-    ParseWatchReply(200, bytes, &error_message);
+    ParseWatchReply(Response(200, bytes), &error_message);
     ParseServerLoad(bytes);
   }));
 }
--- a/tests/row_store_test.cc
+++ b/tests/row_store_test.cc
@@ -37,7 +37,7 @@
   WatchReply Watch(const WatchCall& call, Duration waited = Duration(0)) {
     std::string error_message;
     const std::optional<RowReply> reply = Send(BuildWatchRequest("t", call), waited);
-    return reply ? ParseWatchReply(reply->status, reply->body.dump(), &error_message)
+    return reply ? ParseWatchReply({reply->status, {}, reply->body.dump(), true}, &error_message)
                  : WatchReply();
   }
 };
