--- a/tests/table_watch_harness.h
+++ b/tests/table_watch_harness.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cluster/table_watch.h"
@@ -17,9 +18,13 @@
   std::vector<WatchedRow> history;
   uint64_t version = 0;
   uint64_t oldest = 0;
+  uint64_t era = 1;
+  bool names_era = true;  // Whether replies name the era.
 
   void Put(const std::string& key) {
-    const WatchedRow row{key, "v" + std::to_string(version + 1), ++version, false};
+    const std::string value =
+        "v" + std::to_string(version + 1) + (era > 1 ? "e" + std::to_string(era) : "");
+    const WatchedRow row{key, value, ++version, false};
     rows[key] = row;
     history.push_back(row);
   }
@@ -27,11 +32,36 @@
     rows.erase(key);
     history.push_back({key, {}, ++version, true});
   }
+  // Replaces the content by a copy that was made at an earlier version, and starts another era.
+  void Restore(uint64_t copy_version) {
+    std::erase_if(history,
+                  [copy_version](const WatchedRow& row) { return row.version > copy_version; });
+    rows.clear();
+    for (const WatchedRow& row : history) {
+      if (row.deleted) {
+        rows.erase(row.key);
+      } else {
+        rows[row.key] = row;
+      }
+    }
+    version = copy_version;
+    ++era;
+  }
+  std::map<std::string, std::string> Values() const {
+    std::map<std::string, std::string> values;
+    for (const auto& [key, row] : rows) {
+      values[key] = row.value;
+    }
+    return values;
+  }
   WatchReply Reply(const WatchCall& call) const {
     WatchReply reply;
     reply.status = WatchStatus::kDone;
     reply.version = version;
-    if (!call.full_read && call.after < oldest) {
+    if (names_era) {
+      reply.era = StoreEra(era);
+    }
+    if (!call.full_read && (call.after < oldest || call.after > version)) {
       reply.status = WatchStatus::kHistoryLost;
       return reply;
     }
@@ -107,6 +137,9 @@
   std::map<std::string, std::string> known;
   bool reachable = true;
   bool silent = false;  // The store never replies to this gateway.
+  bool paused = false;  // The process stands still.
+  bool cut_from_peers = false;
+  std::vector<TableUpdate> received_while_paused;
   int calls = 0;
   std::optional<WatchCall> call;
   MonoTime called;
@@ -125,15 +158,27 @@
   }
   void Step(MonoTime now) {
     for (size_t i = 0; i < gateways.size(); ++i) {
-      if (stopped == i) {
+      if (stopped == i || gateways[i].paused) {
         continue;
       }
+      for (const TableUpdate& update : std::exchange(gateways[i].received_while_paused, {})) {
+        gateways[i].Apply(gateways[i].watch.OnPeerUpdate(now, update));
+      }
       for (const TableUpdate& update : gateways[i].Step(now, store)) {
-        for (size_t j = 0; j < gateways.size(); ++j) {
-          if (j != i && stopped != j) {
-            gateways[j].Apply(gateways[j].watch.OnPeerUpdate(now, update));
-          }
-        }
+        Send(now, i, update);
+      }
+    }
+  }
+  void Send(MonoTime now, size_t sender, const TableUpdate& update) {
+    for (size_t i = 0; i < gateways.size(); ++i) {
+      if (i == sender || stopped == i || gateways[i].cut_from_peers ||
+          gateways[sender].cut_from_peers) {
+        continue;
+      }
+      if (gateways[i].paused) {
+        gateways[i].received_while_paused.push_back(update);
+      } else {
+        gateways[i].Apply(gateways[i].watch.OnPeerUpdate(now, update));
       }
     }
   }
