Show that a gateway without peers or list issues no permit in a second

Four mutants of the permits. One was missed (permit_issued_without_list): the test took only the first answer of a bucket, which starts empty and refuses anyway. That test, and the one of a paused gateway, now also ask for a second long (stricter; no check is dropped). Two tests are formatted by clang-format, without any other change.

--- a/tests/node_permits_test.cc
+++ b/tests/node_permits_test.cc
@@ -81,9 +81,9 @@
                                        const std::string& zone,
                                        bool relayed = false) {
     actions.clear();
-    const PermitRequest request{GatewayId(requester), CallId(7),       EndpointId(endpoint),
-                                ZoneId(zone),         CallRate{1'000}, Priority::kHigh,
-                                relayed};
+    const PermitRequest request{
+        GatewayId(requester), CallId(7), EndpointId(endpoint), ZoneId(zone), CallRate{1'000},
+        Priority::kHigh,      relayed};
     node.OnPeerMessage(now, {GatewayId(requester), Incarnation(5), {}, request}, &actions);
     std::vector<SendPeerMessage> sent;
     for (const NodeAction& action : actions) {
@@ -162,6 +162,7 @@
   const auto sent = f.Request("g3", "e", "gasabo");
   REQUIRE(sent.size() == 1);
   CHECK_FALSE(std::get<PermitReply>(sent[0].message.body).decision.granted);
+  CHECK(f.IssuedInOneSecond("e", "gasabo") == 0);
 }
 
 TEST_CASE("a gateway that was paused issues no permits until it hears its peers",
@@ -175,6 +176,7 @@
   const auto sent = f.Request("g3", Fixture::EndpointIssuedBy("g1"), "gasabo", true);
   REQUIRE(sent.size() == 1);
   CHECK_FALSE(std::get<PermitReply>(sent[0].message.body).decision.granted);
+  CHECK(f.IssuedInOneSecond(Fixture::EndpointIssuedBy("g1"), "gasabo") == 0);
 }
 
 TEST_CASE("permits for another zone are requested there, and divided if it has no gateway",
--- a/tests/permit_waits_test.cc
+++ b/tests/permit_waits_test.cc
@@ -136,8 +136,7 @@
   CHECK(f.EndpointOf<SendProbe>() != "none");
 }
 
-TEST_CASE("a request for a permit without a reply does not hold a call up",
-          "[permit_waits_test]") {
+TEST_CASE("a request for a permit without a reply does not hold a call up", "[permit_waits_test]") {
   // Guards against calls that wait for a gateway which is down, and against a late permit that
   // sends a call a second time.
   Fixture f;
