Tell other gateways that a table was read only when it was

Cause: a gateway that had been frozen across a return had a call in progress. Its reply was discarded, rightly, because updates of other gateways had moved it to the next era meanwhile; but it still told the others that it had read the table up to there, and they postponed their reads by up to 1.6 s, twice in a row with the takeover that was under way.

Now TableWatch says whether a reply finished a read (read_finished), and only then an update is sent. Ruled out: a missed version (the change was read at once when somebody read), the pause of the operators' table while the store is away (event=store-up before it).

--- a/cluster/table_watch.cc
+++ b/cluster/table_watch.cc
@@ -55,6 +55,7 @@
 
 std::vector<WatchedRow> TableWatch::OnReply(MonoTime now, const WatchReply& reply) {
   call_pending_ = false;
+  read_finished_ = false;
   std::vector<WatchedRow> changes;
   if (reply.status == WatchStatus::kFailed) {
     OnCallFailed(now);
@@ -81,6 +82,7 @@
   }
   rows_.Apply(now, reply.rows, &changes);
   position_.version = std::max(position_.version, reply.version);
+  read_finished_ = true;
   return changes;
 }
 
@@ -195,6 +197,7 @@
   // Rows may change while the pages are read, so the next read asks for the changes since the
   // version of the first page.
   ReplaceRows(now, page_rows_, first_page_position_, changes);
+  read_finished_ = true;
   // Gateways that start at the same time have all read the table, so none is the reader yet.
   is_reader_ = false;
   due_ = std::max(due_, now + RandomDelay(timing_.min_takeover_delay, timing_.max_takeover_delay));
--- a/cluster/table_watch.h
+++ b/cluster/table_watch.h
@@ -144,6 +144,9 @@
   /// Number of rows that were ignored because their version is not above the known one, although
   /// their content differs.
   uint64_t ignored_rows() const { return rows_.ignored(); }
+  /// Whether the latest reply finished a read, so that position() is what this gateway has read. If
+  /// not, other gateways must not be told that they need not read.
+  bool read_finished() const { return read_finished_; }
   /// Whether all rows of the table are known, from a full read or a snapshot.
   bool complete() const { return complete_; }
   /// Whether a full read is due or in progress; position() does not advance until it finishes.
@@ -191,6 +194,7 @@
   /// Whether the latest read of the table was made by this gateway rather than by a peer.
   bool is_reader_ = false;
   bool call_pending_ = false;
+  bool read_finished_ = false;
   bool call_reads_all_ = false;  ///< The call in progress is part of a full read.
   StoreEra call_era_;            ///< Era of position() when the call in progress started.
   Duration retry_delay_ = kMinRetryDelay;
--- a/tests/restored_store_test.cc
+++ b/tests/restored_store_test.cc
@@ -218,6 +218,34 @@
   CHECK(repeated->from.empty());
 }
 
+TEST_CASE("a gateway that stood still does not keep the others from reading",
+          "[restored_store_test]") {
+  // Guards against a change that is late everywhere because a gateway whose call was answered by
+  // the earlier history tells the others that it has read the store.
+  Zone zone(2, kOperatorTableTiming);
+  zone.store.Put("config");
+  zone.RunUntil(3s);
+  while (!zone.gateways[0].call) {
+    zone.RunUntil(zone.time + 10ms);
+  }
+  zone.gateways[0].paused = true;
+  zone.store.Put("config");
+  zone.store.Restore(1);
+  zone.store.Put("config");
+  zone.RunUntil(zone.time + kApplyTime);
+  REQUIRE(zone.gateways[1].known == zone.store.Values());
+  while (!zone.gateways[1].call) {
+    zone.RunUntil(zone.time + 10ms);
+  }
+  const std::vector<TableUpdate> received =
+      std::exchange(zone.gateways[0].received_while_paused, {});
+  for (const TableUpdate& update : received) {
+    zone.gateways[0].Apply(zone.gateways[0].watch.OnPeerUpdate(At(zone.time), update));
+  }
+  CHECK(zone.gateways[0].known == zone.store.Values());
+  CHECK(zone.gateways[0].Step(At(zone.time + 1s), zone.store).empty());
+}
+
 TEST_CASE("every gateway agrees with the store after any series of returns",
           "[restored_store_test]") {
   // Guards against orders of changes, returns, pauses and cuts that nobody thought of.
@@ -262,6 +290,9 @@
     zone.SetReachable(true);
     zone.RunUntil(zone.time + 3s + TableWatch::kMissingRowGrace);
     RC_ASSERT(AllKnow(zone, zone.store.Values()));
+    zone.store.Put("config");
+    zone.RunUntil(zone.time + kApplyTime);
+    RC_ASSERT(AllKnow(zone, zone.store.Values()));
   }));
 }
 
--- a/tests/table_watch_harness.h
+++ b/tests/table_watch_harness.h
@@ -128,7 +128,7 @@
     Apply(rows);
     if (reply.status == WatchStatus::kFailed) {
       updates.push_back(watch.FailureUpdate(""));
-    } else if (was_complete && !watch.full_read_pending()) {
+    } else if (was_complete && watch.read_finished()) {
       updates.push_back(watch.UpdateForPeers("", after, rows));
     }
     return updates;
