Write a gateway's row again when the store has lost it

What callers saw: nothing so far; gateways that start later would not find the gateway, so permits and shares of limits are computed without it, and table updates and crash fingerprints do not reach it.

Cause: the table of gateways was read and written at the start only, on the belief that the store never loses what it has confirmed. What the operators and the endpoints wrote is written again after a return from a copy; these rows are ours.

Now GatewayRegistry remembers the era in which the list was read, and reads it once in each later one, 0 to 1.5 s after the era is known. The first of a zone passes it on, so the others need not read. A gateway whose row is missing writes it and reads again. Known gateways that the list lacks are kept: otherwise the shares of the probe bound and of permits would rise.

--- a/cluster/gateway_registry.cc
+++ b/cluster/gateway_registry.cc
@@ -44,24 +44,52 @@
   return call;
 }
 
-void GatewayRegistry::OnGatewayList(MonoTime now, VmList gateways) {
-  gateways_ = std::move(gateways);
+void GatewayRegistry::OnGatewayList(MonoTime now, VmList gateways, StoreEra era) {
+  listed_ = Lists(gateways);
+  TakeList(std::move(gateways), era);
   due_.reset();
-  if (!Lists(gateways_)) {
+  if (!listed_) {
     next_call_ = Call::kWrite;
     due_ = now;
+  } else {
+    OnStoreEra(now, store_era_);
   }
 }
 
-bool GatewayRegistry::OnPeerList(VmList gateways) {
-  if (!gateways_.empty() || !Lists(gateways)) {
+bool GatewayRegistry::OnPeerList(VmList gateways, StoreEra era) {
+  const bool known = !gateways_.empty() && era <= listed_era_;
+  if (known || !Lists(gateways)) {
     return false;
   }
-  gateways_ = std::move(gateways);
+  listed_ = true;
+  TakeList(std::move(gateways), era);
   due_.reset();
   return true;
 }
 
+void GatewayRegistry::TakeList(VmList gateways, StoreEra era) {
+  if (era > listed_era_) {
+    for (const Vm& vm : gateways_) {
+      const bool named = std::any_of(gateways.begin(), gateways.end(),
+                                     [&vm](const Vm& other) { return other.name == vm.name; });
+      if (!named) {
+        gateways.push_back(vm);
+      }
+    }
+  }
+  gateways_ = std::move(gateways);
+  listed_era_ = std::max(listed_era_, era);
+  store_era_ = std::max(store_era_, era);
+}
+
+void GatewayRegistry::OnStoreEra(MonoTime now, StoreEra era) {
+  store_era_ = std::max(store_era_, era);
+  if (store_era_ > listed_era_ && !gateways_.empty() && !due_) {
+    next_call_ = Call::kRead;
+    due_ = now + RandomSpread();
+  }
+}
+
 void GatewayRegistry::OnRowWritten(MonoTime now) {
   next_call_ = Call::kRead;
   due_ = now + kReadDelay + RandomSpread();
--- a/cluster/gateway_registry.h
+++ b/cluster/gateway_registry.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 
+#include "common/ids.h"
 #include "common/random.h"
 #include "common/units.h"
 #include "common/vm_list.h"
@@ -18,6 +19,10 @@
 /// then reads it, and writes its row only if the row is missing. The reads are spread over time,
 /// and a gateway that has read the list passes it on, so that few of the gateways that start at the
 /// same time read it.
+///
+/// A store that is restored from a copy may have lost rows, which nobody but their gateways writes
+/// again. The list is therefore read once in each era of the store; known gateways that it lacks
+/// are kept.
 class GatewayRegistry {
  public:
   enum class Call : uint8_t { kRead, kWrite, kAskPeers };
@@ -40,11 +45,14 @@
   /// Returns the call to make now, if one is due. The caller must report its result with one of the
   /// functions below; kAskPeers has no result.
   std::optional<Call> NextCall(MonoTime now);
-  void OnGatewayList(MonoTime now, VmList gateways);
-  /// Takes the list that a peer has read, which replaces the first own read. A list without this
-  /// gateway was read too early and is ignored.
+  /// @param era era of the store that the list was read in.
+  void OnGatewayList(MonoTime now, VmList gateways, StoreEra era);
+  /// Takes the list that a peer has read, which replaces the first own read in an era of the store.
+  /// A list without this gateway was read too early and is ignored.
   /// @return whether the list was taken.
-  bool OnPeerList(VmList gateways);
+  bool OnPeerList(VmList gateways, StoreEra era);
+  /// Schedules a read of the list if it has not been read in this era of the store.
+  void OnStoreEra(MonoTime now, StoreEra era);
   void OnRowWritten(MonoTime now);
   void OnCallFailed(MonoTime now);
   /// Returns when NextCall is due.
@@ -53,16 +61,27 @@
   const Vm& self() const { return self_; }
   /// The gateways in the latest list read, including this one if it was listed.
   const VmList& gateways() const { return gateways_; }
+  /// Era of the store in which the list was read.
+  StoreEra listed_era() const { return listed_era_; }
+  /// The latest known era of the store.
+  StoreEra store_era() const { return store_era_; }
+  /// Whether the latest list that was read had this gateway's row.
+  bool listed() const { return listed_; }
   bool new_deployment() const { return new_deployment_; }
 
  private:
   bool Lists(const VmList& gateways) const;
+  /// Takes a list, and keeps the known gateways that a list of a later era lacks.
+  void TakeList(VmList gateways, StoreEra era);
   Duration RandomSpread();
 
   Vm self_;
   bool new_deployment_;
   RandomEngine random_;
   VmList gateways_;
+  StoreEra listed_era_;
+  StoreEra store_era_;
+  bool listed_ = false;
   std::optional<MonoTime> due_;
   Call next_call_ = Call::kWrite;
 };
--- a/tests/discovery_test.cc
+++ b/tests/discovery_test.cc
@@ -121,8 +121,8 @@
   CHECK_FALSE(registry.NextCall(start + GatewayRegistry::kReadDelay - 1us));
   const MonoTime later = start + GatewayRegistry::kReadDelay + GatewayRegistry::kReadSpread;
   CHECK(registry.NextCall(later) == GatewayRegistry::Call::kRead);
-  registry.OnGatewayList(later,
-                         {MakeGatewayVm("other"), MakeGatewayVm("g"), MakeGatewayVm("late")});
+  registry.OnGatewayList(later, {MakeGatewayVm("other"), MakeGatewayVm("g"), MakeGatewayVm("late")},
+                         StoreEra(1));
   CHECK_FALSE(registry.next_timer());
   CHECK(registry.gateways().size() == 3);
 }
@@ -135,7 +135,8 @@
   registry.OnRowWritten(start);
   const MonoTime later = start + GatewayRegistry::kReadDelay + GatewayRegistry::kReadSpread;
   registry.NextCall(later);
-  registry.OnGatewayList(later, {MakeGatewayVm("other"), MakeGatewayVm("g", "10.0.0.9")});
+  registry.OnGatewayList(later, {MakeGatewayVm("other"), MakeGatewayVm("g", "10.0.0.9")},
+                         StoreEra(1));
   CHECK(registry.NextCall(later) == GatewayRegistry::Call::kWrite);
   registry.OnRowWritten(later);
   CHECK(registry.NextCall(later + GatewayRegistry::kReadDelay + GatewayRegistry::kReadSpread) ==
@@ -152,7 +153,7 @@
   const MonoTime later = start + GatewayRegistry::kRetryDelay;
   CHECK(registry.NextCall(later) == GatewayRegistry::Call::kRead);
   const bool written = GENERATE(false, true);
-  registry.OnGatewayList(later, written ? VmList{MakeGatewayVm("g")} : VmList{});
+  registry.OnGatewayList(later, written ? VmList{MakeGatewayVm("g")} : VmList{}, StoreEra(1));
   CHECK(registry.next_timer().has_value() == !written);
 }
 
@@ -166,7 +167,7 @@
   CHECK(asked <= start + GatewayRegistry::kReadSpread);
   CHECK(registry.NextCall(asked) == GatewayRegistry::Call::kAskPeers);
   SECTION("a peer answers") {
-    CHECK(registry.OnPeerList({MakeGatewayVm("g"), MakeGatewayVm("o")}));
+    CHECK(registry.OnPeerList({MakeGatewayVm("g"), MakeGatewayVm("o")}, StoreEra(1)));
     CHECK_FALSE(registry.next_timer());
   }
   SECTION("no peer answers") {
@@ -174,7 +175,8 @@
     const MonoTime later = asked + GatewayRegistry::kPeerReplyTimeout;
     CHECK(registry.NextCall(later) == GatewayRegistry::Call::kRead);
     const bool listed = GENERATE(true, false);
-    registry.OnGatewayList(later, listed ? VmList{MakeGatewayVm("g")} : VmList{MakeGatewayVm("o")});
+    registry.OnGatewayList(later, listed ? VmList{MakeGatewayVm("g")} : VmList{MakeGatewayVm("o")},
+                           StoreEra(1));
     CHECK((registry.NextCall(later) == GatewayRegistry::Call::kWrite) == !listed);
   }
 }
@@ -188,12 +190,76 @@
   registry.Start(start);
   registry.NextCall(start);
   registry.OnRowWritten(start);
-  CHECK_FALSE(registry.OnPeerList({MakeGatewayVm("other")}));
+  CHECK_FALSE(registry.OnPeerList({MakeGatewayVm("other")}, StoreEra(1)));
   CHECK(registry.next_timer());
-  CHECK(registry.OnPeerList({MakeGatewayVm("other"), MakeGatewayVm("g")}));
+  CHECK(registry.OnPeerList({MakeGatewayVm("other"), MakeGatewayVm("g")}, StoreEra(1)));
   CHECK_FALSE(registry.next_timer());
   CHECK(registry.gateways().size() == 2);
-  CHECK_FALSE(registry.OnPeerList({MakeGatewayVm("g")}));
+  CHECK_FALSE(registry.OnPeerList({MakeGatewayVm("g")}, StoreEra(1)));
+}
+
+// A gateway that has found itself in the list of era 1, beside `other`.
+GatewayRegistry MakeListedRegistry(MonoTime now) {
+  GatewayRegistry registry(MakeGatewayVm("g"), false, 1);
+  registry.Start(now);
+  registry.OnGatewayList(now, {MakeGatewayVm("g"), MakeGatewayVm("other")}, StoreEra(1));
+  registry.OnStoreEra(now, StoreEra(1));
+  return registry;
+}
+
+TEST_CASE("a gateway whose row is lost with the store's latest changes writes it again",
+          "[discovery_test]") {
+  // Guards against a gateway that those which start later never find: nobody else writes its row.
+  MonoTime now = MonoTime() + 1s;
+  GatewayRegistry registry = MakeListedRegistry(now);
+  CHECK_FALSE(registry.next_timer());
+  registry.OnStoreEra(now, StoreEra(2));
+  registry.OnStoreEra(now, StoreEra(2));
+  REQUIRE(registry.next_timer());
+  now = *registry.next_timer();
+  CHECK(now <= MonoTime() + 1s + GatewayRegistry::kReadSpread);
+  CHECK(registry.NextCall(now) == GatewayRegistry::Call::kRead);
+  const bool lost = GENERATE(true, false);
+  registry.OnGatewayList(now, lost ? VmList{MakeGatewayVm("new")} : VmList{MakeGatewayVm("g")},
+                         StoreEra(2));
+  CHECK((registry.NextCall(now) == GatewayRegistry::Call::kWrite) == lost);
+  registry.OnStoreEra(now, StoreEra(2));
+  CHECK_FALSE(registry.next_timer());
+}
+
+TEST_CASE("gateways whose rows are lost stay in the list that is in use", "[discovery_test]") {
+  // Guards against shares of limits and of probes that rise because the copy has fewer gateways.
+  const MonoTime now = MonoTime() + 1s;
+  GatewayRegistry registry = MakeListedRegistry(now);
+  registry.OnStoreEra(now, StoreEra(2));
+  SECTION("after an own read") {
+    registry.OnGatewayList(now, {MakeGatewayVm("g", "10.0.0.1"), MakeGatewayVm("new")},
+                           StoreEra(2));
+  }
+  SECTION("after the read of a peer, which replaces the own one") {
+    CHECK(registry.OnPeerList({MakeGatewayVm("g"), MakeGatewayVm("new")}, StoreEra(2)));
+    CHECK_FALSE(registry.next_timer());
+    CHECK_FALSE(registry.OnPeerList({MakeGatewayVm("g")}, StoreEra(2)));
+    CHECK_FALSE(registry.OnPeerList({MakeGatewayVm("g")}, StoreEra(1)));
+  }
+  CHECK(registry.gateways().size() == 3);
+  CHECK(registry.listed_era() == StoreEra(2));
+  CHECK(registry.listed());
+}
+
+TEST_CASE("a return of the store while the list is read leads to another read",
+          "[discovery_test]") {
+  // Guards against a row that is lost just after it was found in the list.
+  const MonoTime now = MonoTime() + 1s;
+  GatewayRegistry registry(MakeGatewayVm("g"), false, 1);
+  registry.Start(now);
+  const MonoTime asked = registry.next_timer().value();
+  registry.NextCall(asked);
+  registry.NextCall(asked + GatewayRegistry::kPeerReplyTimeout);
+  registry.OnStoreEra(now, StoreEra(2));
+  CHECK_FALSE(registry.next_timer());
+  registry.OnGatewayList(now, {MakeGatewayVm("g")}, StoreEra(1));
+  CHECK(registry.next_timer());
 }
 
 TEST_CASE("gateways that start at the same time form a tree with bounded fan-out",
