Do not use an endpoint that has left because a copy of the store has its row

One that is back in another era is marked as recalled, on the wire too, so that gateways that did not see the removal, or start later, do not use it either. A row that is written again has another version and is used at once; one that still exists after 6 s is used, since the store removes the rows of silent servers in 4.5 s. Rows of the operators are never held, so that a zone which is taken out is out at once.

--- a/cluster/discovery.h
+++ b/cluster/discovery.h
@@ -21,13 +21,17 @@
 /// Timing of reads of the endpoints' table. Upstreams renew their rows every second or two, so a
 /// call does not wait for a change. The maximum takeover delay is below the two seconds within
 /// which every gateway must know that an endpoint is leaving.
-inline constexpr TableWatch::Timing kEndpointTableTiming = {1s, Duration(0), 1200ms, 1600ms};
+/// The hold of recalled rows is longer than the store takes to remove the row of a server that no
+/// longer renews it.
+inline constexpr TableWatch::Timing kEndpointTableTiming = {1s, Duration(0), 1200ms, 1600ms, 6s};
 
 /// One running instance of an upstream server as listed by service discovery.
 struct EndpointRecord {
   Endpoint endpoint;
   ServiceId service;
   bool leaving = false;  ///< The endpoint announced that it is draining.
+  /// The run of the server: its start time in milliseconds of wall time; 0 if it is not known.
+  Incarnation incarnation = {};
   bool operator==(const EndpointRecord&) const = default;
 };
 
--- a/cluster/table_rows.cc
+++ b/cluster/table_rows.cc
@@ -4,6 +4,15 @@
 #include <utility>
 
 namespace jd {
+namespace {
+
+std::optional<MonoTime> Earliest(const std::map<std::string, MonoTime>& times) {
+  const auto earliest = std::min_element(
+      times.begin(), times.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
+  return earliest == times.end() ? std::nullopt : std::optional(earliest->second);
+}
+
+}  // namespace
 
 void TableRows::StartGrace(MonoTime now) {
   grace_end_ = now + kMissingRowGrace;
@@ -27,13 +36,15 @@
       ignored_ += row.value != known->second.value ? 1 : 0;
       continue;
     }
-    Put(row, changes);
+    Put(now, row, changes);
   }
 }
 
 void TableRows::Replace(MonoTime now,
                         const std::map<std::string, WatchedRow>& rows,
+                        bool other_history,
                         std::vector<WatchedRow>* changes) {
+  ForgetOldRemovals(now);
   std::vector<std::pair<std::string, uint64_t>> absent;
   for (const auto& [key, row] : rows_) {
     if (!rows.contains(key)) {
@@ -43,7 +54,9 @@
   for (const auto& [key, row] : rows) {
     const auto known = rows_.find(key);
     if (known == rows_.end() || known->second.value != row.value || missing_.contains(key)) {
-      Put(row, changes);
+      WatchedRow put = row;
+      put.recalled = row.recalled || (other_history && removed_.contains(key));
+      Put(now, put, changes);
     } else {
       known->second.version = row.version;
     }
@@ -59,12 +72,33 @@
   }
 }
 
-void TableRows::Put(const WatchedRow& row, std::vector<WatchedRow>* changes) {
-  rows_[row.key] = row;
-  changes->push_back(row);
+void TableRows::Put(MonoTime now, const WatchedRow& row, std::vector<WatchedRow>* changes) {
+  WatchedRow& known = rows_[row.key];
+  known = row;
+  known.recalled = row.recalled && recalled_row_hold_ > Duration(0);
+  if (known.recalled) {
+    recalled_[row.key] = now + recalled_row_hold_;
+  } else {
+    recalled_.erase(row.key);
+    removed_.erase(row.key);
+  }
+  changes->push_back(known);
   changes->back().restored = missing_.erase(row.key) > 0;
 }
 
+void TableRows::Erase(MonoTime now, const std::string& key) {
+  rows_.erase(key);
+  recalled_.erase(key);
+  if (recalled_row_hold_ > Duration(0)) {
+    removed_[key] = now;
+  }
+}
+
+void TableRows::ForgetOldRemovals(MonoTime now) {
+  std::erase_if(removed_,
+                [now](const auto& removal) { return now >= removal.second + kRemovedRowMemory; });
+}
+
 void TableRows::Remove(MonoTime now,
                        const std::string& key,
                        uint64_t version,
@@ -74,16 +108,18 @@
   }
   if (grace_end_ && now < *grace_end_) {
     missing_.emplace(key, *grace_end_);
+    recalled_.erase(key);
     return;
   }
   changes->push_back({key, {}, version, true});
-  rows_.erase(key);
+  Erase(now, key);
 }
 
 void TableRows::MarkMissing(MonoTime now, const std::vector<std::string>& keys) {
   for (const std::string& key : keys) {
     if (rows_.contains(key)) {
       missing_.emplace(key, now + kMissingRowGrace);
+      recalled_.erase(key);
     }
   }
 }
@@ -96,7 +132,7 @@
       continue;
     }
     expired.push_back({row->first, {}, rows_.at(row->first).version, true});
-    rows_.erase(row->first);
+    Erase(now, row->first);
     row = missing_.erase(row);
   }
   return expired;
@@ -110,12 +146,27 @@
   return keys;
 }
 
-std::optional<MonoTime> TableRows::next_expiry() const {
-  std::optional<MonoTime> next;
-  for (const auto& [key, at] : missing_) {
-    next = std::min(next.value_or(at), at);
+std::vector<WatchedRow> TableRows::ReleaseRecalled(MonoTime now) {
+  std::vector<WatchedRow> released;
+  for (auto entry = recalled_.begin(); entry != recalled_.end();) {
+    if (entry->second > now) {
+      ++entry;
+      continue;
+    }
+    WatchedRow& row = rows_.at(entry->first);
+    row.recalled = false;
+    released.push_back(row);
+    entry = recalled_.erase(entry);
   }
-  return next;
+  return released;
+}
+
+std::optional<MonoTime> TableRows::next_expiry() const {
+  return Earliest(missing_);
+}
+
+std::optional<MonoTime> TableRows::next_release() const {
+  return Earliest(recalled_);
 }
 
 }  // namespace jd
--- a/cluster/table_watch.cc
+++ b/cluster/table_watch.cc
@@ -212,7 +212,7 @@
     rows_.ForgetVersions();
     rows_.StartGrace(now);
   }
-  rows_.Replace(now, rows, changes);
+  rows_.Replace(now, rows, complete_ && other_history, changes);
   position_ = position;
   page_rows_.clear();
   next_page_key_.clear();
@@ -220,10 +220,16 @@
   complete_ = true;
 }
 
-std::vector<WatchedRow> TableWatch::ExpireMissingRows(MonoTime now) {
-  // While the store is unreachable again, rows are kept; OnStoreReachable restarts their grace
-  // period.
-  return connected_ ? rows_.ExpireMissing(now) : std::vector<WatchedRow>();
+std::vector<WatchedRow> TableWatch::ApplyDueRows(MonoTime now) {
+  if (!connected_) {
+    // Rows are kept while the store is unreachable again; OnStoreReachable restarts their grace
+    // period. The store cannot have removed recalled rows either.
+    return {};
+  }
+  std::vector<WatchedRow> changes = rows_.ExpireMissing(now);
+  const std::vector<WatchedRow> released = rows_.ReleaseRecalled(now);
+  changes.insert(changes.end(), released.begin(), released.end());
+  return changes;
 }
 
 std::optional<MonoTime> TableWatch::next_timer() const {
@@ -231,8 +237,14 @@
   if (!call_pending_ && !paused()) {
     next = due_;
   }
-  const std::optional<MonoTime> expiry = connected_ ? rows_.next_expiry() : std::nullopt;
-  return next && expiry ? std::min(next, expiry) : next ? next : expiry;
+  if (connected_) {
+    for (const std::optional<MonoTime>& due : {rows_.next_expiry(), rows_.next_release()}) {
+      if (due) {
+        next = std::min(next.value_or(*due), *due);
+      }
+    }
+  }
+  return next;
 }
 
 Duration TableWatch::RandomDelay(Duration min, Duration max) {
--- a/cluster/table_watch.h
+++ b/cluster/table_watch.h
@@ -104,9 +104,13 @@
     /// After an update from another gateway no call is made for a random time in this range.
     Duration min_takeover_delay{0};
     Duration max_takeover_delay{0};
+    /// How long a row that had been removed, and is back because the store was restored, is not
+    /// used; 0 if it is used at once. See TableRows.
+    Duration recalled_row_hold{0};
   };
 
-  TableWatch(Timing timing, uint64_t seed) : timing_(timing), random_(seed) {}
+  TableWatch(Timing timing, uint64_t seed)
+      : timing_(timing), random_(seed), rows_(timing.recalled_row_hold) {}
 
   /// Returns the call to make now, if one is due. The caller must pass its result to OnReply.
   std::optional<WatchCall> NextCall(MonoTime now);
@@ -134,9 +138,11 @@
                              const std::vector<WatchedRow>& rows) const;
   /// Returns the update to send to other gateways after a failed call.
   TableUpdate FailureUpdate(const std::string& table) const;
-  /// Removes the missing rows whose grace period has passed and returns them as deleted.
-  std::vector<WatchedRow> ExpireMissingRows(MonoTime now);
-  /// Returns when NextCall or ExpireMissingRows is due.
+  /// Removes the missing rows whose grace period has passed, and releases the recalled rows whose
+  /// hold has passed.
+  /// @return the rows that changed.
+  std::vector<WatchedRow> ApplyDueRows(MonoTime now);
+  /// Returns when NextCall or ApplyDueRows is due.
   std::optional<MonoTime> next_timer() const;
 
   /// Newest state of the store that the known rows cover.
--- a/rpc/convert.cc
+++ b/rpc/convert.cc
@@ -243,8 +243,9 @@
     wire::WatchedRow& added = out.rows.emplace_back();
     added.key = row.key;
     added.value = row.value;
-    added.version = static_cast<int64_t>(row.version);
+    added.version = ToSigned(row.version);
     added.deleted = row.deleted;
+    added.recalled = row.recalled;
   }
   out.missing = in.missing;
   out.failed = in.failed;
@@ -262,7 +263,12 @@
   out.after = {StoreEra(ToUnsigned(in.after_era)), ToUnsigned(in.after)};
   out.position = {StoreEra(ToUnsigned(in.era)), ToUnsigned(in.version)};
   for (const wire::WatchedRow& row : in.rows) {
-    out.rows.push_back({row.key, row.value, static_cast<uint64_t>(row.version), row.deleted});
+    WatchedRow& added = out.rows.emplace_back();
+    added.key = row.key;
+    added.value = row.value;
+    added.version = ToUnsigned(row.version);
+    added.deleted = row.deleted;
+    added.recalled = row.recalled;
   }
   out.missing = in.missing;
   out.failed = in.failed;
--- a/rpc/gen-cpp/jackdawdeck_types.cpp
+++ b/rpc/gen-cpp/jackdawdeck_types.cpp
@@ -2449,6 +2449,10 @@
 void WatchedRow::__set_deleted(const bool val) {
   this->deleted = val;
 }
+
+void WatchedRow::__set_recalled(const bool val) {
+  this->recalled = val;
+}
 std::ostream& operator<<(std::ostream& out, const WatchedRow& obj)
 {
   obj.printTo(out);
@@ -2509,6 +2513,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->recalled);
+          this->__isset.recalled = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2542,6 +2554,10 @@
   xfer += oprot->writeBool(this->deleted);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("recalled", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->recalled);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2553,6 +2569,7 @@
   swap(a.value, b.value);
   swap(a.version, b.version);
   swap(a.deleted, b.deleted);
+  swap(a.recalled, b.recalled);
   swap(a.__isset, b.__isset);
 }
 
@@ -2561,6 +2578,7 @@
   value = other50.value;
   version = other50.version;
   deleted = other50.deleted;
+  recalled = other50.recalled;
   __isset = other50.__isset;
 }
 WatchedRow& WatchedRow::operator=(const WatchedRow& other51) {
@@ -2568,6 +2586,7 @@
   value = other51.value;
   version = other51.version;
   deleted = other51.deleted;
+  recalled = other51.recalled;
   __isset = other51.__isset;
   return *this;
 }
@@ -2578,6 +2597,7 @@
   out << ", " << "value=" << to_string(value);
   out << ", " << "version=" << to_string(version);
   out << ", " << "deleted=" << to_string(deleted);
+  out << ", " << "recalled=" << to_string(recalled);
   out << ")";
 }
 
--- a/rpc/gen-cpp/jackdawdeck_types.h
+++ b/rpc/gen-cpp/jackdawdeck_types.h
@@ -1019,11 +1019,12 @@
 std::ostream& operator<<(std::ostream& out, const UnrecordedZone& obj);
 
 typedef struct _WatchedRow__isset {
-  _WatchedRow__isset() : key(false), value(false), version(false), deleted(false) {}
+  _WatchedRow__isset() : key(false), value(false), version(false), deleted(false), recalled(false) {}
   bool key :1;
   bool value :1;
   bool version :1;
   bool deleted :1;
+  bool recalled :1;
 } _WatchedRow__isset;
 
 class WatchedRow : public virtual ::apache::thrift::TBase {
@@ -1035,7 +1036,8 @@
              : key(),
                value(),
                version(0),
-               deleted(0) {
+               deleted(0),
+               recalled(0) {
   }
 
   virtual ~WatchedRow() noexcept;
@@ -1043,6 +1045,7 @@
   std::string value;
   int64_t version;
   bool deleted;
+  bool recalled;
 
   _WatchedRow__isset __isset;
 
@@ -1054,6 +1057,8 @@
 
   void __set_deleted(const bool val);
 
+  void __set_recalled(const bool val);
+
   bool operator == (const WatchedRow & rhs) const
   {
     if (!(key == rhs.key))
@@ -1064,6 +1069,8 @@
       return false;
     if (!(deleted == rhs.deleted))
       return false;
+    if (!(recalled == rhs.recalled))
+      return false;
     return true;
   }
   bool operator != (const WatchedRow &rhs) const {
--- a/rpc/jackdawdeck.thrift
+++ b/rpc/jackdawdeck.thrift
@@ -122,6 +122,7 @@
   2: binary value
   3: i64 version
   4: bool deleted
+  5: bool recalled
 }
 
 struct TableNews {
--- a/tests/restored_store_test.cc
+++ b/tests/restored_store_test.cc
@@ -173,6 +173,44 @@
   CHECK(AllKnow(zone, zone.store.Values()));
 }
 
+TEST_CASE("an endpoint that has left is not used again because a copy has its row",
+          "[restored_store_test]") {
+  // Guards against calls to endpoints that gateways know to be gone, until the store removes their
+  // rows once more.
+  Zone zone(13, kEndpointTableTiming);
+  zone.store.Put("stays");
+  zone.store.Put("left");
+  zone.RunUntil(3s);
+  zone.store.Remove("left");
+  zone.RunUntil(6s);
+  RestoreAfterOutage(&zone, 2);
+  const Duration returned = zone.time;
+  zone.RunUntil(returned + 2s);
+  CHECK(AllKnow(zone, {{"stays", "v1"}}));
+  Gateway starting(99, kEndpointTableTiming);
+  starting.Apply(starting.watch.OnPeerUpdate(At(zone.time), zone.gateways[0].watch.Snapshot("")));
+  CHECK(starting.known == zone.gateways[0].known);
+  SECTION("the store removes it again") {
+    zone.RunUntil(returned + 4s);
+    zone.store.Remove("left");
+    for (; zone.time < returned + 12s; zone.RunUntil(zone.time + 10ms)) {
+      REQUIRE(AllKnow(zone, {{"stays", "v1"}}));
+    }
+  }
+  SECTION("it is written again") {
+    zone.store.Put("left");
+    zone.RunUntil(returned + 4s);
+    CHECK(AllKnow(zone, zone.store.Values()));
+  }
+  SECTION("it lives, but had written its row before the first read") {
+    zone.RunUntil(returned + 2s + kEndpointTableTiming.recalled_row_hold);
+    CHECK(AllKnow(zone, zone.store.Values()));
+    starting.Apply(
+        starting.watch.ApplyDueRows(At(returned + 2s + kEndpointTableTiming.recalled_row_hold)));
+    CHECK(starting.known == zone.store.Values());
+  }
+}
+
 TEST_CASE("a reply or update of an earlier era is ignored", "[restored_store_test]") {
   // Guards against a delayed message that brings back what the store has lost.
   Store store;
@@ -288,7 +326,7 @@
       gateway.paused = gateway.silent = gateway.cut_from_peers = false;
     }
     zone.SetReachable(true);
-    zone.RunUntil(zone.time + 3s + TableWatch::kMissingRowGrace);
+    zone.RunUntil(zone.time + 3s + kEndpointTableTiming.recalled_row_hold);
     RC_ASSERT(AllKnow(zone, zone.store.Values()));
     zone.store.Put("config");
     zone.RunUntil(zone.time + kApplyTime);
--- a/tests/rpc_test.cc
+++ b/tests/rpc_test.cc
@@ -62,6 +62,7 @@
   sent.after = {StoreEra(2), 8};
   sent.position = {StoreEra(3), 9};
   sent.rows = {{"k", std::string("\0v", 2), 7, false}};
+  sent.rows[0].recalled = true;
   sent.missing = {"m"};
   sent.snapshot = sent.unconfirmed = sent.relay = true;
   sent.reader = GatewayId("g1");
@@ -74,6 +75,7 @@
   CHECK(update.position == sent.position);
   REQUIRE(update.rows.size() == 1);
   CHECK(update.rows[0].value == sent.rows[0].value);
+  CHECK(update.rows[0].recalled);
   CHECK(update.missing == sent.missing);
   CHECK(update.snapshot);
   CHECK(update.unconfirmed);
--- a/tests/table_watch_harness.h
+++ b/tests/table_watch_harness.h
@@ -86,6 +86,9 @@
 
   void Apply(const std::vector<WatchedRow>& changes) {
     for (const WatchedRow& row : changes) {
+      if (row.recalled) {
+        continue;
+      }
       if (row.deleted) {
         known.erase(row.key);
       } else {
@@ -104,7 +107,7 @@
   // call times out. @return the updates to send to the other gateways.
   std::vector<TableUpdate> Step(MonoTime now, const Store& store) {
     std::vector<TableUpdate> updates;
-    Apply(watch.ExpireMissingRows(now));
+    Apply(watch.ApplyDueRows(now));
     if (!call) {
       call = watch.NextCall(now);
       calls += call ? 1 : 0;
--- a/tests/table_watch_test.cc
+++ b/tests/table_watch_test.cc
@@ -130,7 +130,7 @@
   const std::optional<TableUpdate> update = reader.Read(At(1s), store);
   REQUIRE(update);
   told.Apply(told.watch.OnPeerUpdate(At(1s), *update));
-  told.Apply(told.watch.ExpireMissingRows(At(1s + TableWatch::kMissingRowGrace)));
+  told.Apply(told.watch.ApplyDueRows(At(1s + TableWatch::kMissingRowGrace)));
   CHECK(told.known == store.Values());
 }
 
@@ -164,7 +164,7 @@
   } else {
     follower.Apply(follower.watch.OnPeerUpdate(At(3s), reader.Read(At(3s), store).value()));
   }
-  follower.Apply(follower.watch.ExpireMissingRows(At(2s + TableWatch::kMissingRowGrace)));
+  follower.Apply(follower.watch.ApplyDueRows(At(2s + TableWatch::kMissingRowGrace)));
   CHECK(follower.known == std::map<std::string, std::string>{{"b", "v5"}});
 }
 
@@ -333,7 +333,7 @@
   Gateway gateway(2);
   gateway.Apply(gateway.watch.OnPeerUpdate(At(2100ms), peer.watch.Snapshot("")));
   CHECK(gateway.known.size() == 1);
-  gateway.Apply(gateway.watch.ExpireMissingRows(At(2100ms + TableWatch::kMissingRowGrace)));
+  gateway.Apply(gateway.watch.ApplyDueRows(At(2100ms + TableWatch::kMissingRowGrace)));
   CHECK(gateway.known.empty());
 }
 
