Keep an endpoint that leaves out of use for the rest of its run

Cause: the newest row was taken for the newest state. A server that drains exits, so within one run (born, read as the incarnation) it does not serve again, and a row of an earlier run is older. The catalog ignores both. Without born nothing changes; a born that is no whole number makes the row unusable like any other field of a wrong type.

--- a/cluster/catalog.cc
+++ b/cluster/catalog.cc
@@ -3,6 +3,19 @@
 #include "common/route_table.h"
 
 namespace jd {
+namespace {
+
+// An endpoint that leaves does not serve again in the same run.
+bool IsEarlierState(const EndpointRecord& record, const EndpointRecord& known) {
+  if (record.incarnation == Incarnation() || known.incarnation == Incarnation()) {
+    return false;
+  }
+  const bool serves_again = known.leaving && !record.leaving;
+  return record.incarnation < known.incarnation ||
+         (record.incarnation == known.incarnation && serves_again);
+}
+
+}  // namespace
 
 bool Catalog::Apply(const DiscoveryUpdate& update) {
   bool changed = false;
@@ -15,6 +28,9 @@
   }
   for (const EndpointRecord& record : update.endpoints) {
     const auto [known, added] = endpoints_.emplace(record.endpoint.id, record);
+    if (IsEarlierState(record, known->second)) {
+      continue;
+    }
     if (added || known->second != record) {
       known->second = record;
       changed = true;
--- a/cluster/catalog.h
+++ b/cluster/catalog.h
@@ -15,7 +15,9 @@
 class Catalog {
  public:
   /// Applies a discovery update. An operators' configuration that is not newer than the active one
-  /// is ignored, so that the active version never decreases.
+  /// is ignored, so that the active version never decreases. A record of an endpoint is ignored if
+  /// it belongs to an earlier run, or to the time before the endpoint announced that it leaves: a
+  /// store that was restored from a copy shows such states.
   /// @return whether configuration() has changed.
   bool Apply(const DiscoveryUpdate& update);
 
--- a/tests/discovery_test.cc
+++ b/tests/discovery_test.cc
@@ -98,6 +98,42 @@
   CHECK(catalog.configuration()->zones.at(ZoneId("z")).state == ZoneState::kIn);
 }
 
+TEST_CASE("an endpoint that leaves does not serve again in the same run", "[discovery_test]") {
+  // Guards against calls to an endpoint that leaves because a copy of the store shows an earlier
+  // state of it.
+  EndpointRecord record = MakeEndpointRecord("e");
+  record.incarnation = Incarnation(GENERATE(0, 7));
+  EndpointRecord leaving = record;
+  leaving.leaving = true;
+  Catalog catalog;
+  catalog.Apply(MakeCompleteUpdate(1, {record}));
+  CHECK(EndpointCount(catalog) == 1);
+  DiscoveryUpdate update;
+  update.endpoints = {leaving};
+  catalog.Apply(update);
+  CHECK(EndpointCount(catalog) == 0);
+  SECTION("an earlier state of the run") {
+    update.endpoints = {record};
+    catalog.Apply(update);
+    // Without the start of the run the states cannot be told apart.
+    CHECK(EndpointCount(catalog) == (record.incarnation == Incarnation() ? 1 : 0));
+  }
+  SECTION("an earlier run") {
+    update.endpoints[0].incarnation = Incarnation(7);
+    catalog.Apply(update);
+    update.endpoints = {record};
+    update.endpoints[0].incarnation = Incarnation(6);
+    catalog.Apply(update);
+    CHECK(EndpointCount(catalog) == 0);
+  }
+  SECTION("the next run") {
+    update.endpoints = {record};
+    update.endpoints[0].incarnation = Incarnation(8);
+    catalog.Apply(update);
+    CHECK(EndpointCount(catalog) == 1);
+  }
+}
+
 Vm MakeGatewayVm(const std::string& name, const std::string& address = "10.0.0.1") {
   Vm vm;
   vm.name = name;
--- a/tests/platform_adapter_test.cc
+++ b/tests/platform_adapter_test.cc
@@ -128,17 +128,21 @@
   CHECK(record->endpoint.port == 8080);
   CHECK(record->service == ServiceId("s1"));
   CHECK_FALSE(record->leaving);
+  CHECK(record->incarnation == Incarnation(1'700'000'000'000));
 }
 
 TEST_CASE("a malformed row is not parsed as an endpoint", "[platform_adapter_test]") {
   std::string error_message;
-  for (const char* row :
-       {"", "nonsense", "{}", "[]", R"({"service":"s"})",
-        R"({"service":1,"address":"10.1.2.3:80","zone":"z","slots":4,"state":"ready"})",
-        R"({"service":"s","address":"10.1.2.3","zone":"z","slots":4,"state":"ready"})",
-        R"({"service":"s","address":"10.1.2.3:0","zone":"z","slots":4,"state":"ready"})",
-        R"({"service":"s","address":"10.1.2.3:80","zone":"z","slots":"4","state":"ready"})",
-        R"({"service":"s","address":"10.1.2.3:80","zone":"z","slots":4,"state":"resting"})"}) {
+  for (
+      const char* row :
+      {"", "nonsense", "{}", "[]", R"({"service":"s"})",
+       R"({"service":1,"address":"10.1.2.3:80","zone":"z","slots":4,"state":"ready"})",
+       R"({"service":"s","address":"10.1.2.3","zone":"z","slots":4,"state":"ready"})",
+       R"({"service":"s","address":"10.1.2.3:0","zone":"z","slots":4,"state":"ready"})",
+       R"({"service":"s","address":"10.1.2.3:80","zone":"z","slots":"4","state":"ready"})",
+       R"({"service":"s","address":"10.1.2.3:80","zone":"z","slots":4,"state":"resting"})",
+       R"({"service":"s","address":"10.1.2.3:80","zone":"z","slots":4,"state":"ready","born":"x"})",
+       R"({"service":"s","address":"10.1.2.3:80","zone":"z","slots":4,"state":"ready","born":-1})"}) {
     INFO(row);
     CHECK_FALSE(ParseEndpointRow("i-1", row, &error_message));
   }
