Pass on a full read only to gateways that knew the same rows

What callers saw: nothing yet; after the store has dropped its change history, an endpoint that is gone would stay in use at some gateways until the table is read in full again.

Cause: the update after a full read holds the differences from what its sender knew. A row that the sender never knew, and that is gone, is not among them; a receiver that knew the row took the update as complete. And a removal carried the sender's version of the row, which a receiver with a newer one ignored.

A removal carries the version of the full read.

--- a/cluster/table_rows.cc
+++ b/cluster/table_rows.cc
@@ -42,13 +42,14 @@
 
 void TableRows::Replace(MonoTime now,
                         const std::map<std::string, WatchedRow>& rows,
+                        uint64_t version,
                         bool other_history,
                         std::vector<WatchedRow>* changes) {
   ForgetOldRemovals(now);
-  std::vector<std::pair<std::string, uint64_t>> absent;
+  std::vector<std::string> absent;
   for (const auto& [key, row] : rows_) {
     if (!rows.contains(key)) {
-      absent.emplace_back(key, row.version);
+      absent.push_back(key);
     }
   }
   for (const auto& [key, row] : rows) {
@@ -61,7 +62,7 @@
       known->second.version = row.version;
     }
   }
-  for (const auto& [key, version] : absent) {
+  for (const std::string& key : absent) {
     Remove(now, key, version, changes);
   }
 }
--- a/cluster/table_rows.h
+++ b/cluster/table_rows.h
@@ -49,10 +49,12 @@
   /// @param[out] changes the rows that changed are appended.
   void Apply(MonoTime now, const std::vector<WatchedRow>& rows, std::vector<WatchedRow>* changes);
   /// Takes the content of the whole table, whatever the versions of the known rows.
+  /// @param version version of the store to which the rows belong.
   /// @param other_history the store has lost changes since the known rows were read.
   /// @param[out] changes the rows that changed are appended.
   void Replace(MonoTime now,
                const std::map<std::string, WatchedRow>& rows,
+               uint64_t version,
                bool other_history,
                std::vector<WatchedRow>* changes);
   /// Makes any version newer than the known rows, because the store counts versions anew.
--- a/cluster/table_watch.cc
+++ b/cluster/table_watch.cc
@@ -134,9 +134,8 @@
 }
 
 bool TableWatch::IsApplicable(const TableUpdate& update) const {
-  if (update.after.era != update.position.era) {
-    // The rows are the differences between two full reads: of a row that the sender did not know,
-    // they do not say that it is gone.
+  if (update.from_full_read) {
+    // Of a row that the sender did not know, the rows do not say that it is gone.
     return update.after == position_;
   }
   return update.after.era == position_.era && update.after <= position_;
@@ -212,7 +211,7 @@
     rows_.ForgetVersions();
     rows_.StartGrace(now);
   }
-  rows_.Replace(now, rows, complete_ && other_history, changes);
+  rows_.Replace(now, rows, position.version, complete_ && other_history, changes);
   position_ = position;
   page_rows_.clear();
   next_page_key_.clear();
@@ -262,7 +261,9 @@
   if (size > kMaxUpdateBytes) {
     return MakeUpdate(table, position_, position_, {}, missing());
   }
-  return MakeUpdate(table, after, position_, rows, missing());
+  TableUpdate update = MakeUpdate(table, after, position_, rows, missing());
+  update.from_full_read = call_reads_all_;
+  return update;
 }
 
 TableUpdate TableWatch::Snapshot(const std::string& table) const {
--- a/cluster/table_watch.h
+++ b/cluster/table_watch.h
@@ -55,6 +55,9 @@
   std::vector<WatchedRow> rows;  ///< Rows whose content changed.
   /// Keys of rows that disappeared during an outage and may be written again.
   std::vector<std::string> missing;
+  /// `rows` are the differences between the known rows and all rows of the table; they apply only
+  /// to the rows known at `after`.
+  bool from_full_read = false;
   bool failed = false;  ///< The call to the store failed, so nothing was read.
   /// `rows` are all rows of the table rather than changes, for a gateway that has just started.
   bool snapshot = false;
@@ -201,7 +204,7 @@
   bool is_reader_ = false;
   bool call_pending_ = false;
   bool read_finished_ = false;
-  bool call_reads_all_ = false;  ///< The call in progress is part of a full read.
+  bool call_reads_all_ = false;  ///< The latest call is part of a full read.
   StoreEra call_era_;            ///< Era of position() when the call in progress started.
   Duration retry_delay_ = kMinRetryDelay;
   MonoTime call_started_;  ///< When the latest call started.
--- a/rpc/convert.cc
+++ b/rpc/convert.cc
@@ -248,6 +248,7 @@
     added.recalled = row.recalled;
   }
   out.missing = in.missing;
+  out.from_full_read = in.from_full_read;
   out.failed = in.failed;
   out.snapshot = in.snapshot;
   out.unconfirmed = in.unconfirmed;
@@ -271,6 +272,7 @@
     added.recalled = row.recalled;
   }
   out.missing = in.missing;
+  out.from_full_read = in.from_full_read;
   out.failed = in.failed;
   out.snapshot = in.snapshot;
   out.unconfirmed = in.unconfirmed;
--- a/rpc/gen-cpp/jackdawdeck_types.cpp
+++ b/rpc/gen-cpp/jackdawdeck_types.cpp
@@ -2657,6 +2657,10 @@
 void TableNews::__set_era(const int64_t val) {
   this->era = val;
 }
+
+void TableNews::__set_from_full_read(const bool val) {
+  this->from_full_read = val;
+}
 std::ostream& operator<<(std::ostream& out, const TableNews& obj)
 {
   obj.printTo(out);
@@ -2813,6 +2817,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->from_full_read);
+          this->__isset.from_full_read = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2898,6 +2910,10 @@
   xfer += oprot->writeI64(this->era);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("from_full_read", ::apache::thrift::protocol::T_BOOL, 14);
+  xfer += oprot->writeBool(this->from_full_read);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2918,6 +2934,7 @@
   swap(a.reader_zone, b.reader_zone);
   swap(a.after_era, b.after_era);
   swap(a.era, b.era);
+  swap(a.from_full_read, b.from_full_read);
   swap(a.__isset, b.__isset);
 }
 
@@ -2935,6 +2952,7 @@
   reader_zone = other64.reader_zone;
   after_era = other64.after_era;
   era = other64.era;
+  from_full_read = other64.from_full_read;
   __isset = other64.__isset;
 }
 TableNews& TableNews::operator=(const TableNews& other65) {
@@ -2951,6 +2969,7 @@
   reader_zone = other65.reader_zone;
   after_era = other65.after_era;
   era = other65.era;
+  from_full_read = other65.from_full_read;
   __isset = other65.__isset;
   return *this;
 }
@@ -2970,6 +2989,7 @@
   out << ", " << "reader_zone=" << to_string(reader_zone);
   out << ", " << "after_era=" << to_string(after_era);
   out << ", " << "era=" << to_string(era);
+  out << ", " << "from_full_read=" << to_string(from_full_read);
   out << ")";
 }
 
--- a/rpc/gen-cpp/jackdawdeck_types.h
+++ b/rpc/gen-cpp/jackdawdeck_types.h
@@ -1090,7 +1090,7 @@
 std::ostream& operator<<(std::ostream& out, const WatchedRow& obj);
 
 typedef struct _TableNews__isset {
-  _TableNews__isset() : table(false), after(false), version(false), rows(false), missing(false), failed(false), snapshot(false), unconfirmed(false), relay(false), reader(false), reader_zone(false), after_era(false), era(false) {}
+  _TableNews__isset() : table(false), after(false), version(false), rows(false), missing(false), failed(false), snapshot(false), unconfirmed(false), relay(false), reader(false), reader_zone(false), after_era(false), era(false), from_full_read(false) {}
   bool table :1;
   bool after :1;
   bool version :1;
@@ -1104,6 +1104,7 @@
   bool reader_zone :1;
   bool after_era :1;
   bool era :1;
+  bool from_full_read :1;
 } _TableNews__isset;
 
 class TableNews : public virtual ::apache::thrift::TBase {
@@ -1122,7 +1123,8 @@
               reader(),
               reader_zone(),
               after_era(0),
-              era(0) {
+              era(0),
+              from_full_read(0) {
   }
 
   virtual ~TableNews() noexcept;
@@ -1139,6 +1141,7 @@
   std::string reader_zone;
   int64_t after_era;
   int64_t era;
+  bool from_full_read;
 
   _TableNews__isset __isset;
 
@@ -1168,6 +1171,8 @@
 
   void __set_era(const int64_t val);
 
+  void __set_from_full_read(const bool val);
+
   bool operator == (const TableNews & rhs) const
   {
     if (!(table == rhs.table))
@@ -1196,6 +1201,8 @@
       return false;
     if (!(era == rhs.era))
       return false;
+    if (!(from_full_read == rhs.from_full_read))
+      return false;
     return true;
   }
   bool operator != (const TableNews &rhs) const {
--- a/rpc/jackdawdeck.thrift
+++ b/rpc/jackdawdeck.thrift
@@ -139,6 +139,7 @@
   11: string reader_zone
   12: i64 after_era
   13: i64 era
+  14: bool from_full_read
 }
 
 struct TableFetch {
--- a/tests/restored_store_test.cc
+++ b/tests/restored_store_test.cc
@@ -295,7 +295,7 @@
     const int steps = *rc::gen::inRange(5, 60);
     for (int i = 0; i < steps; ++i) {
       Gateway& gateway = zone.gateways[*rc::gen::inRange<size_t>(0, zone.gateways.size())];
-      switch (*rc::gen::inRange(0, 8)) {
+      switch (*rc::gen::inRange(0, 9)) {
         case 0:
         case 1:
           zone.store.Put(std::string(1, *rc::gen::inRange('a', 'e')));
@@ -317,6 +317,9 @@
         case 6:
           gateway.cut_from_peers = !gateway.cut_from_peers;
           break;
+        case 7:
+          zone.store.oldest = zone.store.version;
+          break;
         default:
           zone.SetReachable(*rc::gen::arbitrary<bool>());
       }
--- a/tests/rpc_test.cc
+++ b/tests/rpc_test.cc
@@ -64,7 +64,7 @@
   sent.rows = {{"k", std::string("\0v", 2), 7, false}};
   sent.rows[0].recalled = true;
   sent.missing = {"m"};
-  sent.snapshot = sent.unconfirmed = sent.relay = true;
+  sent.snapshot = sent.unconfirmed = sent.relay = sent.from_full_read = true;
   sent.reader = GatewayId("g1");
   sent.reader_zone = ZoneId("gasabo");
   const wire::Envelope envelope = ToEnvelope({GatewayId("g1"), Incarnation(9), {}, sent}, "key");
@@ -80,6 +80,7 @@
   CHECK(update.snapshot);
   CHECK(update.unconfirmed);
   CHECK(update.relay);
+  CHECK(update.from_full_read);
   CHECK(update.reader == sent.reader);
   CHECK(update.reader_zone == sent.reader_zone);
 }
--- a/tests/table_watch_harness.h
+++ b/tests/table_watch_harness.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -45,6 +46,7 @@
       }
     }
     version = copy_version;
+    oldest = std::min(oldest, copy_version);
     ++era;
   }
   std::map<std::string, std::string> Values() const {
--- a/tests/table_watch_test.cc
+++ b/tests/table_watch_test.cc
@@ -134,6 +134,29 @@
   CHECK(told.known == store.Values());
 }
 
+TEST_CASE("a full read of one gateway does not hide a removal from one that knew more",
+          "[table_watch_test]") {
+  // Guards against an endpoint that is called for ever: the gateway that reads the whole table
+  // never knew it, and therefore does not tell that it is gone.
+  Store store;
+  store.Put("a");
+  Gateway reader(1);
+  Gateway told(2);
+  reader.Read(At(-2s), store);
+  told.Read(At(-2s), store);
+  store.Put("b");
+  told.Read(At(0s), store);
+  store.Remove("b");
+  store.oldest = store.version;
+  reader.Read(At(0s), store);
+  const std::optional<TableUpdate> update = reader.Read(At(0s), store);
+  REQUIRE(update);
+  told.Apply(told.watch.OnPeerUpdate(At(10ms), *update));
+  told.Read(At(1s), store);
+  told.Read(At(1s), store);
+  CHECK(told.known == store.Values());
+}
+
 TEST_CASE("a gateway that relies on updates deletes rows that stay missing after an outage",
           "[table_watch_test]") {
   // Guards against gateways other than the zone's reader that keep calling endpoints that failed
