Wait for the first request of a new connection before a stop closes it

Cause: between the accept and the first byte a connection is between two requests, and the end of the stop closes such connections at once. A caller that is descheduled between connect and send loses its request.

Now CloseIdleConnections leaves a connection without a first byte open for 200 ms. The stop ends at most that much later, since the port is closed by then.

--- a/gateway/caller_connection.cc
+++ b/gateway/caller_connection.cc
@@ -52,6 +52,7 @@
                                   size_t max_chunk_line_bytes) {
   if (state == CallerState::kIdle && !bytes.empty()) {
     state = CallerState::kHeader;
+    used = true;
     state_since = now;
   }
   size_t i = 0;
--- a/gateway/caller_connection.h
+++ b/gateway/caller_connection.h
@@ -32,6 +32,7 @@
   evhttp_connection* http = nullptr;
   CallerState state = CallerState::kIdle;
   MonoTime state_since;           ///< When the state was entered.
+  bool used = false;              ///< The first byte of a request has arrived.
   CallId call;                    ///< The unanswered call, set in state kInCall only.
   int consecutive_line_ends = 0;  ///< Number of consecutive line ends received; two end the header.
   std::string method;             ///< The part of the method that has arrived.
--- a/gateway/caller_server.cc
+++ b/gateway/caller_server.cc
@@ -31,6 +31,8 @@
 constexpr int kBadRequest = 400;
 // Interval between the steps of Close.
 constexpr Duration kCloseStep = 5ms;
+// How long Close waits for the first request of a connection: the caller may be about to send it.
+constexpr Duration kFirstRequestWait = 200ms;
 
 // Returns whether bytes of a request have arrived that were not read yet.
 bool HasUnreadBytes(bufferevent* stream) {
@@ -364,9 +366,11 @@
 }
 
 void CallerServer::CloseIdleConnections() {
+  const MonoTime now = loop_->ReadClocks().mono;
   std::vector<CallerConnection*> idle;
   for (const auto& [http, connection] : connections_) {
-    if (connection->state == CallerState::kIdle && !HasUnreadBytes(connection->stream)) {
+    const bool is_new = !connection->used && now < connection->state_since + kFirstRequestWait;
+    if (connection->state == CallerState::kIdle && !is_new && !HasUnreadBytes(connection->stream)) {
       idle.push_back(connection.get());
     }
   }
--- a/gateway/caller_server.h
+++ b/gateway/caller_server.h
@@ -67,7 +67,7 @@
   /// From now on adds "Connection: close" to each answer. Idle connections stay open.
   void AnnounceClose() { close_announced_ = true; }
   /// Closes the connections that are between two requests, except those on which the next request
-  /// has already arrived.
+  /// has already arrived, and new ones whose first request may be on its way.
   void CloseIdleConnections();
   /// Accepts the connections that wait to be accepted, closes the port, and closes each connection
   /// once its last request is answered. Requests that arrive meanwhile must be answered as usual.
--- a/tests/shutdown_test.cc
+++ b/tests/shutdown_test.cc
@@ -27,6 +27,35 @@
   }
 }
 
+TEST_CASE("a connection that is opened at the end of a stop may send its first request",
+          "[shutdown_test]") {
+  // Guards against a request that is cut because its connection is closed as idle between the
+  // accept and the first byte.
+  GatewayFixture f;
+  f.AnswerAll();
+  std::unique_ptr<TextConnection> caller;
+  Timer connect(&f.loop, [&] { caller = f.Connect(); });
+  Timer send(&f.loop, [&] { caller->Send(kGet); });
+  const Duration delay = GENERATE(20ms, 150ms);
+  f.gateway.Stop();
+  connect.Schedule(290ms);
+  send.Schedule(290ms + delay);
+  REQUIRE(f.Wait([&] { return f.stopped; }));
+  CHECK(caller->Count("HTTP/1.1 ") == 1);
+}
+
+TEST_CASE("a connection that sends nothing does not hold up a stop", "[shutdown_test]") {
+  // Guards against a stop that waits for a caller which opens connections in advance.
+  GatewayFixture f;
+  std::unique_ptr<TextConnection> caller;
+  Timer connect(&f.loop, [&] { caller = f.Connect(); });
+  f.gateway.Stop();
+  connect.Schedule(290ms);
+  const auto start = std::chrono::steady_clock::now();
+  REQUIRE(f.Wait([&] { return f.stopped; }));
+  CHECK(std::chrono::steady_clock::now() - start < 2s);
+}
+
 TEST_CASE(
     "a graceful stop completes all calls in flight and refuses calls only after the grace period",
     "[shutdown_test]") {
