Take another configuration of the version that is in use

What callers saw: nothing; found while asking of each comparison what it takes for the same after a return of the store.

The catalog ignored a configuration whose version is not above the one in use. If the store loses a confirmed configuration and the operators give its version to another one, that one would never be in force on gateways that knew the lost one. Within one history a version has one content, so equal versions with different content mean that the store's is the later one.

Now OperatorConfiguration carries a hash of what was written, and another content of the same version is taken. A lower version is still ignored: a copy shows it for a moment, and the version in use must not fall.

--- a/cluster/catalog.cc
+++ b/cluster/catalog.cc
@@ -15,6 +15,12 @@
          (record.incarnation == known.incarnation && serves_again);
 }
 
+// The store may lose a configuration and give its version to another one.
+bool Supersedes(const OperatorConfiguration& configuration, const OperatorConfiguration& known) {
+  return configuration.version > known.version ||
+         (configuration.version == known.version && configuration.content != known.content);
+}
+
 }  // namespace
 
 bool Catalog::Apply(const DiscoveryUpdate& update) {
@@ -47,7 +53,7 @@
 }
 
 bool Catalog::UpdateOperatorConfiguration(const OperatorConfiguration& configuration) {
-  if (operator_configuration_ && configuration.version <= operator_configuration_->version) {
+  if (operator_configuration_ && !Supersedes(configuration, *operator_configuration_)) {
     return false;
   }
   operator_configuration_ = configuration;
--- a/cluster/catalog.h
+++ b/cluster/catalog.h
@@ -14,7 +14,7 @@
 /// discovery lists.
 class Catalog {
  public:
-  /// Applies a discovery update. An operators' configuration that is not newer than the active one
+  /// Applies a discovery update. An operators' configuration that is older than the active one
   /// is ignored, so that the active version never decreases. A record of an endpoint is ignored if
   /// it belongs to an earlier run, or to the time before the endpoint announced that it leaves: a
   /// store that was restored from a copy shows such states.
--- a/cluster/discovery.h
+++ b/cluster/discovery.h
@@ -42,6 +42,7 @@
   std::vector<Route> routes;
   std::vector<Service> services;  ///< Without endpoints.
   CallerLimits limits;
+  Fingerprint content = {};  ///< Hash of all that the operators wrote.
 };
 
 /// A change of the data read from the platform. Absent parts are unchanged.
--- a/tests/discovery_test.cc
+++ b/tests/discovery_test.cc
@@ -54,6 +54,20 @@
   CHECK(catalog.configuration()->routes->Find("h5", "/") == nullptr);
 }
 
+TEST_CASE("another configuration of the same version replaces the active one", "[discovery_test]") {
+  // Guards against a configuration that is never in force because one that the store has lost had
+  // its version.
+  Catalog catalog;
+  catalog.Apply(MakeCompleteUpdate(7, {MakeEndpointRecord("e")}));
+  DiscoveryUpdate other;
+  other.configuration = MakeOperatorConfiguration(7, "other");
+  CHECK_FALSE(catalog.Apply(other));
+  other.configuration->content = Fingerprint(1);
+  CHECK(catalog.Apply(other));
+  CHECK(catalog.configuration()->routes->Find("other", "/") != nullptr);
+  CHECK_FALSE(catalog.Apply(other));
+}
+
 TEST_CASE("discovery is complete once configuration and endpoints are known", "[discovery_test]") {
   // Guards against a gateway that reports ready before it knows its routes, and responds with 404.
   Catalog catalog;
--- a/tests/platform_adapter_test.cc
+++ b/tests/platform_adapter_test.cc
@@ -173,6 +173,7 @@
       &error_message);
   REQUIRE(configuration);
   CHECK(configuration->version == ConfigVersion(7));
+  CHECK(configuration->content != Fingerprint());
   const Route& route = configuration->routes.at(0);
   CHECK(route.targets.size() == 2);
   CHECK(route.profile.deadline == Duration(1500ms));
