--- a/cluster/gateway_registry.cc
+++ b/cluster/gateway_registry.cc
@@ -1,7 +1,6 @@
 #include "cluster/gateway_registry.h"
 
 #include <algorithm>
-#include <random>
 #include <utility>
 
 namespace jd {
@@ -22,8 +21,7 @@
 }
 
 Duration GatewayRegistry::RandomSpread() {
-  std::uniform_int_distribution<int64_t> spread(0, kReadSpread.count());
-  return Duration(spread(random_));
+  return RandomDuration(&random_, Duration(0), kReadSpread);
 }
 
 bool GatewayRegistry::Lists(const VmList& gateways) const {
--- a/cluster/table_watch.cc
+++ b/cluster/table_watch.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cassert>
-#include <random>
 #include <utility>
 
 namespace jd {
@@ -247,8 +246,7 @@
 }
 
 Duration TableWatch::RandomDelay(Duration min, Duration max) {
-  std::uniform_int_distribution<int64_t> distribution(min.count(), max.count());
-  return Duration(distribution(random_));
+  return RandomDuration(&random_, min, max);
 }
 
 TableUpdate TableWatch::UpdateForPeers(const std::string& table,
--- a/net/libevent_ptr.h
+++ b/net/libevent_ptr.h
@@ -18,8 +18,6 @@
   void operator()(evconnlistener* object) const { evconnlistener_free(object); }
   void operator()(evbuffer* object) const { evbuffer_free(object); }
   void operator()(evhttp* object) const { evhttp_free(object); }
-  void operator()(evhttp_connection* object) const { evhttp_connection_free(object); }
-  void operator()(evhttp_request* object) const { evhttp_request_free(object); }
 };
 
 template <typename T>
