--- a/cluster/table_watch.h
+++ b/cluster/table_watch.h
@@ -44,6 +44,7 @@
   uint64_t version = 0;   ///< Newest version in the store.
   /// The history of the store that the versions belong to; absent if the store does not name it.
   std::optional<StoreEra> era = {};
+  std::string unreadable_era;  ///< The name of an era that cannot be read; empty if there is none.
 };
 
 /// The result of one gateway's read of a table, sent to other gateways so that they need not read
--- a/tests/platform_adapter_test.cc
+++ b/tests/platform_adapter_test.cc
@@ -36,7 +36,9 @@
   CHECK(ParseWatchReply(Response(503, "{}", "5"), &error_message).era == StoreEra(5));
   for (const std::string era : {"", "x", "-1", "1.5", "99999999999999999999"}) {
     INFO(era);
-    CHECK_FALSE(ParseWatchReply(Response(200, "{}", era), &error_message).era);
+    const WatchReply reply = ParseWatchReply(Response(200, "{}", era), &error_message);
+    CHECK_FALSE(reply.era);
+    CHECK(reply.unreadable_era == era);
   }
 }
 
