Take the store back to a copy in the stand-in and in the soak

Why: the store of the stand-in could not go back, so neither tests over processes nor the soak showed gateways what a restored store shows.

RowStore::Restore replaces the content by a copy, counts versions from there again and names the next era (Store-Era in each reply); a feed after a version that it does not have gets 410. At the end of a run each gateway must be listed in the store.

--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -31,8 +31,9 @@
   kGatewayPaused,      ///< One gateway is stopped with SIGSTOP and continued later.
   kGatewayHangUp,      ///< One gateway gets SIGHUP.
   kAllKilled,          ///< All gateways get SIGKILL at once.
+  kStoreRestored,      ///< The store is silent, then comes back from a copy that is seconds old.
 };
-inline constexpr FaultKind kLastFaultKind = FaultKind::kAllKilled;
+inline constexpr FaultKind kLastFaultKind = FaultKind::kStoreRestored;
 
 /// One fault that the soak injects.
 struct Fault {
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -1,7 +1,10 @@
 #include "soak/soak.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
+#include <set>
+#include <string>
 #include <utility>
 
 #include "platform/store_rows.h"
@@ -78,6 +81,7 @@
   RenewEndpointRows();
   timer_.Arm(kTickInterval);
   event_base_dispatch(base_);
+  CheckGatewaysListed();
   checker_.Finish(now_);
   return checker_.violations();
 }
@@ -140,6 +144,7 @@
       WriteEndpointRow(&upstream);
     }
   }
+  copy_version_ = std::exchange(next_copy_version_, store_.store().version());
   RunAfter(kRowRenewalInterval, [this] { RenewEndpointRows(); });
 }
 
@@ -237,6 +242,8 @@
         KillGateway(&each, fault.duration);
       }
       return;
+    case FaultKind::kStoreRestored:
+      return RestoreStore(fault.duration);
   }
 }
 
@@ -269,6 +276,47 @@
   });
 }
 
+void Soak::RestoreStore(Duration outage) {
+  RunAfter(outage, [this] {
+    store_.store().Restore(std::min(copy_version_, store_.store().version()));
+    copy_version_ = next_copy_version_ = store_.store().version();
+    WriteRow("op", "config", MakeSoakConfiguration(configuration_version_));
+    for (const auto& [zone, count] : zones_out_) {
+      if (count > 0) {
+        WriteRow("op", "evacuate/" + zone, "{}");
+      } else {
+        store_.store().Put("op", "evacuate/" + zone, std::nullopt);
+      }
+    }
+    for (Upstream& upstream : upstreams_) {
+      WriteEndpointRow(&upstream);
+    }
+  });
+  RunAfter(outage + kRowLifetime, [this] { RemoveStaleEndpointRows(); });
+  InjectStoreFault(RowFault::kSilent, outage);
+}
+
+void Soak::RemoveStaleEndpointRows() {
+  std::set<std::string> instances;
+  for (const Upstream& upstream : upstreams_) {
+    instances.insert(upstream.server->instance());
+  }
+  for (const std::string& key : store_.store().Keys("servers")) {
+    if (!instances.contains(key)) {
+      store_.store().Put("servers", key, std::nullopt);
+    }
+  }
+}
+
+void Soak::CheckGatewaysListed() {
+  for (const Gateway& gateway : gateways_) {
+    const std::string& name = gateway.process->config().name;
+    if (!store_.store().Contains("gateways", name)) {
+      checker_.ReportViolation(name + " is not in the store's list of gateways");
+    }
+  }
+}
+
 void Soak::MarkGatewayFaulty(Gateway* gateway,
                              bool interrupts_requests,
                              Duration duration,
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -78,6 +78,12 @@
   void InjectStoreFault(RowFault kind, Duration duration);
   /// Makes the store unavailable and removes all endpoint rows, as if they had expired.
   void ExpireEndpointRows(Duration duration);
+  /// Makes the store silent, then brings it back from a copy; operators and endpoints write again.
+  void RestoreStore(Duration outage);
+  /// Removes the rows of endpoints that no longer run.
+  void RemoveStaleEndpointRows();
+  /// Reports the gateways that the store does not list.
+  void CheckGatewaysListed();
   /// Marks a gateway as faulty for `duration`, then runs `undo`.
   /// @param interrupts_requests whether the fault may end connections with unanswered requests.
   void MarkGatewayFaulty(Gateway* gateway,
@@ -115,7 +121,9 @@
   int active_store_faults_ = 0;
   bool rows_expired_ = false;           ///< Endpoint rows are missing; none are written.
   uint64_t configuration_version_ = 0;  ///< Latest configuration version.
-  uint64_t row_sequence_ = 0;           ///< Sequence number of the last endpoint row.
+  uint64_t copy_version_ = 0;           ///< Version of the latest copy of the store.
+  uint64_t next_copy_version_ = 0;  ///< Version of the copy that is used from the next renewal on.
+  uint64_t row_sequence_ = 0;       ///< Sequence number of the last endpoint row.
   size_t fault_count_ = 0;
   StandinTimer timer_;
 };
--- a/standin/row_server.cc
+++ b/standin/row_server.cc
@@ -41,6 +41,7 @@
     return;
   }
   if (fault_ == RowFault::kRefuse) {
+    AddEra(request);
     ReplyJson(request, 503, {{"error", "unavailable"}});
     return;
   }
@@ -67,10 +68,16 @@
   }
 }
 
-void RowServer::SendReply(const HeldRequest& call, const RowReply& reply) {
+void RowServer::AddEra(evhttp_request* request) const {
+  evhttp_add_header(evhttp_request_get_output_headers(request), "Store-Era",
+                    std::to_string(store_.era()).c_str());
+}
+
+void RowServer::SendReply(const HeldRequest& call, const RowReply& reply) const {
   if (call.drop_reply) {
     CloseWithoutReply(call.request);
   } else {
+    AddEra(call.request);
     ReplyJson(call.request, reply.status, reply.body);
   }
 }
--- a/standin/row_server.h
+++ b/standin/row_server.h
@@ -46,7 +46,9 @@
 
   /// Answers the held requests whose reply is due.
   void AnswerReadyRequests();
-  static void SendReply(const HeldRequest& call, const RowReply& reply);
+  void SendReply(const HeldRequest& call, const RowReply& reply) const;
+  /// Names the era of the store in a reply.
+  void AddEra(evhttp_request* request) const;
 
   RowStore store_;
   RowFault fault_ = RowFault::kNone;
--- a/standin/row_store.cc
+++ b/standin/row_store.cc
@@ -39,9 +39,30 @@
 
 void RowStore::DropHistory() {
   history_.clear();
+  rows_before_history_ = rows_;
   newest_dropped_version_ = version_;
 }
 
+void RowStore::Restore(uint64_t copy_version) {
+  version_ = std::max(copy_version, newest_dropped_version_);
+  ++era_;
+  rows_ = rows_before_history_;
+  for (const auto& [key, row] : std::exchange(history_, {})) {
+    if (row.version <= version_) {
+      ApplyRow(key, row);
+    }
+  }
+}
+
+std::vector<std::string> RowStore::Keys(const std::string& table) const {
+  std::vector<std::string> keys;
+  for (auto row = rows_.lower_bound({table, ""}); row != rows_.end() && row->first.first == table;
+       ++row) {
+    keys.push_back(row->first.second);
+  }
+  return keys;
+}
+
 RowReply RowStore::CommitTransaction(MonoTime now, const json& body) {
   json conflicts = json::array();
   bool all_match = true;
@@ -105,7 +126,7 @@
 std::optional<RowReply> RowStore::ReadFeed(MonoTime now,
                                            const RowRequest& request,
                                            Duration waited) const {
-  if (request.after < newest_dropped_version_) {
+  if (request.after < newest_dropped_version_ || request.after > version_) {
     return RowReply{410, {{"error", "the history is gone"}}};
   }
   json rows = json::array();
--- a/standin/row_store.h
+++ b/standin/row_store.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "common/units.h"
 
@@ -51,6 +52,19 @@
   /// Drops the change history. A feed that starts from an earlier version then gets status 410 and
   /// must read the whole table again.
   void DropHistory();
+  /// Replaces the content by a copy from an earlier version, after which versions are counted again
+  /// and the era is the next one. A copy from before the last DropHistory has the content of then.
+  void Restore(uint64_t copy_version);
+
+  /// Newest version.
+  uint64_t version() const { return version_; }
+  /// Number of returns from a copy, plus one.
+  uint64_t era() const { return era_; }
+  bool Contains(const std::string& table, const std::string& key) const {
+    return rows_.contains({table, key});
+  }
+  /// Returns the keys of a table in ascending order.
+  std::vector<std::string> Keys(const std::string& table) const;
 
  private:
   struct Row {
@@ -71,8 +85,10 @@
   nlohmann::json CommonReplyFields(MonoTime now) const;
 
   std::map<Key, Row> rows_;
+  std::map<Key, Row> rows_before_history_;
   std::deque<std::pair<Key, Row>> history_;  ///< Changes, oldest first.
   uint64_t version_ = 0;
+  uint64_t era_ = 1;
   uint64_t newest_dropped_version_ = 0;  ///< Newest version that was dropped from the history.
 };
 
--- a/tests/row_store_test.cc
+++ b/tests/row_store_test.cc
@@ -103,5 +103,27 @@
   CHECK(conflict->body["ver"] == 1);
 }
 
+TEST_CASE("a store that comes back from a copy counts versions again in the next era",
+          "[row_store_test]") {
+  // Guards against a stand-in that does not show gateways what a restored store shows them.
+  StoreHarness harness;
+  harness.store.Put("t", "a", "b2xk");
+  harness.store.Put("t", "b", "bGVmdA==");
+  harness.store.DropHistory();
+  harness.store.Put("t", "b", std::nullopt);
+  harness.store.Put("t", "a", "bmV3");
+  harness.store.Restore(3);
+  CHECK(harness.store.era() == 2);
+  CHECK(harness.store.version() == 3);
+  CHECK(harness.store.Keys("t") == std::vector<std::string>{"a"});
+  CHECK(harness.Watch({false, {}, 4, Duration(0), 1s}).status == WatchStatus::kHistoryLost);
+  harness.store.Put("t", "c", "Yw==");
+  CHECK(harness.store.version() == 4);
+  harness.store.Restore(0);
+  CHECK(harness.store.version() == 2);
+  CHECK(harness.store.Keys("t") == std::vector<std::string>{"a", "b"});
+  CHECK_FALSE(harness.store.Contains("t", "c"));
+}
+
 }  // namespace
 }  // namespace jd
