Do not use a permit that arrives after a pause of the process

What callers saw: nothing. Found by asking what a gateway that was paused does with a permission that has run out meanwhile.

After a pause of some seconds the reply may be read before the timer fires, and the call is sent on a permit and on a load report that are as old as the pause.

Now waits that have taken too long are ended before a reply is handled.

Evidence: the new case of permit_waits_test failed before (sent to "a", 1 granted) and passes.

--- a/policy/dispatcher.h
+++ b/policy/dispatcher.h
@@ -121,6 +121,8 @@
                            Duration retry_after,
                            std::string_view reason,
                            CallActions* actions);
+  /// Ends the waits for permits that have taken too long.
+  void HandleExpiredPermitWaits(MonoTime now, CallActions* actions);
   /// Gives back the slot that a call has acquired for an endpoint and does not use.
   void ReleaseUnused(MonoTime now, const PermitWaits::Wait& wait);
   /// Returns the limit that the endpoint names, or nothing.
@@ -208,10 +210,7 @@
   for (const CallId id : probe_rounds_.TakeExpired(now)) {
     FinishProbeRound(now, id, actions);
   }
-  while (const std::optional<PermitWaits::Wait> wait = permit_waits_.TakeExpired(now)) {
-    ++permit_counts_.unanswered;
-    HandleRefusedPermit(now, *wait, kRetryAfterNoReply, "no-reply", actions);
-  }
+  HandleExpiredPermitWaits(now, actions);
   ReportQueueLengths(now);
 }
 
@@ -335,6 +334,8 @@
                                           const EndpointId& endpoint,
                                           const PermitDecision& decision,
                                           CallActions* actions) {
+  // After a pause of the process a reply may be handled before the timer of its wait.
+  HandleExpiredPermitWaits(now, actions);
   const std::optional<PermitWaits::Wait> wait = permit_waits_.Take(id, endpoint);
   if (!wait) {
     return;
@@ -353,6 +354,14 @@
   call_manager_.StartAttempt(now, call, endpoint, DescribeChoice(now, endpoint), actions);
 }
 
+template <RoutingPolicy Policy>
+void Dispatcher<Policy>::HandleExpiredPermitWaits(MonoTime now, CallActions* actions) {
+  while (const std::optional<PermitWaits::Wait> wait = permit_waits_.TakeExpired(now)) {
+    ++permit_counts_.unanswered;
+    HandleRefusedPermit(now, *wait, kRetryAfterNoReply, "no-reply", actions);
+  }
+}
+
 template <RoutingPolicy Policy>
 void Dispatcher<Policy>::HandleRefusedPermit(MonoTime now,
                                              const PermitWaits::Wait& wait,
--- a/tests/permit_waits_test.cc
+++ b/tests/permit_waits_test.cc
@@ -153,6 +153,20 @@
   CHECK(f.EndpointOf<SendAttempt>() == "none");
 }
 
+TEST_CASE("a permit that arrives after a pause of the process is not used", "[permit_waits_test]") {
+  // Guards against a gateway that acts on a permit which another gateway issued seconds ago: the
+  // reply may be handled before the timer of the wait.
+  Fixture f;
+  f.StartCall();
+  f.AnswerProbe("b", 150);
+  f.AnswerProbe("a", 100);
+  f.now += PermitWaits::kTimeout;
+  f.Decide("a", true);
+  CHECK(f.EndpointOf<SendAttempt>() == "none");
+  CHECK(f.dispatcher.permit_counts().granted == 0);
+  CHECK(f.dispatcher.permit_counts().unanswered == 1);
+}
+
 TEST_CASE("a call that ends while it waits for a permit is not sent", "[permit_waits_test]") {
   // Guards against requests that run after their caller has left.
   Fixture f;
