Probe endpoints again after a request for a permit without a reply

What callers saw: refusals (503, overload) although an endpoint of the same zone had room, while a gateway that issues permits was down.

Cause: a request without a reply costs 50 ms, after which the load reports of the call's probes are older than the 40 ms allowed. The call then went on to the endpoints of other zones only, or was refused. The comment in the test said that the other endpoint is probed again; no check did.

Now the call's probes begin anew; the endpoint without a reply is left out for 500 ms as before.

Evidence: the new case of permit_waits_test failed before (no probe, no call to "b").

--- a/policy/dispatcher.h
+++ b/policy/dispatcher.h
@@ -358,6 +358,10 @@
 void Dispatcher<Policy>::HandleExpiredPermitWaits(MonoTime now, CallActions* actions) {
   while (const std::optional<PermitWaits::Wait> wait = permit_waits_.TakeExpired(now)) {
     ++permit_counts_.unanswered;
+    if (Call* call = call_manager_.Find(wait->call)) {
+      // The load reports of the endpoints that were probed are too old by now.
+      call->probe_stage = 0;
+    }
     HandleRefusedPermit(now, *wait, kRetryAfterNoReply, "no-reply", actions);
   }
 }
--- a/tests/permit_waits_test.cc
+++ b/tests/permit_waits_test.cc
@@ -146,13 +146,31 @@
   REQUIRE(f.dispatcher.next_timer());
   CHECK(*f.dispatcher.next_timer() <= f.now + PermitWaits::kTimeout);
   f.PassTime(PermitWaits::kTimeout);
-  // The load reports are too old by now, so the other endpoint is probed again.
   CHECK(f.EndpointOf<SendAttempt>() == "none");
   CHECK(f.dispatcher.permit_counts().unanswered == 1);
   f.Decide("a", true);
   CHECK(f.EndpointOf<SendAttempt>() == "none");
 }
 
+TEST_CASE("endpoints are probed again after a request for a permit without a reply",
+          "[permit_waits_test]") {
+  // Guards against a refusal although an endpoint of the same zone has room: its load report is
+  // older than allowed once the wait has ended.
+  Fixture f;
+  f.StartCall();
+  f.AnswerProbe("b", 150);
+  f.AnswerProbe("a", 100);
+  f.PassTime(PermitWaits::kTimeout);
+  CHECK(f.Refusal() == nullptr);
+  CHECK(f.EndpointOf<SendProbe>() == "b");
+  f.AnswerProbe("b", 100);
+  CHECK(f.EndpointOf<RequestPermit>() == "b");
+  f.PassTime(PermitWaits::kTimeout);
+  // No endpoint is left.
+  CHECK(f.Refusal() != nullptr);
+  CHECK(f.dispatcher.calls() == 0);
+}
+
 TEST_CASE("a permit that arrives after a pause of the process is not used", "[permit_waits_test]") {
   // Guards against a gateway that acts on a permit which another gateway issued seconds ago: the
   // reply may be handled before the timer of the wait.
