--- a/cluster/permit_issuer.cc
+++ b/cluster/permit_issuer.cc
@@ -63,7 +63,10 @@
   if (now - bucket->period_started >= kLowestLimitPeriod) {
     const bool adjacent = now - bucket->period_started < 2 * kLowestLimitPeriod;
     const double ended = std::exchange(bucket->lowest, kNoLimit);
-    bucket->previous_lowest = adjacent ? ended : kNoLimit;
+    bucket->previous_lowest = kNoLimit;
+    if (adjacent) {
+      bucket->previous_lowest = ended;
+    }
     bucket->period_started = now;
   }
   bucket->lowest = std::min(bucket->lowest, named.per_second);
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -184,14 +184,18 @@
   actions_.emplace(ReadStandinClocks().mono + delay, std::move(action));
 }
 
-void Soak::InjectFault(const Fault& fault) {
-  Gateway* gateway = &gateways_[fault.target_index % gateways_.size()];
-  Upstream* upstream = &upstreams_[fault.target_index % upstreams_.size()];
-  ++fault_count_;
+void Soak::PrintFault(const Fault& fault) const {
   std::printf("%8.3f fault %s pick=%llu length_ms=%lld\n",
               std::chrono::duration<double>(now_.time_since_epoch()).count(),
               FaultKindName(fault.kind), static_cast<unsigned long long>(fault.target_index),
               static_cast<long long>(fault.duration.count() / 1000));
+}
+
+void Soak::InjectFault(const Fault& fault) {
+  Gateway* gateway = &gateways_[fault.target_index % gateways_.size()];
+  Upstream* upstream = &upstreams_[fault.target_index % upstreams_.size()];
+  ++fault_count_;
+  PrintFault(fault);
   switch (fault.kind) {
     case FaultKind::kStoreReset:
       return InjectStoreFault(RowFault::kReset, fault.duration);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -73,6 +73,7 @@
   /// Runs `action` once after `delay`.
   void RunAfter(Duration delay, Action action);
 
+  void PrintFault(const Fault& fault) const;
   /// Prints a fault and starts it.
   void InjectFault(const Fault& fault);
   void InjectStoreFault(RowFault kind, Duration duration);
