Compress the rows that gateways send each other

Cause: 88 rows are more than the 16 KB that an update may have, so the reader's update went without rows; each gateway then read the store for itself and told all others, also of other zones, up to 17 KB each.

Now the rows of an update above 1 KB are compressed by zlib; 16 KB after and 128 KB before compression are the limits. Rows that do not fit are left out as before. Damaged or oversized packed rows are an error that closes the connection. Weighed: splitting the update (same bytes as before on every link), a tree within the zone (keeps the bytes between zones), no rows for other zones (each zone reads).

The test "rows that are too large for an update" keeps its check at the new limit; that at most 16 KB of rows go over the wire is now checked in rpc_test.

--- a/cluster/table_watch.cc
+++ b/cluster/table_watch.cc
@@ -9,9 +9,8 @@
 
 // Added to the long-poll wait of a call; a store that takes longer counts as unreachable.
 constexpr Duration kReplyTimeout = 1500ms;
-// Bytes of rows that a gateway sends to each other gateway of its zone. More than this would
-// saturate a link of low capacity.
-constexpr size_t kMaxUpdateBytes = 16'384;
+// Bytes of rows, before their compression, in an update for other gateways.
+constexpr size_t kMaxUpdateBytes = 131'072;
 
 TableUpdate MakeUpdate(const std::string& table,
                        const TablePosition& after,
--- a/rpc/convert.cc
+++ b/rpc/convert.cc
@@ -3,8 +3,10 @@
 #include <algorithm>
 #include <optional>
 #include <utility>
+#include <vector>
 
 #include "rpc/frame.h"
+#include "rpc/packed_rows.h"
 
 namespace jd {
 namespace {
@@ -232,6 +234,60 @@
           CheckedEnum(in.kind, EndpointNoticeKind::kServing)};
 }
 
+std::vector<wire::WatchedRow> ToWire(const std::vector<WatchedRow>& in) {
+  std::vector<wire::WatchedRow> out;
+  out.reserve(in.size());
+  for (const WatchedRow& row : in) {
+    wire::WatchedRow& added = out.emplace_back();
+    added.key = row.key;
+    added.value = row.value;
+    added.version = ToSigned(row.version);
+    added.deleted = row.deleted;
+    added.recalled = row.recalled;
+  }
+  return out;
+}
+
+std::vector<WatchedRow> FromWire(const std::vector<wire::WatchedRow>& in) {
+  std::vector<WatchedRow> out;
+  out.reserve(in.size());
+  for (const wire::WatchedRow& row : in) {
+    WatchedRow& added = out.emplace_back();
+    added.key = row.key;
+    added.value = row.value;
+    added.version = ToUnsigned(row.version);
+    added.deleted = row.deleted;
+    added.recalled = row.recalled;
+  }
+  return out;
+}
+
+// A gateway of an earlier version does not know packed rows. It would take a snapshot without rows
+// for an empty table.
+bool IsPacked(const TableUpdate& update) {
+  size_t bytes = 0;
+  for (const WatchedRow& row : update.rows) {
+    bytes += row.key.size() + row.value.size();
+  }
+  return !update.snapshot && bytes >= kMinPackedRowBytes;
+}
+
+// Replaces the rows by packed ones. A receiver that does not know them, or gets none because they
+// are too large, sees that it has missed the changes before `position`.
+void SetPackedRows(const TableUpdate& in, wire::TableNews* out) {
+  std::optional<wire::PackedRows> packed = PackRows(out->rows);
+  out->rows.clear();
+  out->after = out->version;
+  out->after_era = out->era;
+  if (packed) {
+    packed->after = ToSigned(in.after.version);
+    packed->after_era = ToSigned(in.after.era.value);
+    out->__set_packed(*packed);
+  } else {
+    out->from_full_read = false;
+  }
+}
+
 wire::TableNews ToWire(const TableUpdate& in) {
   wire::TableNews out;
   out.table = in.table;
@@ -239,14 +295,7 @@
   out.after_era = ToSigned(in.after.era.value);
   out.version = ToSigned(in.position.version);
   out.era = ToSigned(in.position.era.value);
-  for (const WatchedRow& row : in.rows) {
-    wire::WatchedRow& added = out.rows.emplace_back();
-    added.key = row.key;
-    added.value = row.value;
-    added.version = ToSigned(row.version);
-    added.deleted = row.deleted;
-    added.recalled = row.recalled;
-  }
+  out.rows = ToWire(in.rows);
   out.missing = in.missing;
   out.from_full_read = in.from_full_read;
   out.failed = in.failed;
@@ -255,6 +304,9 @@
   out.relay = in.relay;
   out.reader = in.reader.value;
   out.reader_zone = in.reader_zone.value;
+  if (IsPacked(in)) {
+    SetPackedRows(in, &out);
+  }
   return out;
 }
 
@@ -263,13 +315,10 @@
   out.table = in.table;
   out.after = {StoreEra(ToUnsigned(in.after_era)), ToUnsigned(in.after)};
   out.position = {StoreEra(ToUnsigned(in.era)), ToUnsigned(in.version)};
-  for (const wire::WatchedRow& row : in.rows) {
-    WatchedRow& added = out.rows.emplace_back();
-    added.key = row.key;
-    added.value = row.value;
-    added.version = ToUnsigned(row.version);
-    added.deleted = row.deleted;
-    added.recalled = row.recalled;
+  out.rows = FromWire(in.rows);
+  if (in.__isset.packed) {
+    out.after = {StoreEra(ToUnsigned(in.packed.after_era)), ToUnsigned(in.packed.after)};
+    out.rows = FromWire(UnpackRows(in.packed));
   }
   out.missing = in.missing;
   out.from_full_read = in.from_full_read;
--- a/rpc/gen-cpp/jackdawdeck_types.cpp
+++ b/rpc/gen-cpp/jackdawdeck_types.cpp
@@ -2602,6 +2602,270 @@
 }
 
 
+RowList::~RowList() noexcept {
+}
+
+
+void RowList::__set_rows(const std::vector<WatchedRow> & val) {
+  this->rows = val;
+}
+std::ostream& operator<<(std::ostream& out, const RowList& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RowList::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->rows.clear();
+            uint32_t _size52;
+            ::apache::thrift::protocol::TType _etype55;
+            xfer += iprot->readListBegin(_etype55, _size52);
+            this->rows.resize(_size52);
+            uint32_t _i56;
+            for (_i56 = 0; _i56 < _size52; ++_i56)
+            {
+              xfer += this->rows[_i56].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.rows = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RowList::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RowList");
+
+  xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
+    std::vector<WatchedRow> ::const_iterator _iter57;
+    for (_iter57 = this->rows.begin(); _iter57 != this->rows.end(); ++_iter57)
+    {
+      xfer += (*_iter57).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RowList &a, RowList &b) {
+  using ::std::swap;
+  swap(a.rows, b.rows);
+  swap(a.__isset, b.__isset);
+}
+
+RowList::RowList(const RowList& other58) {
+  rows = other58.rows;
+  __isset = other58.__isset;
+}
+RowList& RowList::operator=(const RowList& other59) {
+  rows = other59.rows;
+  __isset = other59.__isset;
+  return *this;
+}
+void RowList::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RowList(";
+  out << "rows=" << to_string(rows);
+  out << ")";
+}
+
+
+PackedRows::~PackedRows() noexcept {
+}
+
+
+void PackedRows::__set_after(const int64_t val) {
+  this->after = val;
+}
+
+void PackedRows::__set_after_era(const int64_t val) {
+  this->after_era = val;
+}
+
+void PackedRows::__set_size(const int32_t val) {
+  this->size = val;
+}
+
+void PackedRows::__set_data(const std::string& val) {
+  this->data = val;
+}
+std::ostream& operator<<(std::ostream& out, const PackedRows& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PackedRows::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->after);
+          this->__isset.after = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->after_era);
+          this->__isset.after_era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->size);
+          this->__isset.size = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->data);
+          this->__isset.data = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PackedRows::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PackedRows");
+
+  xfer += oprot->writeFieldBegin("after", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->after);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("after_era", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->after_era);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("size", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->size);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("data", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeBinary(this->data);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PackedRows &a, PackedRows &b) {
+  using ::std::swap;
+  swap(a.after, b.after);
+  swap(a.after_era, b.after_era);
+  swap(a.size, b.size);
+  swap(a.data, b.data);
+  swap(a.__isset, b.__isset);
+}
+
+PackedRows::PackedRows(const PackedRows& other60) {
+  after = other60.after;
+  after_era = other60.after_era;
+  size = other60.size;
+  data = other60.data;
+  __isset = other60.__isset;
+}
+PackedRows& PackedRows::operator=(const PackedRows& other61) {
+  after = other61.after;
+  after_era = other61.after_era;
+  size = other61.size;
+  data = other61.data;
+  __isset = other61.__isset;
+  return *this;
+}
+void PackedRows::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PackedRows(";
+  out << "after=" << to_string(after);
+  out << ", " << "after_era=" << to_string(after_era);
+  out << ", " << "size=" << to_string(size);
+  out << ", " << "data=" << to_string(data);
+  out << ")";
+}
+
+
 TableNews::~TableNews() noexcept {
 }
 
@@ -2661,6 +2925,11 @@
 void TableNews::__set_from_full_read(const bool val) {
   this->from_full_read = val;
 }
+
+void TableNews::__set_packed(const PackedRows& val) {
+  this->packed = val;
+__isset.packed = true;
+}
 std::ostream& operator<<(std::ostream& out, const TableNews& obj)
 {
   obj.printTo(out);
@@ -2717,14 +2986,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size52;
-            ::apache::thrift::protocol::TType _etype55;
-            xfer += iprot->readListBegin(_etype55, _size52);
-            this->rows.resize(_size52);
-            uint32_t _i56;
-            for (_i56 = 0; _i56 < _size52; ++_i56)
+            uint32_t _size62;
+            ::apache::thrift::protocol::TType _etype65;
+            xfer += iprot->readListBegin(_etype65, _size62);
+            this->rows.resize(_size62);
+            uint32_t _i66;
+            for (_i66 = 0; _i66 < _size62; ++_i66)
             {
-              xfer += this->rows[_i56].read(iprot);
+              xfer += this->rows[_i66].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2737,14 +3006,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->missing.clear();
-            uint32_t _size57;
-            ::apache::thrift::protocol::TType _etype60;
-            xfer += iprot->readListBegin(_etype60, _size57);
-            this->missing.resize(_size57);
-            uint32_t _i61;
-            for (_i61 = 0; _i61 < _size57; ++_i61)
+            uint32_t _size67;
+            ::apache::thrift::protocol::TType _etype70;
+            xfer += iprot->readListBegin(_etype70, _size67);
+            this->missing.resize(_size67);
+            uint32_t _i71;
+            for (_i71 = 0; _i71 < _size67; ++_i71)
             {
-              xfer += iprot->readString(this->missing[_i61]);
+              xfer += iprot->readString(this->missing[_i71]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2825,6 +3094,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->packed.read(iprot);
+          this->__isset.packed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2857,10 +3134,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<WatchedRow> ::const_iterator _iter62;
-    for (_iter62 = this->rows.begin(); _iter62 != this->rows.end(); ++_iter62)
+    std::vector<WatchedRow> ::const_iterator _iter72;
+    for (_iter72 = this->rows.begin(); _iter72 != this->rows.end(); ++_iter72)
     {
-      xfer += (*_iter62).write(oprot);
+      xfer += (*_iter72).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2869,10 +3146,10 @@
   xfer += oprot->writeFieldBegin("missing", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->missing.size()));
-    std::vector<std::string> ::const_iterator _iter63;
-    for (_iter63 = this->missing.begin(); _iter63 != this->missing.end(); ++_iter63)
+    std::vector<std::string> ::const_iterator _iter73;
+    for (_iter73 = this->missing.begin(); _iter73 != this->missing.end(); ++_iter73)
     {
-      xfer += oprot->writeString((*_iter63));
+      xfer += oprot->writeString((*_iter73));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2914,6 +3191,11 @@
   xfer += oprot->writeBool(this->from_full_read);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.packed) {
+    xfer += oprot->writeFieldBegin("packed", ::apache::thrift::protocol::T_STRUCT, 15);
+    xfer += this->packed.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2935,42 +3217,45 @@
   swap(a.after_era, b.after_era);
   swap(a.era, b.era);
   swap(a.from_full_read, b.from_full_read);
+  swap(a.packed, b.packed);
   swap(a.__isset, b.__isset);
 }
 
-TableNews::TableNews(const TableNews& other64) {
-  table = other64.table;
-  after = other64.after;
-  version = other64.version;
-  rows = other64.rows;
-  missing = other64.missing;
-  failed = other64.failed;
-  snapshot = other64.snapshot;
-  unconfirmed = other64.unconfirmed;
-  relay = other64.relay;
-  reader = other64.reader;
-  reader_zone = other64.reader_zone;
-  after_era = other64.after_era;
-  era = other64.era;
-  from_full_read = other64.from_full_read;
-  __isset = other64.__isset;
-}
-TableNews& TableNews::operator=(const TableNews& other65) {
-  table = other65.table;
-  after = other65.after;
-  version = other65.version;
-  rows = other65.rows;
-  missing = other65.missing;
-  failed = other65.failed;
-  snapshot = other65.snapshot;
-  unconfirmed = other65.unconfirmed;
-  relay = other65.relay;
-  reader = other65.reader;
-  reader_zone = other65.reader_zone;
-  after_era = other65.after_era;
-  era = other65.era;
-  from_full_read = other65.from_full_read;
-  __isset = other65.__isset;
+TableNews::TableNews(const TableNews& other74) {
+  table = other74.table;
+  after = other74.after;
+  version = other74.version;
+  rows = other74.rows;
+  missing = other74.missing;
+  failed = other74.failed;
+  snapshot = other74.snapshot;
+  unconfirmed = other74.unconfirmed;
+  relay = other74.relay;
+  reader = other74.reader;
+  reader_zone = other74.reader_zone;
+  after_era = other74.after_era;
+  era = other74.era;
+  from_full_read = other74.from_full_read;
+  packed = other74.packed;
+  __isset = other74.__isset;
+}
+TableNews& TableNews::operator=(const TableNews& other75) {
+  table = other75.table;
+  after = other75.after;
+  version = other75.version;
+  rows = other75.rows;
+  missing = other75.missing;
+  failed = other75.failed;
+  snapshot = other75.snapshot;
+  unconfirmed = other75.unconfirmed;
+  relay = other75.relay;
+  reader = other75.reader;
+  reader_zone = other75.reader_zone;
+  after_era = other75.after_era;
+  era = other75.era;
+  from_full_read = other75.from_full_read;
+  packed = other75.packed;
+  __isset = other75.__isset;
   return *this;
 }
 void TableNews::printTo(std::ostream& out) const {
@@ -2990,6 +3275,7 @@
   out << ", " << "after_era=" << to_string(after_era);
   out << ", " << "era=" << to_string(era);
   out << ", " << "from_full_read=" << to_string(from_full_read);
+  out << ", " << "packed="; (__isset.packed ? (out << to_string(packed)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3069,13 +3355,13 @@
   swap(a.__isset, b.__isset);
 }
 
-TableFetch::TableFetch(const TableFetch& other66) noexcept {
-  list_only = other66.list_only;
-  __isset = other66.__isset;
+TableFetch::TableFetch(const TableFetch& other76) noexcept {
+  list_only = other76.list_only;
+  __isset = other76.__isset;
 }
-TableFetch& TableFetch::operator=(const TableFetch& other67) noexcept {
-  list_only = other67.list_only;
-  __isset = other67.__isset;
+TableFetch& TableFetch::operator=(const TableFetch& other77) noexcept {
+  list_only = other77.list_only;
+  __isset = other77.__isset;
   return *this;
 }
 void TableFetch::printTo(std::ostream& out) const {
@@ -3263,25 +3549,25 @@
   swap(a.__isset, b.__isset);
 }
 
-PermitRequest::PermitRequest(const PermitRequest& other68) {
-  requester = other68.requester;
-  call = other68.call;
-  endpoint = other68.endpoint;
-  zone = other68.zone;
-  limit = other68.limit;
-  priority = other68.priority;
-  relayed = other68.relayed;
-  __isset = other68.__isset;
-}
-PermitRequest& PermitRequest::operator=(const PermitRequest& other69) {
-  requester = other69.requester;
-  call = other69.call;
-  endpoint = other69.endpoint;
-  zone = other69.zone;
-  limit = other69.limit;
-  priority = other69.priority;
-  relayed = other69.relayed;
-  __isset = other69.__isset;
+PermitRequest::PermitRequest(const PermitRequest& other78) {
+  requester = other78.requester;
+  call = other78.call;
+  endpoint = other78.endpoint;
+  zone = other78.zone;
+  limit = other78.limit;
+  priority = other78.priority;
+  relayed = other78.relayed;
+  __isset = other78.__isset;
+}
+PermitRequest& PermitRequest::operator=(const PermitRequest& other79) {
+  requester = other79.requester;
+  call = other79.call;
+  endpoint = other79.endpoint;
+  zone = other79.zone;
+  limit = other79.limit;
+  priority = other79.priority;
+  relayed = other79.relayed;
+  __isset = other79.__isset;
   return *this;
 }
 void PermitRequest::printTo(std::ostream& out) const {
@@ -3424,19 +3710,19 @@
   swap(a.__isset, b.__isset);
 }
 
-PermitReply::PermitReply(const PermitReply& other70) {
-  call = other70.call;
-  endpoint = other70.endpoint;
-  granted = other70.granted;
-  retry_after = other70.retry_after;
-  __isset = other70.__isset;
+PermitReply::PermitReply(const PermitReply& other80) {
+  call = other80.call;
+  endpoint = other80.endpoint;
+  granted = other80.granted;
+  retry_after = other80.retry_after;
+  __isset = other80.__isset;
 }
-PermitReply& PermitReply::operator=(const PermitReply& other71) {
-  call = other71.call;
-  endpoint = other71.endpoint;
-  granted = other71.granted;
-  retry_after = other71.retry_after;
-  __isset = other71.__isset;
+PermitReply& PermitReply::operator=(const PermitReply& other81) {
+  call = other81.call;
+  endpoint = other81.endpoint;
+  granted = other81.granted;
+  retry_after = other81.retry_after;
+  __isset = other81.__isset;
   return *this;
 }
 void PermitReply::printTo(std::ostream& out) const {
@@ -3576,19 +3862,19 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorRequest::OperatorRequest(const OperatorRequest& other72) {
-  id = other72.id;
-  command = other72.command;
-  body = other72.body;
-  timeout = other72.timeout;
-  __isset = other72.__isset;
+OperatorRequest::OperatorRequest(const OperatorRequest& other82) {
+  id = other82.id;
+  command = other82.command;
+  body = other82.body;
+  timeout = other82.timeout;
+  __isset = other82.__isset;
 }
-OperatorRequest& OperatorRequest::operator=(const OperatorRequest& other73) {
-  id = other73.id;
-  command = other73.command;
-  body = other73.body;
-  timeout = other73.timeout;
-  __isset = other73.__isset;
+OperatorRequest& OperatorRequest::operator=(const OperatorRequest& other83) {
+  id = other83.id;
+  command = other83.command;
+  body = other83.body;
+  timeout = other83.timeout;
+  __isset = other83.__isset;
   return *this;
 }
 void OperatorRequest::printTo(std::ostream& out) const {
@@ -3711,17 +3997,17 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorReply::OperatorReply(const OperatorReply& other74) {
-  id = other74.id;
-  status = other74.status;
-  body = other74.body;
-  __isset = other74.__isset;
+OperatorReply::OperatorReply(const OperatorReply& other84) {
+  id = other84.id;
+  status = other84.status;
+  body = other84.body;
+  __isset = other84.__isset;
 }
-OperatorReply& OperatorReply::operator=(const OperatorReply& other75) {
-  id = other75.id;
-  status = other75.status;
-  body = other75.body;
-  __isset = other75.__isset;
+OperatorReply& OperatorReply::operator=(const OperatorReply& other85) {
+  id = other85.id;
+  status = other85.status;
+  body = other85.body;
+  __isset = other85.__isset;
   return *this;
 }
 void OperatorReply::printTo(std::ostream& out) const {
@@ -4058,39 +4344,39 @@
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other76) {
-  heartbeat = other76.heartbeat;
-  slot_request = other76.slot_request;
-  slot_grant = other76.slot_grant;
-  endpoint_notice = other76.endpoint_notice;
-  crash_notice = other76.crash_notice;
-  config_entries = other76.config_entries;
-  config_fetch = other76.config_fetch;
-  unrecorded_zone = other76.unrecorded_zone;
-  operator_request = other76.operator_request;
-  operator_reply = other76.operator_reply;
-  table_news = other76.table_news;
-  table_fetch = other76.table_fetch;
-  permit_request = other76.permit_request;
-  permit_reply = other76.permit_reply;
-  __isset = other76.__isset;
-}
-Body& Body::operator=(const Body& other77) {
-  heartbeat = other77.heartbeat;
-  slot_request = other77.slot_request;
-  slot_grant = other77.slot_grant;
-  endpoint_notice = other77.endpoint_notice;
-  crash_notice = other77.crash_notice;
-  config_entries = other77.config_entries;
-  config_fetch = other77.config_fetch;
-  unrecorded_zone = other77.unrecorded_zone;
-  operator_request = other77.operator_request;
-  operator_reply = other77.operator_reply;
-  table_news = other77.table_news;
-  table_fetch = other77.table_fetch;
-  permit_request = other77.permit_request;
-  permit_reply = other77.permit_reply;
-  __isset = other77.__isset;
+Body::Body(const Body& other86) {
+  heartbeat = other86.heartbeat;
+  slot_request = other86.slot_request;
+  slot_grant = other86.slot_grant;
+  endpoint_notice = other86.endpoint_notice;
+  crash_notice = other86.crash_notice;
+  config_entries = other86.config_entries;
+  config_fetch = other86.config_fetch;
+  unrecorded_zone = other86.unrecorded_zone;
+  operator_request = other86.operator_request;
+  operator_reply = other86.operator_reply;
+  table_news = other86.table_news;
+  table_fetch = other86.table_fetch;
+  permit_request = other86.permit_request;
+  permit_reply = other86.permit_reply;
+  __isset = other86.__isset;
+}
+Body& Body::operator=(const Body& other87) {
+  heartbeat = other87.heartbeat;
+  slot_request = other87.slot_request;
+  slot_grant = other87.slot_grant;
+  endpoint_notice = other87.endpoint_notice;
+  crash_notice = other87.crash_notice;
+  config_entries = other87.config_entries;
+  config_fetch = other87.config_fetch;
+  unrecorded_zone = other87.unrecorded_zone;
+  operator_request = other87.operator_request;
+  operator_reply = other87.operator_reply;
+  table_news = other87.table_news;
+  table_fetch = other87.table_fetch;
+  permit_request = other87.permit_request;
+  permit_reply = other87.permit_reply;
+  __isset = other87.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -4257,21 +4543,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other78) {
-  key = other78.key;
-  sender = other78.sender;
-  incarnation = other78.incarnation;
-  stamp = other78.stamp;
-  body = other78.body;
-  __isset = other78.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other79) {
-  key = other79.key;
-  sender = other79.sender;
-  incarnation = other79.incarnation;
-  stamp = other79.stamp;
-  body = other79.body;
-  __isset = other79.__isset;
+Envelope::Envelope(const Envelope& other88) {
+  key = other88.key;
+  sender = other88.sender;
+  incarnation = other88.incarnation;
+  stamp = other88.stamp;
+  body = other88.body;
+  __isset = other88.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other89) {
+  key = other89.key;
+  sender = other89.sender;
+  incarnation = other89.incarnation;
+  stamp = other89.stamp;
+  body = other89.body;
+  __isset = other89.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/rpc/gen-cpp/jackdawdeck_types.h
+++ b/rpc/gen-cpp/jackdawdeck_types.h
@@ -49,6 +49,10 @@
 
 class WatchedRow;
 
+class RowList;
+
+class PackedRows;
+
 class TableNews;
 
 class TableFetch;
@@ -1089,8 +1093,123 @@
 
 std::ostream& operator<<(std::ostream& out, const WatchedRow& obj);
 
+typedef struct _RowList__isset {
+  _RowList__isset() : rows(false) {}
+  bool rows :1;
+} _RowList__isset;
+
+class RowList : public virtual ::apache::thrift::TBase {
+ public:
+
+  RowList(const RowList&);
+  RowList& operator=(const RowList&);
+  RowList() noexcept {
+  }
+
+  virtual ~RowList() noexcept;
+  std::vector<WatchedRow>  rows;
+
+  _RowList__isset __isset;
+
+  void __set_rows(const std::vector<WatchedRow> & val);
+
+  bool operator == (const RowList & rhs) const
+  {
+    if (!(rows == rhs.rows))
+      return false;
+    return true;
+  }
+  bool operator != (const RowList &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RowList & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RowList &a, RowList &b);
+
+std::ostream& operator<<(std::ostream& out, const RowList& obj);
+
+typedef struct _PackedRows__isset {
+  _PackedRows__isset() : after(false), after_era(false), size(false), data(false) {}
+  bool after :1;
+  bool after_era :1;
+  bool size :1;
+  bool data :1;
+} _PackedRows__isset;
+
+/**
+ * The rows of a TableNews, which then has none and names its own version as `after`.
+ */
+class PackedRows : public virtual ::apache::thrift::TBase {
+ public:
+
+  PackedRows(const PackedRows&);
+  PackedRows& operator=(const PackedRows&);
+  PackedRows() noexcept
+             : after(0),
+               after_era(0),
+               size(0),
+               data() {
+  }
+
+  virtual ~PackedRows() noexcept;
+  int64_t after;
+  int64_t after_era;
+  /**
+   * Bytes of the encoded RowList before its compression.
+   */
+  int32_t size;
+  /**
+   * A RowList in the compact protocol, compressed by zlib.
+   */
+  std::string data;
+
+  _PackedRows__isset __isset;
+
+  void __set_after(const int64_t val);
+
+  void __set_after_era(const int64_t val);
+
+  void __set_size(const int32_t val);
+
+  void __set_data(const std::string& val);
+
+  bool operator == (const PackedRows & rhs) const
+  {
+    if (!(after == rhs.after))
+      return false;
+    if (!(after_era == rhs.after_era))
+      return false;
+    if (!(size == rhs.size))
+      return false;
+    if (!(data == rhs.data))
+      return false;
+    return true;
+  }
+  bool operator != (const PackedRows &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PackedRows & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PackedRows &a, PackedRows &b);
+
+std::ostream& operator<<(std::ostream& out, const PackedRows& obj);
+
 typedef struct _TableNews__isset {
-  _TableNews__isset() : table(false), after(false), version(false), rows(false), missing(false), failed(false), snapshot(false), unconfirmed(false), relay(false), reader(false), reader_zone(false), after_era(false), era(false), from_full_read(false) {}
+  _TableNews__isset() : table(false), after(false), version(false), rows(false), missing(false), failed(false), snapshot(false), unconfirmed(false), relay(false), reader(false), reader_zone(false), after_era(false), era(false), from_full_read(false), packed(false) {}
   bool table :1;
   bool after :1;
   bool version :1;
@@ -1105,6 +1224,7 @@
   bool after_era :1;
   bool era :1;
   bool from_full_read :1;
+  bool packed :1;
 } _TableNews__isset;
 
 class TableNews : public virtual ::apache::thrift::TBase {
@@ -1142,6 +1262,7 @@
   int64_t after_era;
   int64_t era;
   bool from_full_read;
+  PackedRows packed;
 
   _TableNews__isset __isset;
 
@@ -1173,6 +1294,8 @@
 
   void __set_from_full_read(const bool val);
 
+  void __set_packed(const PackedRows& val);
+
   bool operator == (const TableNews & rhs) const
   {
     if (!(table == rhs.table))
@@ -1203,6 +1326,10 @@
       return false;
     if (!(from_full_read == rhs.from_full_read))
       return false;
+    if (__isset.packed != rhs.__isset.packed)
+      return false;
+    else if (__isset.packed && !(packed == rhs.packed))
+      return false;
     return true;
   }
   bool operator != (const TableNews &rhs) const {
--- a/rpc/jackdawdeck.thrift
+++ b/rpc/jackdawdeck.thrift
@@ -125,6 +125,20 @@
   5: bool recalled
 }
 
+struct RowList {
+  1: list<WatchedRow> rows
+}
+
+/** The rows of a TableNews, which then has none and names its own version as `after`. */
+struct PackedRows {
+  1: i64 after
+  2: i64 after_era
+  /** Bytes of the encoded RowList before its compression. */
+  3: i32 size
+  /** A RowList in the compact protocol, compressed by zlib. */
+  4: binary data
+}
+
 struct TableNews {
   1: string table
   2: i64 after
@@ -140,6 +154,7 @@
   12: i64 after_era
   13: i64 era
   14: bool from_full_read
+  15: optional PackedRows packed
 }
 
 struct TableFetch {
--- a/tests/rpc_test.cc
+++ b/tests/rpc_test.cc
@@ -85,6 +85,108 @@
   CHECK(update.reader_zone == sent.reader_zone);
 }
 
+// Returns an update about endpoints that have been added.
+TableUpdate UpdateWithAddedEndpoints(int count) {
+  TableUpdate update;
+  update.table = "t";
+  update.after = {StoreEra(2), 8};
+  update.position = {StoreEra(2), 9};
+  for (int i = 0; i < count; ++i) {
+    WatchedRow& row = update.rows.emplace_back();
+    row.key = "i-" + std::to_string(0x7f3a91c2 + 7919 * i);
+    row.value = R"({"service":"records","address":"10.1.0.)" + std::to_string(i) +
+                R"(:8080","zone":"gasabo","version":"1.4.2","slots":6,"state":"ready",)" +
+                R"("warmup_ms":0,"sequence":12,"born":17648)" + std::to_string(10'000'000 + i) +
+                "}";
+    row.version = 100 + static_cast<uint64_t>(i);
+  }
+  return update;
+}
+
+TableUpdate SendAndReceive(const TableUpdate& update, size_t* frame_bytes) {
+  const std::string frame =
+      EncodeFrame(ToEnvelope({GatewayId("g1"), Incarnation(9), {}, update}, ""));
+  *frame_bytes = frame.size();
+  FrameReader reader;
+  reader.Append(frame.data(), frame.size());
+  return std::get<TableUpdate>(std::get<PeerMessage>(FromEnvelope(*reader.NextEnvelope())).body);
+}
+
+TEST_CASE("an update about many endpoints takes few bytes", "[rpc_test]") {
+  // Guards against many endpoints that are added at once: uncompressed, their rows exceed the bytes
+  // that a gateway may send to all others, so each of these reads the store and tells the others.
+  const TableUpdate sent = UpdateWithAddedEndpoints(400);
+  size_t frame_bytes = 0;
+  const TableUpdate received = SendAndReceive(sent, &frame_bytes);
+  CHECK(frame_bytes <= 16'384);
+  CHECK(received.after == sent.after);
+  REQUIRE(received.rows.size() == sent.rows.size());
+  for (size_t i = 0; i < sent.rows.size(); ++i) {
+    CHECK(received.rows[i].key == sent.rows[i].key);
+    CHECK(received.rows[i].value == sent.rows[i].value);
+    CHECK(received.rows[i].version == sent.rows[i].version);
+  }
+}
+
+TEST_CASE("a gateway of an earlier version reads for itself instead of packed rows", "[rpc_test]") {
+  // Guards against a receiver that does not know packed rows and takes an update for an empty one.
+  const TableUpdate sent = UpdateWithAddedEndpoints(100);
+  const wire::TableNews news =
+      ToEnvelope({GatewayId("g1"), Incarnation(9), {}, sent}, "").body.table_news;
+  CHECK(news.rows.empty());
+  CHECK(news.after == news.version);
+  CHECK(news.after_era == news.era);
+}
+
+TEST_CASE("a snapshot is sent without packed rows", "[rpc_test]") {
+  // Guards against a gateway of an earlier version that takes a snapshot for an empty table.
+  TableUpdate snapshot = UpdateWithAddedEndpoints(100);
+  snapshot.snapshot = true;
+  CHECK(
+      ToEnvelope({GatewayId("g1"), Incarnation(9), {}, snapshot}, "").body.table_news.rows.size() ==
+      100);
+}
+
+TEST_CASE("rows that cannot be packed small enough are left out", "[rpc_test]") {
+  // Guards against links that are saturated by rows whose content does not shrink.
+  TableUpdate update = UpdateWithAddedEndpoints(1);
+  RandomEngine random(1);
+  update.rows[0].value.clear();
+  for (int i = 0; i < 20'000; ++i) {
+    update.rows[0].value.push_back(static_cast<char>(random()));
+  }
+  size_t frame_bytes = 0;
+  const TableUpdate received = SendAndReceive(update, &frame_bytes);
+  CHECK(received.rows.empty());
+  CHECK(received.after == update.position);
+}
+
+TEST_CASE("damaged packed rows are an error and take little memory", "[rpc_test]") {
+  // Guards against a peer whose few bytes become many, and against rows that are cut short.
+  wire::Envelope envelope =
+      ToEnvelope({GatewayId("g1"), Incarnation(9), {}, UpdateWithAddedEndpoints(100)}, "");
+  wire::PackedRows& packed = envelope.body.table_news.packed;
+  SECTION("cut short") {
+    packed.data.resize(packed.data.size() / 2);
+  }
+  SECTION("no compressed data") {
+    packed.data = "rows";
+  }
+  SECTION("too long") {
+    packed.size = 100'000'000;
+  }
+  SECTION("shorter than the data") {
+    packed.size = 10;
+  }
+  SECTION("longer than the data") {
+    packed.size += 1;
+  }
+  SECTION("negative") {
+    packed.size = -1;
+  }
+  CHECK_THROWS_AS(FromEnvelope(envelope), FrameError);
+}
+
 TEST_CASE("arbitrary bytes cause an error or a wait for more bytes, never a crash", "[rpc_test]") {
   const bool ok = rc::check([] {
     const std::string frame = EncodeFrame(ToEnvelope(SampleMessage(), "key"));
--- a/tests/table_sharing_test.cc
+++ b/tests/table_sharing_test.cc
@@ -59,6 +59,28 @@
   }));
 }
 
+TEST_CASE("many rows that are written at once are read by one gateway", "[table_sharing_test]") {
+  // Guards against a reader that leaves the rows out of its update because there are many, so that
+  // each of the others reads the store and tells all others in turn.
+  constexpr size_t kRowBytes = 190;
+  for (const int rows : {88, 400}) {
+    Zone zone(22);
+    zone.store.Put("a");
+    zone.RunUntil(5s);
+    const int calls = zone.calls();
+    for (int i = 0; i < rows; ++i) {
+      zone.store.Put("i-" + std::to_string(i), kRowBytes);
+    }
+    zone.RunUntil(10s);
+    INFO(rows << " rows");
+    // One read each second, and one by a gateway that has just taken over.
+    CHECK(zone.calls() - calls <= 7);
+    for (const Gateway& gateway : zone.gateways) {
+      CHECK(gateway.known.size() == static_cast<size_t>(rows) + 1);
+    }
+  }
+}
+
 TEST_CASE("one gateway of a zone polls the operators' table for all", "[table_sharing_test]") {
   // Guards against a store load that grows with the number of gateways, and against an operator's
   // decision that takes longer than two seconds to take effect because the reader failed.
--- a/tests/table_watch_harness.h
+++ b/tests/table_watch_harness.h
@@ -22,9 +22,11 @@
   uint64_t era = 1;
   bool names_era = true;  // Whether replies name the era.
 
-  void Put(const std::string& key) {
-    const std::string value =
-        "v" + std::to_string(version + 1) + (era > 1 ? "e" + std::to_string(era) : "");
+  // @param padding bytes that are added to the value.
+  void Put(const std::string& key, size_t padding = 0) {
+    const std::string value = "v" + std::to_string(version + 1) +
+                              (era > 1 ? "e" + std::to_string(era) : "") +
+                              std::string(padding, ' ');
     const WatchedRow row{key, value, ++version, false};
     rows[key] = row;
     history.push_back(row);
--- a/tests/table_watch_test.cc
+++ b/tests/table_watch_test.cc
@@ -240,7 +240,7 @@
   reader.Read(At(-1s), store);
   follower.Read(At(-1s), store);
   store.Put("b");
-  store.rows["b"].value = std::string(20'000, 'x');
+  store.rows["b"].value = std::string(150'000, 'x');
   store.history.back().value = store.rows["b"].value;
   const std::optional<TableUpdate> update = reader.Read(At(1s), store);
   REQUIRE(update);
