Ask a peer for missed changes when the store turns a gateway away

Cause: a gateway that hears of a newer position than it can build on reads the store. If the store does not serve it, it tried again and again; a peer was asked only before the first read and after a return of the store.

A gateway that lacks nothing asks nobody.

--- a/cluster/table_watch.cc
+++ b/cluster/table_watch.cc
@@ -105,6 +105,7 @@
     OnPeerCallFailed(now);
     return changes;
   }
+  told_position_ = std::max(told_position_, update.position);
   const bool full_read_in_progress = full_read_pending_ && call_pending_;
   if (!complete_ || full_read_in_progress || update.position < position_) {
     return changes;
--- a/cluster/table_watch.h
+++ b/cluster/table_watch.h
@@ -161,6 +161,9 @@
   bool complete() const { return complete_; }
   /// Whether a full read is due or in progress; position() does not advance until it finishes.
   bool full_read_pending() const { return full_read_pending_; }
+  /// Whether rows are missing that a peer may have, which this gateway must ask for if it cannot
+  /// read them from the store.
+  bool lacks_rows() const { return !complete_ || full_read_pending_ || position_ < told_position_; }
   /// Whether the store is unreachable now, after a full read had succeeded.
   bool store_unavailable() const { return complete_ && !connected_; }
   /// Keys of rows that disappeared during an outage and may be written again.
@@ -195,6 +198,7 @@
   bool was_paused_ = false;  ///< PauseWhileUnavailable kept the previous NextCall from a call.
   TableRows rows_;
   TablePosition position_;
+  TablePosition told_position_;  ///< Newest position in the updates of other gateways.
   std::map<std::string, WatchedRow> page_rows_;  ///< Rows of the full read in progress.
   std::string next_page_key_;
   TablePosition first_page_position_;
--- a/tests/table_sharing_test.cc
+++ b/tests/table_sharing_test.cc
@@ -81,6 +81,34 @@
   }
 }
 
+TEST_CASE("a gateway that the store turns away gets the changes that it missed from a peer",
+          "[table_sharing_test]") {
+  // Guards against a gateway that hears of newer versions, cannot read them, and goes on with rows
+  // that are as old as the update that it missed.
+  for (const bool silent : {false, true}) {
+    Zone zone(6);
+    zone.store.Put("a");
+    zone.RunUntil(4s);
+    Gateway& cut = zone.gateways[0];
+    cut.reachable = false;
+    cut.silent = silent;
+    cut.cut_from_peers = true;
+    zone.store.Put("b");
+    zone.store.Remove("a");
+    zone.RunUntil(6s);
+    cut.cut_from_peers = false;
+    zone.store.Put("c");
+    zone.RunUntil(10s);
+    INFO((silent ? "no reply" : "refused"));
+    CHECK(cut.known == zone.store.Values());
+    // Without missed changes no peer is asked.
+    const size_t snapshots = zone.snapshots;
+    CHECK(snapshots <= 4);
+    zone.RunUntil(20s);
+    CHECK(zone.snapshots == snapshots);
+  }
+}
+
 TEST_CASE("one gateway of a zone polls the operators' table for all", "[table_sharing_test]") {
   // Guards against a store load that grows with the number of gateways, and against an operator's
   // decision that takes longer than two seconds to take effect because the reader failed.
--- a/tests/table_watch_harness.h
+++ b/tests/table_watch_harness.h
@@ -174,9 +174,21 @@
       }
       for (const TableUpdate& update : gateways[i].Step(now, store)) {
         Send(now, i, update);
+        if (update.failed && gateways[i].watch.lacks_rows()) {
+          AskPeer(now, i);
+        }
       }
     }
   }
+  // Gives a gateway the snapshot of another one.
+  void AskPeer(MonoTime now, size_t requester) {
+    const size_t peer = (requester + 1 + snapshots++) % gateways.size();
+    if (!gateways[requester].cut_from_peers && !gateways[peer].cut_from_peers && stopped != peer &&
+        gateways[peer].watch.complete()) {
+      Gateway& gateway = gateways[requester];
+      gateway.Apply(gateway.watch.OnPeerUpdate(now, gateways[peer].watch.Snapshot("")));
+    }
+  }
   void Send(MonoTime now, size_t sender, const TableUpdate& update) {
     for (size_t i = 0; i < gateways.size(); ++i) {
       if (i == sender || stopped == i || gateways[i].cut_from_peers ||
@@ -211,6 +223,7 @@
   std::vector<Gateway> gateways;
   Store store;
   std::optional<size_t> stopped;
+  size_t snapshots = 0;  // Requests for the snapshot of another gateway.
   Duration time{0};
 };
 
