Announce a gateway that joins to all others

What callers saw: nothing.

Cause: gateways that run never learned of one that was added later, except by heartbeats within its zone. With 13 gateways and 13 added ones the first would use 60/13 and the others 60/26 of the bound of 60 a second: 1.5 times the bound. Gateways of other zones could not relay to it either.

Now a gateway that finds its row missing in a running deployment, writes it and is listed, sends its row to its zone and, through the contacts, to the others, which add it to their list. In a new deployment all write before they read, so nothing is sent; a row that was lost by the store is written again without a message.

Ruled out: reading the list again from time to time (a store call of each gateway), counting heartbeats (other zones send none).

--- a/cluster/gateway_registry.cc
+++ b/cluster/gateway_registry.cc
@@ -38,6 +38,8 @@
   if (call == Call::kAskPeers) {
     next_call_ = Call::kRead;
     due_ = now + kPeerReplyTimeout;
+  } else if (call == Call::kWrite) {
+    joins_ = !new_deployment_ && !was_listed_;
   }
   return call;
 }
@@ -65,6 +67,27 @@
   return true;
 }
 
+bool GatewayRegistry::OnGatewayAdded(const Vm& gateway) {
+  if (gateways_.empty() || gateway.name == self_.name) {
+    return false;
+  }
+  const auto known = std::find_if(gateways_.begin(), gateways_.end(),
+                                  [&](const Vm& vm) { return vm.name == gateway.name; });
+  if (known == gateways_.end()) {
+    gateways_.push_back(gateway);
+    return true;
+  }
+  if (SameAddress(*known, gateway)) {
+    return false;
+  }
+  *known = gateway;
+  return true;
+}
+
+bool GatewayRegistry::TakeAnnouncement() {
+  return listed_ && std::exchange(joins_, false);
+}
+
 void GatewayRegistry::TakeList(VmList gateways, StoreEra era) {
   if (era > listed_era_) {
     for (const Vm& vm : gateways_) {
@@ -76,6 +99,7 @@
     }
   }
   gateways_ = std::move(gateways);
+  was_listed_ = was_listed_ || listed_;
   listed_era_ = std::max(listed_era_, era);
   store_era_ = std::max(store_era_, era);
 }
--- a/cluster/gateway_registry.h
+++ b/cluster/gateway_registry.h
@@ -11,7 +11,7 @@
 namespace jd {
 
 /// Registers this gateway in a table of the platform's store and reads the list of registered
-/// gateways. A gateway announces itself to the gateways that it finds.
+/// gateways.
 ///
 /// In a new deployment, where all gateways start at about the same time, a gateway writes its own
 /// row before it reads the list, so that of two gateways at least one finds the other. After a
@@ -20,6 +20,9 @@
 /// and a gateway that has read the list passes it on, so that few of the gateways that start at the
 /// same time read it.
 ///
+/// A gateway that joins a running deployment announces itself to all others, which have read the
+/// list before.
+///
 /// A store that is restored from a copy may have lost rows, which nobody but their gateways writes
 /// again. The list is therefore read once in each era of the store; known gateways that it lacks
 /// are kept.
@@ -51,6 +54,12 @@
   /// A list without this gateway was read too early and is ignored.
   /// @return whether the list was taken.
   bool OnPeerList(VmList gateways, StoreEra era);
+  /// Adds a gateway that has joined, or replaces the one of its name.
+  /// @return whether the list changed. A list that is not known yet is read later.
+  bool OnGatewayAdded(const Vm& gateway);
+  /// Returns whether the others must be told of this gateway: it has joined a running deployment,
+  /// and its row is in the list. True once.
+  bool TakeAnnouncement();
   /// Schedules a read of the list if it has not been read in this era of the store.
   void OnStoreEra(MonoTime now, StoreEra era);
   void OnRowWritten(MonoTime now);
@@ -82,6 +91,8 @@
   StoreEra listed_era_;
   StoreEra store_era_;
   bool listed_ = false;
+  bool was_listed_ = false;  ///< A list that was taken before had this gateway's row.
+  bool joins_ = false;  ///< The row of this gateway was written, and the others do not know of it.
   std::optional<MonoTime> due_;
   Call next_call_ = Call::kWrite;
 };
--- a/tests/discovery_test.cc
+++ b/tests/discovery_test.cc
@@ -297,6 +297,64 @@
   CHECK(registry.listed());
 }
 
+TEST_CASE("a gateway that joins a running deployment announces itself once", "[discovery_test]") {
+  // Guards against gateways that go on with the share of a smaller deployment: the probes of all
+  // together exceed the bound.
+  const MonoTime now = MonoTime() + 1s;
+  const bool new_deployment = GENERATE(false, true);
+  GatewayRegistry registry(MakeGatewayVm("g"), new_deployment, 1);
+  registry.Start(now);
+  const MonoTime later = now + 10s;
+  if (!new_deployment) {
+    registry.NextCall(later);
+    registry.NextCall(later + GatewayRegistry::kPeerReplyTimeout);
+    registry.OnGatewayList(later, {MakeGatewayVm("other")}, StoreEra(1));
+  }
+  CHECK(registry.NextCall(later) == GatewayRegistry::Call::kWrite);
+  const bool reply_lost = GENERATE(false, true);
+  if (reply_lost) {
+    registry.OnCallFailed(later);
+  } else {
+    registry.OnRowWritten(later);
+  }
+  CHECK_FALSE(registry.TakeAnnouncement());
+  registry.OnGatewayList(later, {MakeGatewayVm("g"), MakeGatewayVm("other")}, StoreEra(1));
+  // In a new deployment all gateways read the list after they have written their rows.
+  CHECK(registry.TakeAnnouncement() == !new_deployment);
+  CHECK_FALSE(registry.TakeAnnouncement());
+}
+
+TEST_CASE("a gateway that is known to the others does not announce itself", "[discovery_test]") {
+  // Guards against a message of each gateway to all others after each return of the store.
+  const MonoTime now = MonoTime() + 1s;
+  GatewayRegistry registry = MakeListedRegistry(now);
+  CHECK_FALSE(registry.TakeAnnouncement());
+  registry.OnStoreEra(now, StoreEra(2));
+  const MonoTime later = *registry.next_timer();
+  registry.NextCall(later);
+  registry.OnGatewayList(later, {MakeGatewayVm("other")}, StoreEra(2));
+  CHECK(registry.NextCall(later) == GatewayRegistry::Call::kWrite);
+  registry.OnRowWritten(later);
+  registry.OnGatewayList(later, {MakeGatewayVm("g"), MakeGatewayVm("other")}, StoreEra(2));
+  CHECK_FALSE(registry.TakeAnnouncement());
+}
+
+TEST_CASE("gateways count one that has joined", "[discovery_test]") {
+  // Guards against probes beyond the bound, as above.
+  const MonoTime now = MonoTime() + 1s;
+  GatewayRegistry registry = MakeListedRegistry(now);
+  CHECK(registry.OnGatewayAdded(MakeGatewayVm("new", "10.0.0.7")));
+  CHECK(registry.gateways().size() == 3);
+  CHECK_FALSE(registry.OnGatewayAdded(MakeGatewayVm("new", "10.0.0.7")));
+  CHECK(registry.OnGatewayAdded(MakeGatewayVm("new", "10.0.0.8")));
+  CHECK_FALSE(registry.OnGatewayAdded(MakeGatewayVm("g", "10.0.0.9")));
+  CHECK(registry.gateways().size() == 3);
+  GatewayRegistry starting(MakeGatewayVm("g"), false, 1);
+  starting.Start(now);
+  CHECK_FALSE(starting.OnGatewayAdded(MakeGatewayVm("new")));
+  CHECK(starting.gateways().empty());
+}
+
 TEST_CASE("a return of the store while the list is read leads to another read",
           "[discovery_test]") {
   // Guards against a row that is lost just after it was found in the list.
