Let endpoints of the soak name limits, and check them in every window

Up to six endpoints of a run name a limit of 0, 0.5, 2, 5 or 10 requests a second for 5 to 15 s. From 3 s on, no window of 4 s may have more than 1.5 times that, and 5 more, from all gateways together; no gateway is excused for its faults.

--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -18,21 +18,31 @@
 constexpr FaultKind kLastDrawnKind = FaultKind::kAllKilled;
 constexpr int64_t kMaxReturns = 3;
 constexpr int64_t kMaxOutageMs = 2500;
+constexpr int64_t kMaxLimits = 6;
+constexpr int64_t kMinLimitMs = 5000;
+constexpr int64_t kMaxLimitMs = 15'000;
 
 int64_t DrawInteger(RandomEngine* random, int64_t min, int64_t max) {
   return std::uniform_int_distribution<int64_t>(min, max)(*random);
 }
 
-// Adds returns of the store from a copy.
-void AddReturns(uint64_t seed, Duration duration, std::vector<Fault>* faults) {
-  RandomEngine random(~seed);
-  const int64_t duration_ms = std::chrono::floor<std::chrono::milliseconds>(duration).count();
-  const int64_t count = DrawInteger(&random, 0, kMaxReturns);
+// Adds up to `max_count` faults of one kind, with durations in milliseconds.
+void AddFaults(FaultKind kind,
+               int64_t max_count,
+               int64_t min_duration_ms,
+               int64_t max_duration_ms,
+               Duration plan_duration,
+               RandomEngine* random,
+               std::vector<Fault>* faults) {
+  const int64_t plan_ms = std::chrono::floor<std::chrono::milliseconds>(plan_duration).count();
+  const int64_t count = DrawInteger(random, 0, max_count);
   for (int64_t i = 0; i < count; ++i) {
     Fault fault;
-    fault.kind = FaultKind::kStoreRestored;
-    fault.start = std::chrono::milliseconds(DrawInteger(&random, 0, duration_ms));
-    fault.duration = std::chrono::milliseconds(DrawInteger(&random, 0, kMaxOutageMs));
+    fault.kind = kind;
+    fault.start = std::chrono::milliseconds(DrawInteger(random, 0, plan_ms));
+    fault.duration =
+        std::chrono::milliseconds(DrawInteger(random, min_duration_ms, max_duration_ms));
+    fault.target_index = random->operator()() % 1'000'000;
     faults->push_back(fault);
   }
 }
@@ -60,7 +70,11 @@
       start += fault.duration + std::chrono::milliseconds(DrawInteger(&random, 0, 500));
     }
   }
-  AddReturns(seed, duration, &faults);
+  RandomEngine later_kinds(~seed);
+  AddFaults(FaultKind::kStoreRestored, kMaxReturns, 0, kMaxOutageMs, duration, &later_kinds,
+            &faults);
+  AddFaults(FaultKind::kEndpointLimit, kMaxLimits, kMinLimitMs, kMaxLimitMs, duration, &later_kinds,
+            &faults);
   std::stable_sort(faults.begin(), faults.end(),
                    [](const Fault& a, const Fault& b) { return a.start < b.start; });
   return faults;
@@ -73,7 +87,7 @@
       "store-link-reset", "endpoint-delay", "endpoint-reset",  "endpoint-silent",
       "endpoint-one-way", "endpoint-crash", "endpoint-leaves", "zone-out",
       "configuration",    "gateway-term",   "gateway-kill",    "gateway-pause",
-      "gateway-hang-up",  "all-kill",       "store-restored"};
+      "gateway-hang-up",  "all-kill",       "store-restored",  "endpoint-limit"};
   return names.at(static_cast<size_t>(kind));
 }
 
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -32,8 +32,9 @@
   kGatewayHangUp,      ///< One gateway gets SIGHUP.
   kAllKilled,          ///< All gateways get SIGKILL at once.
   kStoreRestored,      ///< The store is silent, then comes back from a copy that is seconds old.
+  kEndpointLimit,      ///< One endpoint names a limit for the requests of all gateways together.
 };
-inline constexpr FaultKind kLastFaultKind = FaultKind::kStoreRestored;
+inline constexpr FaultKind kLastFaultKind = FaultKind::kEndpointLimit;
 
 /// One fault that the soak injects.
 struct Fault {
--- a/soak/guarantee_checker.cc
+++ b/soak/guarantee_checker.cc
@@ -8,6 +8,9 @@
 
 // After the recovery time at least one in this many requests must be served.
 constexpr size_t kRecoveredDivisor = 4;
+// An endpoint may get this many times what its limit allows in a window, and kLimitSlack more.
+constexpr double kLimitTolerance = 1.5;
+constexpr double kLimitSlack = 5;
 
 // Returns whether a status tells the caller that its request has not run and never will.
 bool ReportsNotRun(int status) {
@@ -71,6 +74,7 @@
   if (link_fault == link_faults_until_.end() || now > link_fault->second + kSettlingTime) {
     CheckLeaving(now, request, endpoint);
     CheckZone(now, request, zone);
+    CheckLimit(now, request, endpoint);
   }
   if (!runs) {
     return;
@@ -91,6 +95,15 @@
   leaving_since_.emplace(endpoint, now);
 }
 
+void GuaranteeChecker::OnLimitNamed(MonoTime now,
+                                    const std::string& endpoint,
+                                    std::optional<double> limit) {
+  limits_.erase(endpoint);
+  if (limit) {
+    limits_[endpoint] = {*limit, now, {}};
+  }
+}
+
 void GuaranteeChecker::OnZoneChanged(MonoTime now, const std::string& zone, bool out) {
   if (out) {
     zones_out_[zone] = now;
@@ -147,6 +160,27 @@
   return IsSettled(store_, now) && (state == gateways_.end() || IsSettled(state->second, now));
 }
 
+void GuaranteeChecker::CheckLimit(MonoTime now,
+                                  const Request& request,
+                                  const std::string& endpoint) {
+  const auto found = limits_.find(endpoint);
+  if (found == limits_.end() || now < found->second.named_at + kMaxLimitDelay) {
+    return;
+  }
+  NamedLimit& limit = found->second;
+  while (!limit.arrivals.empty() && limit.arrivals.front() + kLimitWindow <= now) {
+    limit.arrivals.pop_front();
+  }
+  limit.arrivals.push_back(now);
+  const double window_s = std::chrono::duration<double>(kLimitWindow).count();
+  const double allowed = kLimitTolerance * limit.per_second * window_s + kLimitSlack;
+  if (static_cast<double>(limit.arrivals.size()) > allowed) {
+    AddViolation(now, "limit", request,
+                 std::to_string(limit.arrivals.size()) + " requests in a window at " + endpoint +
+                     ", limit " + std::to_string(limit.per_second));
+  }
+}
+
 void GuaranteeChecker::CheckLeaving(MonoTime now,
                                     const Request& request,
                                     const std::string& endpoint) {
--- a/soak/guarantee_checker.h
+++ b/soak/guarantee_checker.h
@@ -42,6 +42,9 @@
   static constexpr Duration kMaxZoneOutDelay = 5s;
   /// A configuration that the store has accepted is in force after this time.
   static constexpr Duration kMaxConfigurationDelay = 2s;
+  /// A limit that an endpoint names holds after this time, in every window of kLimitWindow.
+  static constexpr Duration kMaxLimitDelay = 3s;
+  static constexpr Duration kLimitWindow = 4s;
   /// Tolerated delay of an answer beyond the timeout of its request.
   static constexpr Duration kAnswerTolerance = 500ms;
   /// Time after the last fault after which requests must be served again.
@@ -60,6 +63,9 @@
                         bool runs);
   /// An endpoint announced that it leaves, or its row was removed from the store.
   void OnEndpointLeaving(MonoTime now, const std::string& endpoint);
+  /// An endpoint names a limit, in requests per second from all gateways together, or no longer
+  /// names one.
+  void OnLimitNamed(MonoTime now, const std::string& endpoint, std::optional<double> limit);
   /// An operator took a zone out of service or brought it back in.
   void OnZoneChanged(MonoTime now, const std::string& zone, bool out);
   /// The link to an endpoint may delay or lose bytes until `until`.
@@ -106,10 +112,18 @@
     MonoTime last_interruption;
   };
 
+  /// The limit that an endpoint names.
+  struct NamedLimit {
+    double per_second = 0;
+    MonoTime named_at;
+    std::deque<MonoTime> arrivals;  ///< In the latest window.
+  };
+
   static bool IsSettled(const FaultState& state, MonoTime now);
   bool GatewayAndStoreSettled(const std::string& gateway, MonoTime now) const;
   void CheckLeaving(MonoTime now, const Request& request, const std::string& endpoint);
   void CheckZone(MonoTime now, const Request& request, const std::string& zone);
+  void CheckLimit(MonoTime now, const Request& request, const std::string& endpoint);
   void CheckConfiguration(MonoTime now, const Request& request, const SoakAnswer& answer);
   void CheckConnectionLoss(MonoTime now, const Request& request);
   void AddViolation(MonoTime now,
@@ -120,6 +134,7 @@
   std::map<std::string, Request> requests_;
   std::map<std::string, MonoTime> leaving_since_;
   std::map<std::string, MonoTime> zones_out_;
+  std::map<std::string, NamedLimit> limits_;
   std::map<std::string, MonoTime> link_faults_until_;
   std::map<std::string, FaultState> gateways_;
   FaultState store_;
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -1,6 +1,7 @@
 #include "soak/soak.h"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <cstdio>
 #include <set>
@@ -248,6 +249,8 @@
       return;
     case FaultKind::kStoreRestored:
       return RestoreStore(fault.duration);
+    case FaultKind::kEndpointLimit:
+      return LimitEndpoint(upstream, fault.target_index, fault.duration);
   }
 }
 
@@ -312,6 +315,20 @@
   }
 }
 
+void Soak::LimitEndpoint(Upstream* upstream, uint64_t pick, Duration duration) {
+  constexpr std::array<double, 5> kLimits = {0, 0.5, 2, 5, 10};
+  const std::string endpoint = upstream->server->instance();
+  const double limit = kLimits.at(pick / upstreams_.size() % kLimits.size());
+  upstream->server->SetLimit(limit);
+  checker_.OnLimitNamed(now_, endpoint, limit);
+  RunAfter(duration, [this, upstream, endpoint] {
+    checker_.OnLimitNamed(now_, endpoint, std::nullopt);
+    if (upstream->server->instance() == endpoint) {
+      upstream->server->SetLimit(std::nullopt);
+    }
+  });
+}
+
 void Soak::CheckGatewaysListed() {
   for (const Gateway& gateway : gateways_) {
     const std::string& name = gateway.process->config().name;
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -85,6 +85,8 @@
   void RemoveStaleEndpointRows();
   /// Reports the gateways that the store does not list.
   void CheckGatewaysListed();
+  /// Makes an endpoint name a limit for `duration`.
+  void LimitEndpoint(Upstream* upstream, uint64_t pick, Duration duration);
   /// Marks a gateway as faulty for `duration`, then runs `undo`.
   /// @param interrupts_requests whether the fault may end connections with unanswered requests.
   void MarkGatewayFaulty(Gateway* gateway,
--- a/soak/soak_upstream.cc
+++ b/soak/soak_upstream.cc
@@ -34,6 +34,7 @@
   instance_ = instance;
   running_ = true;
   draining_ = false;
+  limit_.reset();
   http_ = std::make_unique<StandinHttp>(base_, port_,
                                         [this](evhttp_request* request) { ServeRequest(request); });
 }
@@ -86,6 +87,9 @@
 void SoakUpstream::AddLoadHeader(evhttp_request* request) const {
   AddHeader(request, "Server-Load",
             std::to_string(running_requests_.size()) + ",0," + std::to_string(kSlots) + ",100");
+  if (limit_) {
+    AddHeader(request, "Server-Limit", std::to_string(*limit_));
+  }
 }
 
 void SoakUpstream::AnswerDueRequests() {
--- a/soak/soak_upstream.h
+++ b/soak/soak_upstream.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "common/random.h"
@@ -35,6 +36,9 @@
   bool running() const { return running_; }
   /// From now on health requests get 503, while all other requests are still served.
   void Drain() { draining_ = true; }
+  /// From now on names this limit, in requests per second from all gateways together, in each
+  /// answer; nothing: names none. A restart ends the limit.
+  void SetLimit(std::optional<double> limit) { limit_ = limit; }
   const std::string& instance() const { return instance_; }
   TcpProxy& proxy() { return *proxy_; }
 
@@ -59,6 +63,7 @@
   std::string instance_;
   bool running_ = false;
   bool draining_ = false;
+  std::optional<double> limit_;
   std::list<RunningRequest> running_requests_;
   std::unique_ptr<StandinHttp> http_;
   std::unique_ptr<TcpProxy> proxy_;
