Accept a second key of peers and operators while the shared key is replaced

A key that is in neither setting is refused from the next start on; keys are read at the start only, so nothing else can bring one back. An empty setting accepts no empty key.

--- a/control/gateway_command.cc
+++ b/control/gateway_command.cc
@@ -108,7 +108,7 @@
     EventLoop loop;
     SetUpLog(settings.log_level);
     PeerLinks links(loop.base(), {settings.peers.address, settings.peers.port, settings.shared_key,
-                                  settings.added_peer_delay});
+                                  settings.accepted_key, settings.added_peer_delay});
     const std::unique_ptr<const HttpDialect> dialect = MakeDialect(settings);
     Gateway gateway(&loop, settings, links.port(), dialect.get());
     ConnectSignals(&links, &gateway);
--- a/gateway/peer_links.cc
+++ b/gateway/peer_links.cc
@@ -121,9 +121,15 @@
   inbound_links_[link] = std::move(owned);
 }
 
+bool PeerLinks::AcceptsKey(const std::string& key) const {
+  const bool is_other_key =
+      !settings_.accepted_key.empty() && EqualsInConstantTime(key, settings_.accepted_key);
+  return EqualsInConstantTime(key, settings_.key) || is_other_key;
+}
+
 void PeerLinks::OnEnvelopeReceived(FrameLink* link, const wire::Envelope& envelope) {
   if (!link->authenticated()) {
-    if (!EqualsInConstantTime(envelope.key, settings_.key)) {
+    if (!AcceptsKey(envelope.key)) {
       ++traffic_.rejected;
       CloseInboundLink(link);
       return;
--- a/gateway/peer_links.h
+++ b/gateway/peer_links.h
@@ -27,6 +27,8 @@
     std::string address;  ///< IPv4 address to listen on.
     uint16_t port = 0;    ///< 0: any free port.
     std::string key;      ///< Shared key of the deployment.
+    /// Another key that peers and operators may use while the shared key is replaced; empty: none.
+    std::string accepted_key = {};
     /// Added to each outgoing message, to simulate the latency between zones on one machine.
     Duration added_delay{0};
   };
@@ -85,6 +87,7 @@
   };
 
   void AddInboundLink(evutil_socket_t socket);
+  bool AcceptsKey(const std::string& key) const;
   void OnEnvelopeReceived(FrameLink* link, const wire::Envelope& envelope);
   void OnOutboundLinkClosed(const GatewayId& peer);
   void SendFrame(const GatewayId& to, const std::string& frame);
--- a/gateway/setting_table.cc
+++ b/gateway/setting_table.cc
@@ -87,6 +87,9 @@
     {{"shared_key", SettingKind::kString, "", 16, 0, "", nullptr,
       "Secret key that all gateways and operators share and authenticate with."},
      [](Settings& object, const SettingValue& value) { object.shared_key = value.string; }},
+    {{"accepted_key", SettingKind::kString, "", 16, 0, "", "\"\"",
+      "Another key that is accepted from gateways and operators while the shared key is replaced."},
+     [](Settings& object, const SettingValue& value) { object.accepted_key = value.string; }},
     {{"added_delay_us", SettingKind::kInteger, "us", 0, 1000000, "", "0",
       "Delay added to each message to a peer, to simulate the latency between zones on one "
       "machine."},
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -43,6 +43,8 @@
   ListenAddress status;
   ListenAddress peers;
   std::string shared_key;
+  /// Another key that peers and operators may use; empty if there is none.
+  std::string accepted_key;
   Duration added_peer_delay{0};
   std::vector<PeerSeed> seeds;
   ListenAddress platform;  ///< The address is empty if there is no platform.
--- a/tests/rpc_test.cc
+++ b/tests/rpc_test.cc
@@ -231,11 +231,11 @@
 
 TEST_CASE("peers exchange messages only if they have the same shared key", "[rpc_test]") {
   const LibeventPtr<event_base> base(event_base_new());
-  PeerLinks receiver(base.get(), {"127.0.0.1", 0, "right", Duration(0)});
+  PeerLinks receiver(base.get(), {"127.0.0.1", 0, "right"});
   int received = 0;
   receiver.message_received().connect([&](const PeerMessage&) { ++received; });
-  PeerLinks same_key_sender(base.get(), {"127.0.0.1", 0, "right", Duration(0)});
-  PeerLinks wrong_key_sender(base.get(), {"127.0.0.1", 0, "wrong", Duration(0)});
+  PeerLinks same_key_sender(base.get(), {"127.0.0.1", 0, "right"});
+  PeerLinks wrong_key_sender(base.get(), {"127.0.0.1", 0, "wrong"});
   for (PeerLinks* sender : {&same_key_sender, &wrong_key_sender}) {
     sender->SetPeerAddress({GatewayId("r"), "127.0.0.1", receiver.port()});
     sender->SendMessage({GatewayId("r"), SampleMessage()});
@@ -245,6 +245,37 @@
   CHECK(receiver.traffic().rejected == 1);
 }
 
+TEST_CASE("a shared key is replaced without a moment in which peers refuse each other",
+          "[rpc_test]") {
+  // Guards against gateways that do not hear each other while a new key is rolled out, and against
+  // a key that is accepted after it was withdrawn.
+  struct Keys {
+    std::string shared;
+    std::string accepted;
+  };
+  // Each step is rolled out while gateways still have the keys of the step before.
+  const std::vector<Keys> steps = {{"old", ""}, {"old", "new"}, {"new", "old"}, {"new", ""}};
+  const LibeventPtr<event_base> base(event_base_new());
+  const auto hears = [&](const Keys& receiver_keys, const Keys& sender_keys) {
+    PeerLinks receiver(base.get(), {"127.0.0.1", 0, receiver_keys.shared, receiver_keys.accepted});
+    PeerLinks sender(base.get(), {"127.0.0.1", 0, sender_keys.shared, sender_keys.accepted});
+    int received = 0;
+    receiver.message_received().connect([&](const PeerMessage&) { ++received; });
+    sender.SetPeerAddress({GatewayId("r"), "127.0.0.1", receiver.port()});
+    sender.SendMessage({GatewayId("r"), SampleMessage()});
+    RunUntil(base.get(), [&] { return received > 0 || receiver.traffic().rejected > 0; });
+    return received > 0;
+  };
+  for (size_t i = 0; i + 1 < steps.size(); ++i) {
+    INFO("step " << i);
+    CHECK(hears(steps[i], steps[i + 1]));
+    CHECK(hears(steps[i + 1], steps[i]));
+  }
+  CHECK_FALSE(hears(steps[3], steps[0]));
+  CHECK_FALSE(hears(steps[3], steps[1]));
+  CHECK_FALSE(hears(steps[0], {"", ""}));
+}
+
 TEST_CASE("an operator command to a closed port has the outcome refused, not unknown",
           "[rpc_test]") {
   OperatorTarget target;
