Log connections of peers that are refused

What operators saw: a gateway with a wrong key, or a message that cannot be read, was closed in silence; only a counter inside the process rose, so an on-call engineer could not tell a wrong key from a network that is cut.

Now event=peer-refused says why, at most once a second, with the number so far. A sender without the right key is not named, since anybody can send the bytes.

Evidence: rpc_test refuses a wrong key and damaged rows as before. One gateway of examples/single.toml and an operator with another key: the connection is closed (exit code 3), and the gateway logs event=peer-refused sender=unknown fault='wrong key' refused=1. With that key as peers.accepted_key the command is done.

--- a/gateway/peer_links.cc
+++ b/gateway/peer_links.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <variant>
 
+#include "gateway/log.h"
 #include "rpc/convert.h"
 
 namespace jd {
@@ -17,6 +18,8 @@
 // Delay before a closed or refused connection to a peer is opened again; well below the time
 // without heartbeats after which a peer is considered dead.
 constexpr Duration kReconnectDelay = 100ms;
+// Minimum time between two log lines about refused peers; each of them connects again at once.
+constexpr Duration kRejectionLogInterval = 1s;
 
 timeval ToTimeval(Duration interval) {
   timeval out{};
@@ -130,8 +133,8 @@
 void PeerLinks::OnEnvelopeReceived(FrameLink* link, const wire::Envelope& envelope) {
   if (!link->authenticated()) {
     if (!AcceptsKey(envelope.key)) {
-      ++traffic_.rejected;
-      CloseInboundLink(link);
+      // The sender is not logged: anybody can send such bytes.
+      RejectLink(link, "unknown", "wrong key");
       return;
     }
     link->set_authenticated();
@@ -142,9 +145,8 @@
   ReceivedMessage received;
   try {
     received = FromEnvelope(envelope);
-  } catch (const FrameError&) {
-    ++traffic_.rejected;
-    CloseInboundLink(link);
+  } catch (const FrameError& error) {
+    RejectLink(link, envelope.sender, error.what());
     return;
   }
   if (const auto* message = std::get_if<PeerMessage>(&received)) {
@@ -158,6 +160,17 @@
   }
 }
 
+void PeerLinks::RejectLink(FrameLink* link, const std::string& sender, const std::string& fault) {
+  ++traffic_.rejected;
+  const MonoTime now = Now();
+  if (now >= next_rejection_log_) {
+    next_rejection_log_ = now + kRejectionLogInterval;
+    LogWarning(LogPart::kPeers, "event=peer-refused sender=" + sender + " fault='" + fault +
+                                    "' refused=" + std::to_string(traffic_.rejected));
+  }
+  CloseInboundLink(link);
+}
+
 void PeerLinks::CloseInboundLink(FrameLink* link) {
   const auto owned = inbound_links_.find(link);
   if (owned == inbound_links_.end()) {
--- a/gateway/peer_links.h
+++ b/gateway/peer_links.h
@@ -99,6 +99,9 @@
   FrameLink* FindOrOpenLink(const GatewayId& id, Peer* peer);
   // Closes a connection and destroys it after the current iteration of the event loop.
   void CloseAndDestroyLater(std::unique_ptr<FrameLink> link);
+  /// Closes the connection of a peer or operator without the right key or with an invalid message.
+  /// @param sender for the log.
+  void RejectLink(FrameLink* link, const std::string& sender, const std::string& fault);
   void CloseInboundLink(FrameLink* link);
   MonoTime Now() const;
 
@@ -117,6 +120,7 @@
   std::deque<DelayedFrame> delayed_frames_;
   uint64_t next_request_id_ = 1;
   RowPacker row_packer_;
+  MonoTime next_rejection_log_;
   Traffic traffic_;
   sigc::signal<void(const PeerMessage&)> message_received_;
   sigc::signal<void(const OperatorRequest&)> operator_request_received_;
