Convert table updates in a file of their own

Table updates, with their packed rows, move to rpc/table_update; the casts that Thrift's signed integers need to rpc/wire_integers.h. No change of behaviour; rpc_test as before.

--- a/rpc/convert.cc
+++ b/rpc/convert.cc
@@ -6,17 +6,12 @@
 #include <vector>
 
 #include "rpc/frame.h"
+#include "rpc/table_update.h"
+#include "rpc/wire_integers.h"
 
 namespace jd {
 namespace {
 
-int64_t ToSigned(uint64_t value) {
-  return static_cast<int64_t>(value);
-}
-uint64_t ToUnsigned(int64_t value) {
-  return static_cast<uint64_t>(value);
-}
-
 template <typename Enum>
 Enum CheckedEnum(int8_t value, Enum highest) {
   if (value < 0 || value > static_cast<int8_t>(highest)) {
@@ -233,103 +228,6 @@
           CheckedEnum(in.kind, EndpointNoticeKind::kServing)};
 }
 
-std::vector<wire::WatchedRow> ToWire(const std::vector<WatchedRow>& in) {
-  std::vector<wire::WatchedRow> out;
-  out.reserve(in.size());
-  for (const WatchedRow& row : in) {
-    wire::WatchedRow& added = out.emplace_back();
-    added.key = row.key;
-    added.value = row.value;
-    added.version = ToSigned(row.version);
-    added.deleted = row.deleted;
-    added.recalled = row.recalled;
-  }
-  return out;
-}
-
-std::vector<WatchedRow> FromWire(const std::vector<wire::WatchedRow>& in) {
-  std::vector<WatchedRow> out;
-  out.reserve(in.size());
-  for (const wire::WatchedRow& row : in) {
-    WatchedRow& added = out.emplace_back();
-    added.key = row.key;
-    added.value = row.value;
-    added.version = ToUnsigned(row.version);
-    added.deleted = row.deleted;
-    added.recalled = row.recalled;
-  }
-  return out;
-}
-
-// A gateway of an earlier version does not know packed rows. It would take a snapshot without rows
-// for an empty table.
-bool IsPacked(const TableUpdate& update) {
-  size_t bytes = 0;
-  for (const WatchedRow& row : update.rows) {
-    bytes += row.key.size() + row.value.size();
-  }
-  return !update.snapshot && bytes >= kMinPackedRowBytes;
-}
-
-// Replaces the rows by packed ones. A receiver that does not know them, or gets none because they
-// are too large, sees that it has missed the changes before `position`.
-void SetPackedRows(const TableUpdate& in, RowPacker* packer, wire::TableNews* out) {
-  std::optional<wire::PackedRows> packed = packer->Pack(out->rows);
-  out->rows.clear();
-  out->after = out->version;
-  out->after_era = out->era;
-  if (packed) {
-    packed->after = ToSigned(in.after.version);
-    packed->after_era = ToSigned(in.after.era.value);
-    out->__set_packed(*packed);
-  } else {
-    out->from_full_read = false;
-  }
-}
-
-wire::TableNews ToWire(const TableUpdate& in, RowPacker* packer) {
-  wire::TableNews out;
-  out.table = in.table;
-  out.after = ToSigned(in.after.version);
-  out.after_era = ToSigned(in.after.era.value);
-  out.version = ToSigned(in.position.version);
-  out.era = ToSigned(in.position.era.value);
-  out.rows = ToWire(in.rows);
-  out.missing = in.missing;
-  out.from_full_read = in.from_full_read;
-  out.failed = in.failed;
-  out.snapshot = in.snapshot;
-  out.unconfirmed = in.unconfirmed;
-  out.relay = in.relay;
-  out.reader = in.reader.value;
-  out.reader_zone = in.reader_zone.value;
-  if (IsPacked(in)) {
-    SetPackedRows(in, packer, &out);
-  }
-  return out;
-}
-
-TableUpdate FromWire(const wire::TableNews& in) {
-  TableUpdate out;
-  out.table = in.table;
-  out.after = {StoreEra(ToUnsigned(in.after_era)), ToUnsigned(in.after)};
-  out.position = {StoreEra(ToUnsigned(in.era)), ToUnsigned(in.version)};
-  out.rows = FromWire(in.rows);
-  if (in.__isset.packed) {
-    out.after = {StoreEra(ToUnsigned(in.packed.after_era)), ToUnsigned(in.packed.after)};
-    out.rows = FromWire(UnpackRows(in.packed));
-  }
-  out.missing = in.missing;
-  out.from_full_read = in.from_full_read;
-  out.failed = in.failed;
-  out.snapshot = in.snapshot;
-  out.unconfirmed = in.unconfirmed;
-  out.relay = in.relay;
-  out.reader = GatewayId(in.reader);
-  out.reader_zone = ZoneId(in.reader_zone);
-  return out;
-}
-
 wire::TableFetch ToWire(const TableFetch& in) {
   wire::TableFetch out;
   out.list_only = in.list_only;
@@ -459,7 +357,7 @@
   void operator()(const SlotRequest& in) { body->__set_slot_request(ToWire(in)); }
   void operator()(const SlotGrant& in) { body->__set_slot_grant(ToWire(in)); }
   void operator()(const EndpointNotice& in) { body->__set_endpoint_notice(ToWire(in)); }
-  void operator()(const TableUpdate& in) { body->__set_table_news(ToWire(in, packer)); }
+  void operator()(const TableUpdate& in) { body->__set_table_news(TableUpdateToWire(in, packer)); }
   void operator()(const TableFetch& in) { body->__set_table_fetch(ToWire(in)); }
   void operator()(const PermitRequest& in) { body->__set_permit_request(ToWire(in)); }
   void operator()(const PermitReply& in) { body->__set_permit_reply(ToWire(in)); }
@@ -484,7 +382,7 @@
     return FromWire(body.endpoint_notice);
   }
   if (set.table_news) {
-    return FromWire(body.table_news);
+    return TableUpdateFromWire(body.table_news);
   }
   if (set.table_fetch) {
     return FromWire(body.table_fetch);
