Read the list of gateways page by page

What callers saw: nothing yet. The store returns at most 500 rows at once, and rows of gateways that are gone stay, so a deployment of hundreds of machines reaches that within weeks. A gateway that is not on the first page would take itself for unlisted, and write its row and read the list every second or two for ever; all would count too few gateways in their shares of limits.

Now pages are collected until the last one; a page of another era of the store, or a failed call, begins the read anew.

Evidence: the new case of discovery_test (three reads, a return of the store and a failed call between pages); a mutant that takes the first page alone fails it.

--- a/cluster/gateway_registry.cc
+++ b/cluster/gateway_registry.cc
@@ -44,6 +44,34 @@
   return call;
 }
 
+bool GatewayRegistry::OnGatewayPage(MonoTime now,
+                                    const VmList& page,
+                                    StoreEra era,
+                                    const std::string& next_key) {
+  if (!page_key_.empty() && era != pages_era_) {
+    // The pages belong to different states of the store.
+    ForgetPages();
+    next_call_ = Call::kRead;
+    due_ = now + RandomSpread();
+    return false;
+  }
+  pages_.insert(pages_.end(), page.begin(), page.end());
+  pages_era_ = era;
+  page_key_ = next_key;
+  if (!page_key_.empty()) {
+    next_call_ = Call::kRead;
+    due_ = now;
+    return false;
+  }
+  OnGatewayList(now, std::exchange(pages_, {}), era);
+  return true;
+}
+
+void GatewayRegistry::ForgetPages() {
+  pages_.clear();
+  page_key_.clear();
+}
+
 void GatewayRegistry::OnGatewayList(MonoTime now, VmList gateways, StoreEra era) {
   listed_ = Lists(gateways);
   TakeList(std::move(gateways), era);
@@ -118,6 +146,7 @@
 }
 
 void GatewayRegistry::OnCallFailed(MonoTime now) {
+  ForgetPages();
   // A write whose reply was lost may have taken effect, so read the list to find out.
   next_call_ = Call::kRead;
   due_ = now + kRetryDelay;
--- a/cluster/gateway_registry.h
+++ b/cluster/gateway_registry.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 
 #include "common/ids.h"
 #include "common/random.h"
@@ -48,8 +49,14 @@
   /// Returns the call to make now, if one is due. The caller must report its result with one of the
   /// functions below; kAskPeers has no result.
   std::optional<Call> NextCall(MonoTime now);
-  /// @param era era of the store that the list was read in.
-  void OnGatewayList(MonoTime now, VmList gateways, StoreEra era);
+  /// Takes a page of the list. The list is in use once its last page has been read.
+  /// @param era era of the store that the page was read in.
+  /// @param next_key smallest key of the next page; empty if this page is the last one.
+  /// @return whether the page was the last one.
+  bool OnGatewayPage(MonoTime now,
+                     const VmList& page,
+                     StoreEra era,
+                     const std::string& next_key = {});
   /// Takes the list that a peer has read, which replaces the first own read in an era of the store.
   /// A list without this gateway was read too early and is ignored.
   /// @return whether the list was taken.
@@ -64,6 +71,8 @@
   void OnStoreEra(MonoTime now, StoreEra era);
   void OnRowWritten(MonoTime now);
   void OnCallFailed(MonoTime now);
+  /// Smallest key that the next read of the list must return.
+  const std::string& page_key() const { return page_key_; }
   /// Returns when NextCall is due.
   std::optional<MonoTime> next_timer() const;
 
@@ -79,15 +88,20 @@
   bool new_deployment() const { return new_deployment_; }
 
  private:
+  void OnGatewayList(MonoTime now, VmList gateways, StoreEra era);
   bool Lists(const VmList& gateways) const;
   /// Takes a list, and keeps the known gateways that a list of a later era lacks.
   void TakeList(VmList gateways, StoreEra era);
+  void ForgetPages();
   Duration RandomSpread();
 
   Vm self_;
   bool new_deployment_;
   RandomEngine random_;
   VmList gateways_;
+  VmList pages_;          ///< Gateways of the pages that were read so far.
+  std::string page_key_;  ///< Smallest key of the next page.
+  StoreEra pages_era_;
   StoreEra listed_era_;
   StoreEra store_era_;
   bool listed_ = false;
--- a/tests/discovery_test.cc
+++ b/tests/discovery_test.cc
@@ -171,7 +171,7 @@
   CHECK_FALSE(registry.NextCall(start + GatewayRegistry::kReadDelay - 1us));
   const MonoTime later = start + GatewayRegistry::kReadDelay + GatewayRegistry::kReadSpread;
   CHECK(registry.NextCall(later) == GatewayRegistry::Call::kRead);
-  registry.OnGatewayList(later, {MakeGatewayVm("other"), MakeGatewayVm("g"), MakeGatewayVm("late")},
+  registry.OnGatewayPage(later, {MakeGatewayVm("other"), MakeGatewayVm("g"), MakeGatewayVm("late")},
                          StoreEra(1));
   CHECK_FALSE(registry.next_timer());
   CHECK(registry.gateways().size() == 3);
@@ -185,7 +185,7 @@
   registry.OnRowWritten(start);
   const MonoTime later = start + GatewayRegistry::kReadDelay + GatewayRegistry::kReadSpread;
   registry.NextCall(later);
-  registry.OnGatewayList(later, {MakeGatewayVm("other"), MakeGatewayVm("g", "10.0.0.9")},
+  registry.OnGatewayPage(later, {MakeGatewayVm("other"), MakeGatewayVm("g", "10.0.0.9")},
                          StoreEra(1));
   CHECK(registry.NextCall(later) == GatewayRegistry::Call::kWrite);
   registry.OnRowWritten(later);
@@ -203,7 +203,7 @@
   const MonoTime later = start + GatewayRegistry::kRetryDelay;
   CHECK(registry.NextCall(later) == GatewayRegistry::Call::kRead);
   const bool written = GENERATE(false, true);
-  registry.OnGatewayList(later, written ? VmList{MakeGatewayVm("g")} : VmList{}, StoreEra(1));
+  registry.OnGatewayPage(later, written ? VmList{MakeGatewayVm("g")} : VmList{}, StoreEra(1));
   CHECK(registry.next_timer().has_value() == !written);
 }
 
@@ -225,7 +225,7 @@
     const MonoTime later = asked + GatewayRegistry::kPeerReplyTimeout;
     CHECK(registry.NextCall(later) == GatewayRegistry::Call::kRead);
     const bool listed = GENERATE(true, false);
-    registry.OnGatewayList(later, listed ? VmList{MakeGatewayVm("g")} : VmList{MakeGatewayVm("o")},
+    registry.OnGatewayPage(later, listed ? VmList{MakeGatewayVm("g")} : VmList{MakeGatewayVm("o")},
                            StoreEra(1));
     CHECK((registry.NextCall(later) == GatewayRegistry::Call::kWrite) == !listed);
   }
@@ -252,7 +252,7 @@
 GatewayRegistry MakeListedRegistry(MonoTime now) {
   GatewayRegistry registry(MakeGatewayVm("g"), false, 1);
   registry.Start(now);
-  registry.OnGatewayList(now, {MakeGatewayVm("g"), MakeGatewayVm("other")}, StoreEra(1));
+  registry.OnGatewayPage(now, {MakeGatewayVm("g"), MakeGatewayVm("other")}, StoreEra(1));
   registry.OnStoreEra(now, StoreEra(1));
   return registry;
 }
@@ -270,7 +270,7 @@
   CHECK(now <= MonoTime() + 1s + GatewayRegistry::kReadSpread);
   CHECK(registry.NextCall(now) == GatewayRegistry::Call::kRead);
   const bool lost = GENERATE(true, false);
-  registry.OnGatewayList(now, lost ? VmList{MakeGatewayVm("new")} : VmList{MakeGatewayVm("g")},
+  registry.OnGatewayPage(now, lost ? VmList{MakeGatewayVm("new")} : VmList{MakeGatewayVm("g")},
                          StoreEra(2));
   CHECK((registry.NextCall(now) == GatewayRegistry::Call::kWrite) == lost);
   registry.OnStoreEra(now, StoreEra(2));
@@ -283,7 +283,7 @@
   GatewayRegistry registry = MakeListedRegistry(now);
   registry.OnStoreEra(now, StoreEra(2));
   SECTION("after an own read") {
-    registry.OnGatewayList(now, {MakeGatewayVm("g", "10.0.0.1"), MakeGatewayVm("new")},
+    registry.OnGatewayPage(now, {MakeGatewayVm("g", "10.0.0.1"), MakeGatewayVm("new")},
                            StoreEra(2));
   }
   SECTION("after the read of a peer, which replaces the own one") {
@@ -297,6 +297,43 @@
   CHECK(registry.listed());
 }
 
+TEST_CASE("a list of gateways with several pages is read whole", "[discovery_test]") {
+  // Guards against a deployment with more rows than the store returns at once: gateways that are
+  // not on the first page would write their rows and read the list again and again.
+  const MonoTime now = MonoTime() + 1s;
+  GatewayRegistry registry(MakeGatewayVm("g"), true, 1);
+  registry.Start(now);
+  registry.NextCall(now);
+  registry.OnRowWritten(now);
+  const MonoTime later = *registry.next_timer();
+  CHECK(registry.NextCall(later) == GatewayRegistry::Call::kRead);
+  CHECK(registry.page_key().empty());
+  CHECK_FALSE(
+      registry.OnGatewayPage(later, {MakeGatewayVm("a"), MakeGatewayVm("b")}, StoreEra(1), "b+"));
+  CHECK(registry.gateways().empty());
+  CHECK(registry.NextCall(later) == GatewayRegistry::Call::kRead);
+  CHECK(registry.page_key() == "b+");
+  SECTION("the last page arrives") {
+    CHECK(registry.OnGatewayPage(later, {MakeGatewayVm("g")}, StoreEra(1), ""));
+    CHECK(registry.gateways().size() == 3);
+    CHECK(registry.listed());
+    CHECK_FALSE(registry.next_timer());
+  }
+  SECTION("the read begins anew") {
+    const bool store_returned = GENERATE(true, false);
+    if (store_returned) {
+      CHECK_FALSE(registry.OnGatewayPage(later, {MakeGatewayVm("g")}, StoreEra(2), ""));
+    } else {
+      registry.OnCallFailed(later);
+    }
+    CHECK(registry.page_key().empty());
+    const MonoTime again = *registry.next_timer();
+    CHECK(registry.NextCall(again) == GatewayRegistry::Call::kRead);
+    CHECK(registry.OnGatewayPage(again, {MakeGatewayVm("g")}, StoreEra(2), ""));
+    CHECK(registry.gateways().size() == 1);
+  }
+}
+
 TEST_CASE("a gateway that joins a running deployment announces itself once", "[discovery_test]") {
   // Guards against gateways that go on with the share of a smaller deployment: the probes of all
   // together exceed the bound.
@@ -308,7 +345,7 @@
   if (!new_deployment) {
     registry.NextCall(later);
     registry.NextCall(later + GatewayRegistry::kPeerReplyTimeout);
-    registry.OnGatewayList(later, {MakeGatewayVm("other")}, StoreEra(1));
+    registry.OnGatewayPage(later, {MakeGatewayVm("other")}, StoreEra(1));
   }
   CHECK(registry.NextCall(later) == GatewayRegistry::Call::kWrite);
   const bool reply_lost = GENERATE(false, true);
@@ -318,7 +355,7 @@
     registry.OnRowWritten(later);
   }
   CHECK_FALSE(registry.TakeAnnouncement());
-  registry.OnGatewayList(later, {MakeGatewayVm("g"), MakeGatewayVm("other")}, StoreEra(1));
+  registry.OnGatewayPage(later, {MakeGatewayVm("g"), MakeGatewayVm("other")}, StoreEra(1));
   // In a new deployment all gateways read the list after they have written their rows.
   CHECK(registry.TakeAnnouncement() == !new_deployment);
   CHECK_FALSE(registry.TakeAnnouncement());
@@ -332,10 +369,10 @@
   registry.OnStoreEra(now, StoreEra(2));
   const MonoTime later = *registry.next_timer();
   registry.NextCall(later);
-  registry.OnGatewayList(later, {MakeGatewayVm("other")}, StoreEra(2));
+  registry.OnGatewayPage(later, {MakeGatewayVm("other")}, StoreEra(2));
   CHECK(registry.NextCall(later) == GatewayRegistry::Call::kWrite);
   registry.OnRowWritten(later);
-  registry.OnGatewayList(later, {MakeGatewayVm("g"), MakeGatewayVm("other")}, StoreEra(2));
+  registry.OnGatewayPage(later, {MakeGatewayVm("g"), MakeGatewayVm("other")}, StoreEra(2));
   CHECK_FALSE(registry.TakeAnnouncement());
 }
 
@@ -366,7 +403,7 @@
   registry.NextCall(asked + GatewayRegistry::kPeerReplyTimeout);
   registry.OnStoreEra(now, StoreEra(2));
   CHECK_FALSE(registry.next_timer());
-  registry.OnGatewayList(now, {MakeGatewayVm("g")}, StoreEra(1));
+  registry.OnGatewayPage(now, {MakeGatewayVm("g")}, StoreEra(1));
   CHECK(registry.next_timer());
 }
 
