--- a/soak/guarantee_checker.cc
+++ b/soak/guarantee_checker.cc
@@ -20,7 +20,7 @@
 }  // namespace
 
 void GuaranteeChecker::OnRequestSent(MonoTime now, const SoakRequest& request) {
-  requests_[request.id] = {request, now, 0, std::nullopt, {}};
+  requests_[request.id] = {request, now, 0, std::nullopt};
 }
 
 void GuaranteeChecker::OnAnswer(MonoTime now, const std::string& id, const SoakAnswer& answer) {
--- a/soak/guarantee_checker.h
+++ b/soak/guarantee_checker.h
@@ -100,7 +100,6 @@
     MonoTime sent_at;
     int runs = 0;  ///< Number of executions at endpoints.
     std::optional<SoakAnswer> answer;
-    std::string stamp;  ///< Unused; always empty.
   };
   /// Faults of a gateway or of the store.
   struct FaultState {
