Do not break off an order because another call to its endpoint has timed out

A connection in use counted as silent after three times the usual latency, and an order cannot be sent again, so closing it only ends its answer sooner: 502 is what a lost connection gives, a timeout of its own gives 504.

Now a connection in use is closed for silence only if its call may run again, or its request has not been written. An order waits for its answer until its deadline.

Tests: two cases of upstream_test send calls that may run again now, with the same checks; the new one sends an order and failed before.

--- a/gateway/upstream_pool.cc
+++ b/gateway/upstream_pool.cc
@@ -141,6 +141,7 @@
   Exchange exchange;
   exchange.request_id = request.request_id;
   exchange.is_probe = is_probe;
+  exchange.idempotent = attempt.idempotent;
   exchange.sent = now;
   exchange.deadline = now + attempt.timeout;
   exchange.connection = AcquireConnection(attempt.endpoint, &exchange.new_connection);
@@ -290,7 +291,8 @@
   for (const auto& [id, exchange] : exchanges_) {
     const Connection& connection = *exchange.connection;
     if (connection.endpoint == close.endpoint && connection.opened < close.opened_before &&
-        exchange.sent < close.sent_before && !connection.http->response_started()) {
+        exchange.sent < close.sent_before && !connection.http->response_started() &&
+        exchange.CanBeSentAgain()) {
       busy.push_back(id);
     }
   }
--- a/gateway/upstream_pool.h
+++ b/gateway/upstream_pool.h
@@ -95,9 +95,15 @@
   };
   /// An attempt or a probe that has not ended yet.
   struct Exchange {
+    /// Whether another attempt may follow if this one ends without a response.
+    bool CanBeSentAgain() const {
+      return is_probe || idempotent || !connection->http->request_written();
+    }
+
     ConnectionPtr connection;
     RequestId request_id;  ///< Empty for a probe.
     bool is_probe = false;
+    bool idempotent = false;  ///< Of a call: it may run again.
     bool new_connection = false;
     MonoTime sent;
     MonoTime deadline;
--- a/policy/call_action.h
+++ b/policy/call_action.h
@@ -17,7 +17,8 @@
   CallId call;
   AttemptId attempt;
   EndpointId endpoint;
-  Duration timeout{0};  ///< Sent to the upstream and enforced by the event loop.
+  Duration timeout{0};      ///< Sent to the upstream and enforced by the event loop.
+  bool idempotent = false;  ///< The call may run again.
 };
 
 /// Cancels an attempt: the event loop closes its connection, so a late answer is not delivered.
@@ -42,8 +43,8 @@
 
 /// Closes the idle connections to an endpoint that were opened before `opened_before`, because a
 /// device on the network path has lost their state. A connection in use may still work, so it is
-/// closed only if its attempt was sent before `sent_before` and no byte of the response has
-/// arrived.
+/// closed only if its attempt was sent before `sent_before`, no byte of the response has arrived,
+/// and the call can be sent again.
 struct CloseConnections {
   EndpointId endpoint;
   MonoTime opened_before;
--- a/policy/call_manager.cc
+++ b/policy/call_manager.cc
@@ -277,7 +277,8 @@
   ScheduleHedge(now, call);
   RecordCallEvent(EventKind::kAttemptStarted, call->request.request_id, endpoint, std::move(basis),
                   actions);
-  actions->push_back(SendAttempt{call->request.id, attempt, endpoint, call->deadline - now});
+  actions->push_back(
+      SendAttempt{call->request.id, attempt, endpoint, call->deadline - now, call->idempotent});
 }
 
 std::optional<EndedAttempt> CallManager::EndAttempt(MonoTime now,
--- a/tests/upstream_test.cc
+++ b/tests/upstream_test.cc
@@ -25,7 +25,7 @@
     configuration.services[service.id] = service;
     pool.SetConfiguration(std::make_shared<const Configuration>(configuration));
   }
-  void Send(uint64_t attempt, Duration timeout = 60s) {
+  void Send(uint64_t attempt, Duration timeout = 60s, bool idempotent = false) {
     UpstreamRequest request;
     request.method = EVHTTP_REQ_POST;
     request.target = "/order";
@@ -33,7 +33,7 @@
     const BufferPtr body(evbuffer_new());
     evbuffer_add_printf(body.get(), "body");
     request.body = body.get();
-    pool.Send({CallId(1), AttemptId(attempt), EndpointId("e"), timeout}, request);
+    pool.Send({CallId(1), AttemptId(attempt), EndpointId("e"), timeout, idempotent}, request);
   }
   AttemptResult WaitForResult(uint64_t attempt) {
     REQUIRE(RunUntil(&loop, [&] { return !results[attempt].empty(); }));
@@ -292,7 +292,7 @@
           "[upstream_test]") {
   Fixture f;
   const auto send = [&](uint64_t attempt) {
-    f.Send(attempt);
+    f.Send(attempt, 60s, true);
     REQUIRE(RunUntil(&f.loop, [&] { return f.server.requests() == attempt; }));
     const MonoTime sent = f.loop.ReadClocks().mono;
     REQUIRE(RunUntil(&f.loop, [&] { return f.loop.ReadClocks().mono > sent; }));
@@ -318,7 +318,7 @@
   f.server.on_request = nullptr;
   const MonoTime opened = f.loop.ReadClocks().mono;
   REQUIRE(RunUntil(&f.loop, [&] { return f.loop.ReadClocks().mono > opened; }));
-  f.Send(2);
+  f.Send(2, 60s, true);
   REQUIRE(RunUntil(&f.loop, [&] { return f.server.requests() == 2; }));
   f.pool.CloseOldConnections({EndpointId("e"), opened, opened});
   CHECK(f.results[2].empty());
@@ -336,6 +336,21 @@
   CHECK(f.pool.connections() == 0);
 }
 
+TEST_CASE("closing old connections does not end an attempt that cannot be sent again",
+          "[upstream_test]") {
+  // Guards against an order that is broken off, with an error for its caller, because another call
+  // to the same slow endpoint has timed out.
+  Fixture f;
+  f.Send(1);
+  REQUIRE(RunUntil(&f.loop, [&] { return f.server.requests() == 1; }));
+  const MonoTime later = f.loop.ReadClocks().mono + 1s;
+  f.pool.CloseOldConnections({EndpointId("e"), later, later});
+  f.RunLoopBriefly();
+  CHECK(f.results[1].empty());
+  f.server.connections[0]->Answer(kOk);
+  CHECK(f.WaitForResult(1).outcome == AttemptOutcome::kAnswered);
+}
+
 TEST_CASE("a second copy of an answer does not reach the next call", "[upstream_test]") {
   // Guards against a caller that gets the answer to another caller's request, because the server
   // sent that answer twice on a connection that was in use again.
