--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -17,6 +17,8 @@
 constexpr const char* kZones[] = {"north", "middle", "south"};
 constexpr uint64_t kZoneCount = 3;
 constexpr int kCallersPerGateway = 4;
+// Requests per second that an endpoint may name as its limit.
+constexpr std::array<double, 5> kLimits = {0, 0.5, 2, 5, 10};
 constexpr Duration kTickInterval = 5ms;
 constexpr Duration kRowRenewalInterval = 1500ms;
 // An endpoint row that is not renewed expires after this time: three renewal intervals.
@@ -316,7 +318,6 @@
 }
 
 void Soak::LimitEndpoint(Upstream* upstream, uint64_t pick, Duration duration) {
-  constexpr std::array<double, 5> kLimits = {0, 0.5, 2, 5, 10};
   const std::string endpoint = upstream->server->instance();
   const double limit = kLimits.at(pick / upstreams_.size() % kLimits.size());
   upstream->server->SetLimit(limit);
