Give a run of the soak enough ports for sixty gateways

A run had 64 ports of its own, enough for about fifteen gateways: with more it ended with "no port is free", so runs with many processes could not be made.

--- a/soak/soak_environment.cc
+++ b/soak/soak_environment.cc
@@ -20,7 +20,7 @@
 // port of a gateway that is down.
 constexpr int kMinPort = 10'000;
 constexpr int kMaxPort = 32'000;
-constexpr int kPortsPerBlock = 64;
+constexpr int kPortsPerBlock = 512;
 constexpr int kBlockCount = (kMaxPort - kMinPort) / kPortsPerBlock;
 
 // Returns a socket that is bound to a loopback port, or -1 if the port is taken.
