Check the address of an endpoint's row, and let one connection fail alone

Cause: ParseSocketAddress checked the port and not the address, and the exception of HttpConnection for it left the event loop.

Ruled out: the reader of the table and the update of the configuration; the row was taken and its first probe ended the process, as the process wrote.

Why it works: what is no IP address is refused with its row, and a connection that cannot be created, for whatever reason, is a failed attempt that has not run, so that another endpoint is tried.

--- a/common/text_rules.cc
+++ b/common/text_rules.cc
@@ -26,11 +26,14 @@
 
 std::optional<SocketAddress> ParseSocketAddress(const std::string& text) {
   const size_t colon = text.rfind(':');
-  if (colon == std::string::npos || colon == 0) {
+  if (colon == std::string::npos) {
     return std::nullopt;
   }
   SocketAddress parsed;
   parsed.address = text.substr(0, colon);
+  if (!IsIpAddress(parsed.address)) {
+    return std::nullopt;
+  }
   const char* end = text.data() + text.size();
   const auto [rest, error] = std::from_chars(text.data() + colon + 1, end, parsed.port);
   if (error != std::errc() || rest != end || parsed.port == 0) {
@@ -40,8 +43,7 @@
 }
 
 bool IsSocketAddress(const std::string& text) {
-  const std::optional<SocketAddress> parsed = ParseSocketAddress(text);
-  return parsed && IsIpAddress(parsed->address);
+  return ParseSocketAddress(text).has_value();
 }
 
 }  // namespace jd
--- a/common/text_rules.h
+++ b/common/text_rules.h
@@ -26,10 +26,9 @@
   uint16_t port = 0;
 };
 
-/// Splits a string at its last colon into an address and a port. The form of the address is not
-/// checked.
-/// @return nothing if the address or the port is missing, or the port is not a number from 1 to
-/// 65535.
+/// Splits a string at its last colon into an IP address and a port.
+/// @return nothing if the address is not an IPv4 or IPv6 address, for example a host name, or the
+/// port is not a number from 1 to 65535.
 std::optional<SocketAddress> ParseSocketAddress(const std::string& text);
 
 /// Returns whether a string consists of an IP address, a colon and a port.
--- a/gateway/upstream_pool.cc
+++ b/gateway/upstream_pool.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <stdexcept>
 
 #include "gateway/header_rules.h"
 #include "gateway/log.h"
@@ -103,14 +104,30 @@
     return nullptr;
   }
   *is_new = true;
+  ConnectionPtr connection = NewConnection(endpoint, pool.config);
+  if (connection == nullptr) {
+    return nullptr;
+  }
+  ++pool.connections;
+  ++connection_count_;
+  return connection;
+}
+
+UpstreamPool::ConnectionPtr UpstreamPool::NewConnection(const EndpointId& endpoint,
+                                                        const EndpointConfig& config) const {
   auto connection = std::make_unique<Connection>();
   connection->endpoint = endpoint;
-  connection->config = pool.config;
+  connection->config = config;
   connection->opened = loop_->ReadClocks().mono;
-  connection->http = std::make_unique<HttpConnection>(loop_->base(), pool.config.address,
-                                                      pool.config.port, limits_);
-  ++pool.connections;
-  ++connection_count_;
+  try {
+    connection->http =
+        std::make_unique<HttpConnection>(loop_->base(), config.address, config.port, limits_);
+  } catch (const std::runtime_error& error) {
+    // Only the calls to this endpoint fail; the other calls of the process go on.
+    LogWarning(LogPart::kCalls,
+               "event=connection-not-opened endpoint=" + endpoint.value + " fault=" + error.what());
+    return nullptr;
+  }
   return connection;
 }
 
--- a/gateway/upstream_pool.h
+++ b/gateway/upstream_pool.h
@@ -109,8 +109,10 @@
     MonoTime deadline;
   };
 
-  /// Returns an idle or a new connection to an endpoint, or null if the endpoint is unknown or has
-  /// as many connections as its limit allows.
+  /// Returns a new connection to an endpoint, or null if it cannot be created.
+  ConnectionPtr NewConnection(const EndpointId& endpoint, const EndpointConfig& config) const;
+  /// Returns an idle or a new connection to an endpoint, or null if the endpoint is unknown, has
+  /// as many connections as its limit allows, or no connection can be created.
   /// @param is_new receives whether the connection is new.
   ConnectionPtr AcquireConnection(const EndpointId& endpoint, bool* is_new);
   /// Returns the idle connection for the next exchange: the most recently used one on which a
--- a/tests/platform_adapter_test.cc
+++ b/tests/platform_adapter_test.cc
@@ -151,6 +151,21 @@
   CHECK_FALSE(ParseGatewayRow("g", "{}"));
 }
 
+TEST_CASE("a row whose address is not an IP address names no endpoint", "[platform_adapter_test]") {
+  // Guards against gateways that end by themselves when they connect to such an endpoint.
+  const std::string known_address = "10.1.2.3:8080";
+  for (const std::string address :
+       {"ledger-7:8080", "10.128.0:8080", "[::1]:8080", "300.0.0.1:80", "127.1:80", "a.b:80",
+        "10.1.2.3 :8080", " 10.1.2.3:8080", "0x7f000001:80", "10.1.2.3:8080:8080"}) {
+    INFO(address);
+    std::string row = kEndpointRow;
+    row.replace(row.find(known_address), known_address.size(), address);
+    std::string error_message;
+    CHECK_FALSE(ParseEndpointRow("i-1", row, &error_message));
+    CHECK(error_message.find("IP address") != std::string::npos);
+  }
+}
+
 TEST_CASE("arbitrary bytes do not crash a parser", "[platform_adapter_test]") {
   CHECK(rc::check([](const std::string& bytes) {
     std::string error_message;
--- a/tests/upstream_test.cc
+++ b/tests/upstream_test.cc
@@ -8,7 +8,10 @@
 
 // A pool with one endpoint "e", which is a server that the test controls.
 struct Fixture {
-  Fixture() : server(&loop), pool(&loop, HttpConnection::Limits(), &dialect) {
+  explicit Fixture(std::string upstream_address = "127.0.0.1")
+      : server(&loop),
+        pool(&loop, HttpConnection::Limits(), &dialect),
+        address(std::move(upstream_address)) {
     Configure(4);
     pool.attempt_ended().connect([this](const AttemptResult& result, HttpResponsePtr&) {
       results[result.attempt.value].push_back(result);
@@ -21,7 +24,7 @@
     service.id = ServiceId("s");
     service.health_path = "/healthy";
     service.endpoints = {
-        {EndpointId("e"), ZoneId("z"), "127.0.0.1", server.port, 4, max_connections, {}}};
+        {EndpointId("e"), ZoneId("z"), address, server.port, 4, max_connections, {}}};
     configuration.services[service.id] = service;
     pool.SetConfiguration(std::make_shared<const Configuration>(configuration));
   }
@@ -54,6 +57,7 @@
   TextServer server;
   NativeDialect dialect;
   UpstreamPool pool;
+  std::string address;
   std::map<uint64_t, std::vector<AttemptResult>> results;
   std::vector<ProbeResult> probes;
 };
@@ -63,6 +67,19 @@
                  "x-load: in-flight=1;slots=4;state=warm\r\nx-instance-id: i7\r\n",
                  "done");
 
+TEST_CASE("an endpoint without an IP address costs its own calls and probes alone",
+          "[upstream_test]") {
+  // Guards against an exception that leaves the event loop and ends the gateway, with every call in
+  // flight.
+  Fixture f(GENERATE("ledger-7", "10.128.0", "[::1]"));
+  f.Send(1);
+  CHECK(f.WaitForResult(1).outcome == AttemptOutcome::kConnectFailed);
+  f.pool.Probe({EndpointId("e"), 10s});
+  REQUIRE(f.probes.size() == 1);
+  CHECK_FALSE(f.probes[0].answered);
+  CHECK(f.pool.connections() == 0);
+}
+
 TEST_CASE(
     "a request is sent only once if the upstream closes the reused connection after reading it",
     "[upstream_test]") {
