Wait for a busy port at the start of a gateway

Cause: the ports were opened once; a port that another socket holds, such as that of an earlier process in its grace, ended the process, without a cause in its message. A platform that starts it again sees it end again and again.

The test's own server kept its listening socket open in the child; it is closed on exec now.

Why it works: nothing but opening is repeated, each attempt releases what it opened, and the wait is bounded (PortWait, with the time as an argument).

--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -34,7 +34,7 @@
   /// @param peer_port the port that is announced to peers. The class PeerLinks opens it and manages
   ///     the connections to peers.
   /// @param dialect must outlive the gateway.
-  /// @throws std::runtime_error if a port cannot be opened.
+  /// @throws ListenError if a port cannot be opened.
   Gateway(EventLoop* loop,
           const Settings& settings,
           uint16_t peer_port,
--- a/gateway/http_server.cc
+++ b/gateway/http_server.cc
@@ -7,9 +7,12 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <stdexcept>
 #include <vector>
 
+#include "net/listen_error.h"
+
 namespace jd {
 namespace {
 
@@ -49,8 +52,7 @@
   evhttp_bound_socket* socket =
       evhttp_bind_socket_with_handle(server.get(), address.address.c_str(), address.port);
   if (socket == nullptr) {
-    throw std::runtime_error("cannot listen on " + address.address + " port " +
-                             std::to_string(address.port));
+    throw ListenError(address.address, static_cast<uint16_t>(address.port), errno);
   }
   evhttp_set_default_content_type(server.get(), nullptr);
   sockaddr_storage storage{};
--- a/gateway/http_server.h
+++ b/gateway/http_server.h
@@ -16,7 +16,7 @@
 
 /// Creates an HTTP server and opens its port.
 /// @param bound_port receives the port, which the system chooses if `address` has port 0.
-/// @throws std::runtime_error if the port cannot be opened.
+/// @throws ListenError if the port cannot be opened.
 HttpServerPtr NewHttpServer(EventLoop* loop, const ListenAddress& address, uint16_t* bound_port);
 
 /// Returns whether connections wait to be accepted.
--- a/gateway/peer_links.cc
+++ b/gateway/peer_links.cc
@@ -4,12 +4,14 @@
 #include <netinet/in.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <chrono>
 #include <stdexcept>
 #include <utility>
 #include <variant>
 
 #include "gateway/log.h"
+#include "net/listen_error.h"
 #include "rpc/convert.h"
 
 namespace jd {
@@ -51,8 +53,7 @@
       base_, accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, -1,
       reinterpret_cast<const sockaddr*>(&address), sizeof(address)));
   if (listener_ == nullptr) {
-    throw std::runtime_error("cannot listen on " + settings_.address + ":" +
-                             std::to_string(settings_.port));
+    throw ListenError(settings_.address, settings_.port, errno);
   }
   socklen_t length = sizeof(address);
   getsockname(evconnlistener_get_fd(listener_.get()), reinterpret_cast<sockaddr*>(&address),
--- a/gateway/peer_links.h
+++ b/gateway/peer_links.h
@@ -44,7 +44,8 @@
     uint64_t rejected = 0;  ///< Connections closed because of a wrong key or an invalid message.
   };
 
-  /// @throws std::runtime_error if the address is not an IPv4 address or the port cannot be opened.
+  /// @throws std::runtime_error if the address is not an IPv4 address.
+  /// @throws ListenError if the port cannot be opened.
   PeerLinks(event_base* base, Settings settings);
   ~PeerLinks();
   PeerLinks(const PeerLinks&) = delete;
--- a/tests/http_harness.h
+++ b/tests/http_harness.h
@@ -109,7 +109,8 @@
   explicit TextServer(EventLoop* loop) : loop_(loop) {
     const sockaddr_in address = Loopback(0);
     listener_ = evconnlistener_new_bind(
-        loop->base(), &OnAccept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+        loop->base(), &OnAccept, this,
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, -1,
         reinterpret_cast<const sockaddr*>(&address), sizeof(address));
     sockaddr_in bound{};
     socklen_t size = sizeof(bound);
--- a/tests/process_test.cc
+++ b/tests/process_test.cc
@@ -8,6 +8,7 @@
 #include <regex>
 #include <sstream>
 
+#include "control/port_wait.h"
 #include "standin/child_process.h"
 #include "tests/http_harness.h"
 
@@ -24,14 +25,22 @@
 // A gateway that runs as a separate process, with the service "s" at one endpoint.
 class GatewayProcess {
  public:
-  // @param sighup_blocked starts the process with SIGHUP blocked. A SIGHUP then stays pending until
-  //     the process unblocks the signal, as if SIGHUP had arrived at the very start of the process.
-  explicit GatewayProcess(uint16_t upstream_port, bool sighup_blocked = false)
+  struct Options {
+    /// Starts the process with SIGHUP blocked. A SIGHUP then stays pending until the process
+    /// unblocks the signal, as if SIGHUP had arrived at the very start of the process.
+    bool sighup_blocked = false;
+    /// Ports of the listening sockets; 0 lets the system choose a free one.
+    uint16_t callers_port = 0;
+    uint16_t status_port = 0;
+    uint16_t peers_port = 0;
+  };
+
+  GatewayProcess(uint16_t upstream_port, const Options& options)
       : base_(std::string(std::getenv("JACKDAWDECK_BUILD")) + "/process_test") {
-    std::ofstream(base_ + ".toml") << R"(
-callers = { port = 0 }
-status = { port = 0 }
-peers = { port = 0, shared_key = "0123456789abcdef" }
+    std::ofstream(base_ + ".toml")
+        << "callers = { port = " << options.callers_port
+        << " }\nstatus = { port = " << options.status_port
+        << " }\npeers = { port = " << options.peers_port << R"(, shared_key = "0123456789abcdef" }
 zones = [{ id = "z" }]
 profiles = [{ id = "p", deadline_ms = 60000 }]
 [gateway]
@@ -43,12 +52,12 @@
 id = "s"
 profile = "p"
 endpoints = [{ id = "e", zone = "z", address = "127.0.0.1", slots = 64, port = )"
-                                   << upstream_port << "}]\n";
+        << upstream_port << "}]\n";
     const std::string program = std::string(std::getenv("JACKDAWDECK_BUILD")) + "/jackdawdeck";
     const std::string settings = base_ + ".toml";
     const std::string log = base_ + ".log";
     unlink(log.c_str());
-    process_.Start({{program, "gateway", "--config", settings}, log, sighup_blocked});
+    process_.Start({{program, "gateway", "--config", settings}, log, options.sighup_blocked});
   }
   ~GatewayProcess() {
     for (const char* suffix : {".toml", ".log"}) {
@@ -147,7 +156,7 @@
       connection.Send(answer);
     }
   };
-  GatewayProcess gateway(upstream.port);
+  GatewayProcess gateway(upstream.port, {});
   REQUIRE(RunUntil(&loop, [&] { return gateway.Port("status") != 0; }));
   const uint16_t callers = gateway.Port("callers");
   std::vector<std::unique_ptr<TextConnection>> slow;
@@ -197,12 +206,66 @@
   }
 }
 
+TEST_CASE("a process whose port is busy waits for it and then serves", "[process_test]") {
+  // Guards against a gateway that ends at its start, again and again, while an earlier process of
+  // the same VM still completes its calls.
+  EventLoop loop;
+  TextServer upstream(&loop);
+  upstream.on_request = [](TextConnection& connection) {
+    connection.Answer(HttpResponse("200 OK", "", "done"));
+  };
+  auto holder = std::make_unique<TextServer>(&loop);
+  const uint16_t port = holder->port;
+  GatewayProcess::Options options;
+  SECTION("callers") {
+    options.callers_port = port;
+  }
+  SECTION("status") {
+    options.status_port = port;
+  }
+  SECTION("peers") {
+    options.peers_port = port;
+  }
+  GatewayProcess gateway(upstream.port, options);
+  const std::string fault = "port " + std::to_string(port) + ": Address already in use";
+  REQUIRE(RunUntil(&loop, [&] {
+    return gateway.ended() || (gateway.log().find("event=port-busy") != std::string::npos &&
+                               gateway.log().find(fault) != std::string::npos);
+  }));
+  CHECK_FALSE(gateway.ended());
+  holder.reset();
+  REQUIRE(RunUntil(&loop, [&] { return gateway.ended() || gateway.Port("status") != 0; }));
+  REQUIRE_FALSE(gateway.ended());
+  TextConnection caller(&loop, gateway.Port("callers"));
+  caller.Send("GET /a HTTP/1.1\r\nx-service: s\r\n\r\n");
+  CHECK(RunUntil(&loop, [&] { return caller.Count("done") == 1; }));
+}
+
+TEST_CASE("a process that waits for a busy port can be stopped", "[process_test]") {
+  EventLoop loop;
+  const TextServer holder(&loop);
+  GatewayProcess gateway(holder.port, {.callers_port = holder.port});
+  REQUIRE(
+      RunUntil(&loop, [&] { return gateway.log().find("event=port-busy") != std::string::npos; }));
+  gateway.SendSigterm();
+  CHECK(RunUntil(&loop, [&] { return gateway.ended(); }));
+}
+
+TEST_CASE("the wait for a busy port is bounded", "[process_test]") {
+  // Guards against a process that waits for ever for a port that another program keeps.
+  const MonoTime start = MonoFromMicros(5'000'000);
+  const PortWait wait(start);
+  CHECK(wait.NextDelay(start) == PortWait::kRetryInterval);
+  CHECK(wait.NextDelay(start + PortWait::kMaxWait - PortWait::kRetryInterval));
+  CHECK_FALSE(wait.NextDelay(start + PortWait::kMaxWait));
+}
+
 TEST_CASE("a SIGHUP that arrives during the start is handled afterwards", "[process_test]") {
   // Guards against SIGHUP ending the process when the settings file changes while the process
   // starts.
   EventLoop loop;
   TextServer upstream(&loop);
-  GatewayProcess gateway(upstream.port, true);
+  GatewayProcess gateway(upstream.port, {.sighup_blocked = true});
   gateway.SendSighup();
   CHECK(RunUntil(&loop, [&] {
     return gateway.ended() || gateway.log().find("event=reload ") != std::string::npos;
