Let only the service that an endpoint is in remove its record

Cause: FreshLoad::SetService erased, by endpoint id, the records of endpoints that left a service. If the endpoint's new service had been reported before, its record was gone and the next call threw std::out_of_range out of the loop.

Ruled out: the catalog and the directory report both services correctly.

Why it works: a record names its service and only that service may remove it; a listing without a record is skipped; the end of a call to the earlier run is not counted for the new one.

--- a/policy/fresh_load.cc
+++ b/policy/fresh_load.cc
@@ -53,13 +53,14 @@
   std::vector<Ranked> ranked;
   for (const EndpointView& endpoint : service->second.endpoints) {
     const bool is_local = endpoint.zone == request.local_zone;
-    if (is_local != (stage == 0) || !IsUsable(now, endpoint) ||
+    const EndpointRecord* record = FindRecord(request.service, endpoint.id);
+    if (is_local != (stage == 0) || record == nullptr || !IsUsable(now, endpoint, *record) ||
         std::find(request.excluded.begin(), request.excluded.end(), endpoint.id) !=
             request.excluded.end()) {
       continue;
     }
     const double jitter = std::uniform_real_distribution<double>(0, 0.2)(random);
-    ranked.push_back({ProbeRank(now, records_.at(endpoint.id)) + jitter, &endpoint});
+    ranked.push_back({ProbeRank(now, *record) + jitter, &endpoint});
   }
   const size_t wanted = std::min(stage == 0 ? kProbesPerCall : kRemoteProbesPerCall, ranked.size());
   const auto count = static_cast<size_t>(
@@ -116,36 +117,39 @@
     return std::nullopt;
   }
   const EndpointView* best = nullptr;
+  EndpointRecord* best_record = nullptr;
   Duration lowest_latency{0};
   int ties = 0;
   for (const EndpointView& endpoint : service->second.endpoints) {
-    const EndpointRecord& record = records_.at(endpoint.id);
-    if (!IsUsable(now, endpoint) || !record.has_report || !record.healthy ||
-        now - record.report_time > kMaxReportAge || now < record.cold_until ||
+    EndpointRecord* record = FindRecord(request.service, endpoint.id);
+    if (record == nullptr || !IsUsable(now, endpoint, *record) || !record->has_report ||
+        !record->healthy || now - record->report_time > kMaxReportAge || now < record->cold_until ||
         std::find(request.excluded.begin(), request.excluded.end(), endpoint.id) !=
             request.excluded.end()) {
       continue;
     }
-    const Duration expected_latency = ExpectedLatency(record, endpoint, request.usual_service_time);
-    if (!MaySendTo(now, request, record, endpoint, expected_latency)) {
+    const Duration expected_latency =
+        ExpectedLatency(*record, endpoint, request.usual_service_time);
+    if (!MaySendTo(now, request, *record, endpoint, expected_latency)) {
       continue;
     }
     if (best == nullptr || expected_latency < lowest_latency) {
       best = &endpoint;
+      best_record = record;
       lowest_latency = expected_latency;
       ties = 1;
     } else if (expected_latency == lowest_latency &&
                random() % static_cast<uint64_t>(++ties) == 0) {
       best = &endpoint;
+      best_record = record;
     }
   }
   if (best == nullptr) {
     return std::nullopt;
   }
-  EndpointRecord& record = records_.at(best->id);
-  ++record.sent_since_report;
-  record.in_flight.push_back(
-      {now, SaturationSlowdown::IsNearlyFull(EstimatedCalls(record), best->slots)});
+  ++best_record->sent_since_report;
+  best_record->in_flight.push_back(
+      {now, SaturationSlowdown::IsNearlyFull(EstimatedCalls(*best_record), best->slots)});
   return best->id;
 }
 
@@ -184,7 +188,11 @@
     return;
   }
   EndpointRecord& record = found->second;
-  const std::optional<SentCall> sent = RemoveSentCall(&record, now - result.latency);
+  const MonoTime sent_at = now - result.latency;
+  if (sent_at < record.created) {
+    return;  // The call was sent to an earlier run of the endpoint, in another service.
+  }
+  const std::optional<SentCall> sent = RemoveSentCall(&record, sent_at);
   if (IsFailure(result)) {
     RecordFailure(now, &record);
   } else if (result.outcome == AttemptOutcome::kAnswered) {
@@ -218,17 +226,34 @@
         std::any_of(view.endpoints.begin(), view.endpoints.end(),
                     [&](const EndpointView& other) { return other.id == endpoint.id; });
     if (!stays) {
-      records_.erase(endpoint.id);
+      RemoveRecord(view.id, endpoint.id);
     }
   }
   known = view;
   for (const EndpointView& endpoint : view.endpoints) {
     EndpointRecord& record = records_[endpoint.id];
-    record.service = view.id;
+    if (record.service != view.id) {
+      record = EndpointRecord();
+      record.service = view.id;
+      record.created = now;
+    }
     record.zone = endpoint.zone;
   }
 }
 
+void FreshLoad::RemoveRecord(const ServiceId& service, const EndpointId& endpoint) {
+  if (FindRecord(service, endpoint) != nullptr) {
+    records_.erase(endpoint);
+  }
+}
+
+FreshLoad::EndpointRecord* FreshLoad::FindRecord(const ServiceId& service,
+                                                 const EndpointId& endpoint) {
+  const auto found = records_.find(endpoint);
+  const bool is_known = found != records_.end() && found->second.service == service;
+  return is_known ? &found->second : nullptr;
+}
+
 void FreshLoad::RemoveService(MonoTime, const ServiceId& service) {
   const auto known = services_.extract(service);
   saturation_slowdowns_.erase(service);
@@ -237,7 +262,7 @@
     return;
   }
   for (const EndpointView& endpoint : known.mapped().endpoints) {
-    records_.erase(endpoint.id);
+    RemoveRecord(service, endpoint.id);
   }
 }
 
@@ -258,8 +283,7 @@
   record.cold_until = now + report.cold_remaining;
 }
 
-bool FreshLoad::IsUsable(MonoTime now, const EndpointView& endpoint) const {
-  const EndpointRecord& record = records_.at(endpoint.id);
+bool FreshLoad::IsUsable(MonoTime now, const EndpointView& endpoint, const EndpointRecord& record) {
   return endpoint.usable && now >= record.retry_at && now >= record.permit_retry_at;
 }
 
--- a/policy/fresh_load.h
+++ b/policy/fresh_load.h
@@ -76,6 +76,7 @@
   struct EndpointRecord {
     ServiceId service;
     ZoneId zone;
+    MonoTime created;      ///< When the endpoint joined `service`.
     LoadReport report;     ///< The latest load report.
     MonoTime report_time;  ///< When `report` arrived.
     bool has_report = false;
@@ -89,7 +90,12 @@
   };
 
   /// Returns whether the endpoint may get probes and calls: it is usable and in no backoff.
-  bool IsUsable(MonoTime now, const EndpointView& endpoint) const;
+  static bool IsUsable(MonoTime now, const EndpointView& endpoint, const EndpointRecord& record);
+  /// Returns the record of an endpoint of a service, or null if the endpoint is in another service
+  /// by now. While an endpoint moves, it may be listed in two services.
+  EndpointRecord* FindRecord(const ServiceId& service, const EndpointId& endpoint);
+  /// Forgets an endpoint that has left a service, unless it is in another one by now.
+  void RemoveRecord(const ServiceId& service, const EndpointId& endpoint);
   /// Returns the rank by which endpoints are chosen for probing; lower is better.
   double ProbeRank(MonoTime now, const EndpointRecord& record) const;
   /// Returns the time that the endpoint is expected to need for a call sent now, including queueing
--- a/tests/fresh_load_test.cc
+++ b/tests/fresh_load_test.cc
@@ -68,6 +68,28 @@
   CHECK(f.ChooseEndpoint() == "b");
 }
 
+TEST_CASE("an endpoint that starts again in another service is known there alone",
+          "[fresh_load_test]") {
+  // Guards against a missing record, which ended the gateway, and against the state of the earlier
+  // run of the endpoint, in both orders in which the two services may be reported.
+  const ServiceId other(GENERATE("a-before", "z-after"));
+  Fixture f({View("moved"), View("stays")});
+  f.ReportNoAnswer("moved");
+  f.ReportNoAnswer("moved");
+  const std::vector<ServiceView> changes = {{kService, {View("stays")}}, {other, {View("moved")}}};
+  const bool new_service_first = other < kService;
+  f.policy.SetService(f.now, changes[new_service_first ? 1 : 0]);
+  f.policy.SetService(f.now, changes[new_service_first ? 0 : 1]);
+  AcquireRequest request = f.Request();
+  request.service = other;
+  CHECK(f.policy.ChooseProbeTargets(f.now, request, 0, f.random) ==
+        std::vector<EndpointId>{EndpointId("moved")});
+  f.ReportLoad("moved", 0);
+  f.ReportLoad("stays", 0);
+  CHECK(f.policy.Acquire(f.now, request, f.random) == EndpointId("moved"));
+  CHECK(f.ChooseEndpoint() == "stays");
+}
+
 TEST_CASE("an endpoint with an outdated load report is not chosen", "[fresh_load_test]") {
   // Guards against choosing an endpoint by a load that has changed since.
   Fixture f({View("a")});
