Keep the slots of calls in flight when their endpoint changes service

With the policy "slots", an endpoint that is reported in its new service before it is removed from the old one keeps slots in use for ever, so it serves less and less.

Cause: SlotHolder::SetService of the old service detached the endpoint by its id, from the table that the new service had written.

Evidence: slot_holder_test failed before (0 calls in flight instead of 1) with the new service first; the other order held.

Why it works: an endpoint that joins a pool leaves the other pool first, with its calls, so it is in one pool at any time.

--- a/policy/slot_holder.cc
+++ b/policy/slot_holder.cc
@@ -130,6 +130,16 @@
   pool->endpoints.clear();
 }
 
+void SlotHolder::DetachFromOtherPool(const EndpointId& endpoint, const PoolId& pool) {
+  const auto current = pool_of_.find(endpoint);
+  if (current == pool_of_.end() || current->second == pool) {
+    return;
+  }
+  auto slots = pools_.at(current->second).endpoints.extract(endpoint);
+  detached_.insert_or_assign(endpoint, std::move(slots.mapped()));
+  pool_of_.erase(current);
+}
+
 EndpointSlots SlotHolder::AttachEndpoint(const EndpointView& endpoint, const PoolId& pool) {
   EndpointSlots slots;
   const auto detached = detached_.find(endpoint.id);
@@ -167,6 +177,7 @@
       pool.mean_busy_updated = now;
     }
     for (const EndpointView& endpoint : pool_view.endpoints) {
+      DetachFromOtherPool(endpoint.id, pool_view.id);
       pool.endpoints.insert_or_assign(endpoint.id, AttachEndpoint(endpoint, pool_view.id));
       pool_of_[endpoint.id] = pool_view.id;
     }
--- a/policy/slot_holder.h
+++ b/policy/slot_holder.h
@@ -64,6 +64,8 @@
  private:
   /// Moves all endpoints of the pool to `detached_`.
   void DetachEndpoints(HeldPool* pool);
+  /// Moves an endpoint of another service's pool to `detached_`, because it joins the given pool.
+  void DetachFromOtherPool(const EndpointId& endpoint, const PoolId& pool);
   /// Returns the state of an endpoint that is added to the pool. It includes the calls that still
   /// run at the endpoint if the endpoint was in `detached_`.
   EndpointSlots AttachEndpoint(const EndpointView& endpoint, const PoolId& pool);
--- a/tests/policy_variant_test.cc
+++ b/tests/policy_variant_test.cc
@@ -81,7 +81,16 @@
 
 // Services, their endpoints as the policy was last told, and the calls in flight.
 struct PolicyModel {
-  explicit PolicyModel(const std::string& name) : policy(PolicyVariant::ByName(name)) {}
+  explicit PolicyModel(const std::string& name) : policy(MakePolicy(name)) {}
+
+  static PolicyVariant MakePolicy(const std::string& name) {
+    if (name != SlotHolder::kName) {
+      return PolicyVariant::ByName(name);
+    }
+    SlotHolder holder(GatewayId("g"), ZoneId("z"), Incarnation(1));
+    holder.SetRoster(MonoTime(), {GatewayId("g")});  // Its reserve is every slot.
+    return PolicyVariant(std::move(holder));
+  }
 
   // Moves an endpoint to a service. Until the service that it leaves is reported as well, the
   // policy knows it in both.
@@ -146,13 +155,13 @@
   // Guards against a gateway that ends, with every call in flight, when an endpoint starts again
   // under its id in another service.
   const std::string name =
-      GENERATE("fresh_load", "round_robin", "least_request", "reported_load", "pooled");
+      GENERATE("fresh_load", "slots", "round_robin", "least_request", "reported_load", "pooled");
   INFO(name);
   CHECK(rc::check([&name] {
     PolicyModel model(name);
     const int steps = *rc::gen::inRange(1, 60);
     for (int i = 0; i < steps; ++i) {
-      model.now += std::chrono::milliseconds(*rc::gen::inRange(0, 50));
+      model.now += std::chrono::milliseconds(*rc::gen::inRange(0, 500));
       const EndpointId endpoint("e" + std::to_string(*rc::gen::inRange(0, 4)));
       const ServiceId service("s" + std::to_string(*rc::gen::inRange(0, 3)));
       switch (*rc::gen::inRange(0, 6)) {
--- a/tests/slot_holder_test.cc
+++ b/tests/slot_holder_test.cc
@@ -123,5 +123,22 @@
   CHECK(fixture.holder.usable_slots(kStart, kEndpoint) == 1);
 }
 
+TEST_CASE("the calls of an endpoint that moves to another service keep their slots",
+          "[slot_holder_test]") {
+  // Guards against slots that are never free again, in both orders in which the two services may be
+  // reported.
+  const ServiceId other(GENERATE("a-before", "z-after"));
+  Fixture fixture;
+  REQUIRE(fixture.Acquire(kStart));
+  const ServiceView empty{kService, {}};
+  const ServiceView moved{other, View(2).endpoints};
+  const bool new_service_first = other < kService;
+  fixture.holder.SetService(kStart, new_service_first ? moved : empty);
+  fixture.holder.SetService(kStart, new_service_first ? empty : moved);
+  CHECK(fixture.holder.in_flight(kEndpoint) == 1);
+  fixture.holder.Release(kStart, kEndpoint, Answer());
+  CHECK(fixture.holder.in_flight(kEndpoint) == 0);
+}
+
 }  // namespace
 }  // namespace jd
