End every call of a stop before the platform kills the process

Cause: new calls were accepted for a fixed 3 s. The time until the kill was not known to the process, though the deployment's settings name it.

Ruled out: retries that start late, as the only way; they are bounded too now.

Why it works: admission ends at half of the limit at most, and the deadline of every call lies before the kill, so that its caller hears 504 or, for a call that was not sent, 503.

--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -7,6 +7,7 @@
 
 #include "gateway/header_rules.h"
 #include "gateway/log.h"
+#include "gateway/stop_plan.h"
 
 namespace jd {
 namespace {
@@ -132,7 +133,13 @@
   LogInfo(LogPart::kGateway,
           "Stopping: reported as not ready, still serving calls for the grace period.");
   callers_.AnnounceClose();
-  grace_timer_.Schedule(settings_.grace_period);
+  const StopPlan plan = PlanStop(settings_.grace_period, settings_.stop_limit);
+  if (plan.last_answer) {
+    NotifyNode([&](Now now, NodeActions* out) {
+      node_.LimitDeadlines(now, now.mono + *plan.last_answer, out);
+    });
+  }
+  grace_timer_.Schedule(plan.admission);
 }
 
 void Gateway::BeginRefusing() {
--- a/gateway/setting_table.cc
+++ b/gateway/setting_table.cc
@@ -48,6 +48,12 @@
      [](Settings& object, const SettingValue& value) {
        object.grace_period = std::chrono::milliseconds(value.integer);
      }},
+    {{"stop_limit_s", SettingKind::kNumber, "s", 0, 3600, "", "0",
+      "Time after SIGTERM after which the platform kills the process. New calls are accepted in "
+      "its first half at most, and every call is answered before its end. 0: no limit."},
+     [](Settings& object, const SettingValue& value) {
+       object.stop_limit = Scale(1s, value.number);
+     }},
     {{"seed", SettingKind::kInteger, "", 0, 9007199254740992, "", "0",
       "Seed of the random number generator; 0 uses a random seed from the system."},
      [](Settings& object, const SettingValue& value) { object.random_seed = value.integer; }},
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -38,6 +38,7 @@
   std::string log_level;
   int64_t event_capacity = 0;
   Duration grace_period{0};
+  Duration stop_limit{0};  ///< Time from SIGTERM until the platform kills the process; 0: never.
   int64_t random_seed = 0;
   ListenAddress callers;
   ListenAddress status;
--- a/policy/call_manager.cc
+++ b/policy/call_manager.cc
@@ -77,6 +77,7 @@
                            *configuration_, caller_wait, next_sequence_++));
   assert(added);
   Call* call = &entry->second;
+  LimitDeadline(call);
   ServiceState& state = StateOf(*call);
   ++state.calls;
   timers_.emplace(call->deadline, request.id, TimerKind::kDeadline);
@@ -93,6 +94,20 @@
   return call;
 }
 
+void CallManager::LimitDeadlines(MonoTime latest) {
+  latest_deadline_ = latest;
+  for (auto& [id, call] : calls_) {
+    timers_.erase(Timer(call.deadline, id, TimerKind::kDeadline));
+    LimitDeadline(&call);
+    timers_.emplace(call.deadline, id, TimerKind::kDeadline);
+  }
+}
+
+void CallManager::LimitDeadline(Call* call) const {
+  call->deadline = std::min(call->deadline, latest_deadline_.value_or(call->deadline));
+  call->target_time = std::min(call->target_time, call->deadline);
+}
+
 const Profile* CallManager::ResolveProfile(CallRequest* request, CallActions* actions) {
   if (configuration_->routes != nullptr) {
     const Route* route = configuration_->routes->Find(request->host, request->path);
--- a/policy/call_manager.h
+++ b/policy/call_manager.h
@@ -29,6 +29,8 @@
   void SetService(MonoTime now, const ServiceView& view);
   void SetDegraded(const ServiceId& service, bool degraded);
   void StopAdmission() { stopping_ = true; }
+  /// Moves the deadlines of all calls, also of those that arrive later, to `latest` or earlier.
+  void LimitDeadlines(MonoTime latest);
 
   /// Admits a new call. @return the call, or null if it was refused.
   Call* Admit(MonoTime now, const CallRequest& request, CallActions* actions);
@@ -107,6 +109,8 @@
   const ServiceState& StateOf(const Call& call) const { return services_.at(call.request.service); }
   /// Returns after how long a caller refused because of overload should retry.
   Duration RetryAfterOverload(MonoTime now, const Call& call, RandomEngine& random) const;
+  /// Applies `latest_deadline_` to the deadline and the target time of a call.
+  void LimitDeadline(Call* call) const;
   void InsertIntoQueue(Call* call);
   void Dequeue(Call* call);
   void ClearHedgeTimer(Call* call);
@@ -142,6 +146,7 @@
 
   ConfigurationPtr configuration_;
   bool stopping_ = false;
+  std::optional<MonoTime> latest_deadline_;  ///< No call has a later deadline.
   RetryBudget::Limits retry_limits_;
   uint64_t next_sequence_ = 1;
   std::unordered_map<CallId, Call> calls_;
--- a/policy/dispatcher.h
+++ b/policy/dispatcher.h
@@ -73,6 +73,9 @@
   /// Refuses new calls from now on; calls in progress continue.
   void StopAdmission() { call_manager_.StopAdmission(); }
 
+  /// Ends every call by `latest`, also calls that arrive later. OnTimer must be called afterwards.
+  void LimitDeadlines(MonoTime latest) { call_manager_.LimitDeadlines(latest); }
+
   /// Returns when OnTimer must be called next, or nothing if no timer is set.
   std::optional<MonoTime> next_timer() const;
   void SetRetryLimits(const RetryBudget::Limits& limits) { call_manager_.SetRetryLimits(limits); }
--- a/tests/dispatcher_test.cc
+++ b/tests/dispatcher_test.cc
@@ -164,6 +164,32 @@
   CHECK(once.calls.begin()->second.answered);
 }
 
+TEST_CASE("no call ends after the latest deadline of a stop", "[dispatcher_test]") {
+  // Guards against calls that are cut when the process is killed: one that was sent before the
+  // stop, one that was sent after its begin, and one that cannot end in time.
+  DispatcherHarness harness;
+  harness.profile.deadline = 10s;
+  harness.Configure(2, false, 2);
+  harness.StartCall("POST", 0, 0, 1);
+  const MonoTime latest = harness.now + 1s;
+  harness.dispatcher.LimitDeadlines(latest);
+  harness.StartCall("POST", 0, 0, 2);
+  CHECK(harness.in_flight.size() == 2);
+  for (const auto& [id, attempt] : harness.in_flight) {
+    CHECK((attempt.timeout == 10s || attempt.timeout == 1s));
+  }
+  harness.AdvanceTime(1s);
+  REQUIRE(harness.refusals.size() == 2);
+  for (const Refusal& refusal : harness.refusals) {
+    CHECK(refusal.verdict == Verdict::kMayHaveRun);
+  }
+  harness.StartCall("POST", 0, 0, 3);
+  REQUIRE(harness.refusals.size() == 3);
+  CHECK(harness.refusals.back().verdict == Verdict::kNotRun);
+  harness.Drain();
+  CHECK(harness.violation.empty());
+}
+
 TEST_CASE("a call keeps the limits that it arrived with", "[dispatcher_test]") {
   DispatcherHarness harness;
   harness.profile.max_attempts = 2;
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -9,7 +9,8 @@
 
 /// A gateway with the service "s", whose only endpoint is a server that the test controls.
 struct GatewayFixture {
-  /// @param extra TOML that is inserted after the table [gateway], for example the table [limits].
+  /// @param extra TOML that is inserted at the end of the table [gateway]: further settings of it,
+  ///     or another table, for example [limits].
   explicit GatewayFixture(const std::string& extra = "")
       : upstream(&loop),
         gateway(&loop, ParseSettings(SettingsText(extra), "test.toml"), 1, &dialect) {
--- a/tests/shutdown_test.cc
+++ b/tests/shutdown_test.cc
@@ -2,6 +2,7 @@
 
 #include <csignal>
 
+#include "gateway/stop_plan.h"
 #include "tests/gateway_harness.h"
 
 namespace jd {
@@ -89,6 +90,42 @@
   CHECK(early->Count("Connection: close") == 1);
 }
 
+TEST_CASE("a stop ends all calls before the platform kills the process", "[shutdown_test]") {
+  // Guards against calls that are accepted late in a stop, sent to an endpoint and cut without an
+  // answer when the process is killed. Seen with real processes and a limit of 4 s.
+  GatewayFixture f("stop_limit_s = 0.9");
+  const auto early = f.Connect();
+  early->Send(kGet);
+  REQUIRE(f.Wait([&] { return f.upstream.requests() == 1; }));
+  const auto begin = std::chrono::steady_clock::now();
+  f.gateway.Stop();
+  const auto within = f.Connect();
+  within->Send(kGet);
+  REQUIRE(f.Wait([&] { return f.upstream.requests() == 2; }));
+  REQUIRE(f.WaitFor(*early, "HTTP/1.1 "));
+  REQUIRE(f.WaitFor(*within, "HTTP/1.1 "));
+  CHECK(std::chrono::steady_clock::now() - begin < 900ms);
+  CHECK(early->Count("x-verdict: may-have-run") == 1);
+  CHECK(within->Count("x-verdict: may-have-run") == 1);
+  CHECK(f.Wait([&] { return f.stopped; }));
+}
+
+TEST_CASE("calls are accepted in the first half of the time for a stop at most",
+          "[shutdown_test]") {
+  CHECK(PlanStop(3s, 0s).admission == 3s);
+  CHECK_FALSE(PlanStop(3s, 0s).last_answer);
+  CHECK(PlanStop(3s, 6s).admission == 3s);
+  CHECK(PlanStop(3s, 10s).admission == 3s);
+  CHECK(PlanStop(3s, 4s).admission == 2s);
+  CHECK(PlanStop(5s, 1s).admission == 500ms);
+  for (const Duration limit : {100ms, 1000ms, 4000ms, 6000ms, 60'000ms}) {
+    const StopPlan plan = PlanStop(3s, limit);
+    CHECK(plan.admission <= limit / 2);
+    CHECK(*plan.last_answer < limit);
+    CHECK(*plan.last_answer >= limit - limit / 6);
+  }
+}
+
 TEST_CASE(
     "an answer that the caller reads slowly is written completely before the stop is complete",
     "[shutdown_test]") {
