Bound the memory of the incomplete responses of all upstreams together

Cause: each response was bounded (16 MB), their sum was not.

A machine here has 160 to 512 MB.

Ruled out: heads, size lines, trailers and interim responses without end; each is bounded by the reader and small.

Why it works: what large responses take is counted where bytes arrive, and over the limit (an eighth of limits.memory_mb) the next large one that grows fails.

--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -16,6 +16,11 @@
 // answer that takes longer.
 constexpr Duration kVmListTimeout = 2s;
 
+constexpr size_t kBytesPerMegabyte = 1 << 20;
+// The part of the memory for incomplete responses of upstreams. The buffer of a response that grows
+// takes up to three times its bytes for a moment.
+constexpr size_t kResponseMemoryDivisor = 8;
+
 // Heartbeat interval between gateways that do not lend each other slots.
 constexpr Duration kHeartbeatWithoutLending = 1s;
 
@@ -80,7 +85,11 @@
       dialect_(dialect),
       node_(ToNodeSettings(settings, peer_port, *loop)),
       callers_(loop, settings, SeedOf(settings), dialect),
-      upstreams_(loop, {settings.limits.header_bytes, settings.limits.response_bytes}, dialect),
+      upstreams_(loop,
+                 {settings.limits.header_bytes, settings.limits.response_bytes},
+                 static_cast<size_t>(settings.limits.memory_mb) * kBytesPerMegabyte /
+                     kResponseMemoryDivisor,
+                 dialect),
       status_(
           loop,
           settings.status,
--- a/gateway/upstream_pool.cc
+++ b/gateway/upstream_pool.cc
@@ -36,9 +36,11 @@
 
 UpstreamPool::UpstreamPool(EventLoop* loop,
                            const HttpConnection::Limits& limits,
+                           size_t memory_bytes,
                            const HttpDialect* dialect)
     : loop_(loop),
       limits_(limits),
+      memory_(memory_bytes),
       dialect_(dialect),
       deadline_timer_(loop, [this] { AbortOverdueExchanges(); }),
       discard_timer_(loop, [this] { discarded_.clear(); }) {}
@@ -114,14 +116,14 @@
 }
 
 UpstreamPool::ConnectionPtr UpstreamPool::NewConnection(const EndpointId& endpoint,
-                                                        const EndpointConfig& config) const {
+                                                        const EndpointConfig& config) {
   auto connection = std::make_unique<Connection>();
   connection->endpoint = endpoint;
   connection->config = config;
   connection->opened = loop_->ReadClocks().mono;
   try {
-    connection->http =
-        std::make_unique<HttpConnection>(loop_->base(), config.address, config.port, limits_);
+    connection->http = std::make_unique<HttpConnection>(loop_->base(), config.address, config.port,
+                                                        limits_, &memory_);
   } catch (const std::runtime_error& error) {
     // Only the calls to this endpoint fail; the other calls of the process go on.
     LogWarning(LogPart::kCalls,
--- a/gateway/upstream_pool.h
+++ b/gateway/upstream_pool.h
@@ -35,7 +35,11 @@
 /// each connection, enforces their time limits and reports how each ended.
 class UpstreamPool {
  public:
-  UpstreamPool(EventLoop* loop, const HttpConnection::Limits& limits, const HttpDialect* dialect);
+  /// @param memory_bytes limit on the incomplete responses of all connections together.
+  UpstreamPool(EventLoop* loop,
+               const HttpConnection::Limits& limits,
+               size_t memory_bytes,
+               const HttpDialect* dialect);
 
   /// Emitted once per attempt that was sent, also if it was cancelled. The response is null unless
   /// it arrived completely. May be emitted before Send or Cancel returns.
@@ -60,6 +64,8 @@
 
   /// Returns the number of connections, idle or in use.
   size_t connections() const { return connection_count_; }
+  /// Returns the bytes of all incomplete responses.
+  size_t response_bytes() const { return memory_.used_bytes(); }
 
  private:
   /// The configuration of an endpoint; the address is empty after the endpoint was removed.
@@ -110,7 +116,7 @@
   };
 
   /// Returns a new connection to an endpoint, or null if it cannot be created.
-  ConnectionPtr NewConnection(const EndpointId& endpoint, const EndpointConfig& config) const;
+  ConnectionPtr NewConnection(const EndpointId& endpoint, const EndpointConfig& config);
   /// Returns an idle or a new connection to an endpoint, or null if the endpoint is unknown, has
   /// as many connections as its limit allows, or no connection can be created.
   /// @param is_new receives whether the connection is new.
@@ -148,6 +154,7 @@
 
   EventLoop* loop_;
   HttpConnection::Limits limits_;
+  ResponseMemory memory_;  // Declared before the connections, which use it.
   const HttpDialect* dialect_;
   std::map<EndpointId, EndpointPool> endpoint_pools_;
   std::unordered_map<uint64_t, Exchange> exchanges_;  ///< By attempt id, or probe id | kProbeBit.
--- a/net/http_connection.cc
+++ b/net/http_connection.cc
@@ -18,6 +18,8 @@
 constexpr int kKeepAliveSeconds = 1;
 constexpr int kKeepAliveProbes = 2;
 
+constexpr const char* kMemoryError = "the incomplete responses of all connections are too large";
+
 sockaddr_storage ParseAddress(const std::string& address, uint16_t port, socklen_t* size) {
   sockaddr_storage storage{};
   auto* ipv4 = reinterpret_cast<sockaddr_in*>(&storage);
@@ -52,8 +54,10 @@
 HttpConnection::HttpConnection(event_base* base,
                                const std::string& address,
                                uint16_t port,
-                               const Limits& limits)
+                               const Limits& limits,
+                               ResponseMemory* memory)
     : limits_(limits),
+      memory_(memory),
       address_(ParseAddress(address, port, &address_size_)),
       stream_(bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE)) {
   if (stream_ == nullptr) {
@@ -146,6 +150,7 @@
 
 void HttpConnection::Close() {
   usable_ = false;
+  memory_.SetBytes(0);
   bufferevent_disable(stream_.get(), EV_READ | EV_WRITE);
 }
 
@@ -163,7 +168,7 @@
   done_ = nullptr;
   exchange.request_written = request_written_;
   exchange.response_started = response_started_;
-  if (reader_ != nullptr) {
+  if (reader_ != nullptr && exchange.error.empty()) {
     exchange.error = reader_->error();
   }
   done(std::move(exchange));
@@ -187,7 +192,21 @@
     Close();
     ReportResult({});
   } else if (state == HttpResponseReader::State::kComplete) {
+    memory_.SetBytes(0);
     OnResponse();
+  } else {
+    CountResponseBytes();
+  }
+}
+
+void HttpConnection::CountResponseBytes() {
+  memory_.SetBytes(reader_->body_bytes() +
+                   evbuffer_get_length(bufferevent_get_input(stream_.get())));
+  if (memory_.must_fail()) {
+    Close();
+    HttpExchange exchange;
+    exchange.error = kMemoryError;
+    ReportResult(std::move(exchange));
   }
 }
 
--- a/net/http_connection.h
+++ b/net/http_connection.h
@@ -13,6 +13,7 @@
 #include "net/http_message.h"
 #include "net/http_response_reader.h"
 #include "net/libevent_ptr.h"
+#include "net/response_memory.h"
 
 namespace jd {
 
@@ -36,8 +37,14 @@
 
   /// The first call of Send opens the connection.
   /// @param address IP address of the server.
+  /// @param memory limits the responses of several connections together; must outlive the
+  /// connection; null for no limit.
   /// @throws std::runtime_error if the address is not an IP address.
-  HttpConnection(event_base* base, const std::string& address, uint16_t port, const Limits& limits);
+  HttpConnection(event_base* base,
+                 const std::string& address,
+                 uint16_t port,
+                 const Limits& limits,
+                 ResponseMemory* memory = nullptr);
   HttpConnection(const HttpConnection&) = delete;
   HttpConnection& operator=(const HttpConnection&) = delete;
 
@@ -77,6 +84,8 @@
                     const HttpHeaders& headers,
                     evbuffer* body);
   void OnInput();
+  /// Counts the bytes of the incomplete response; fails the exchange if they are too many.
+  void CountResponseBytes();
   void OnResponse();
   void OnStreamEnd();
   void Close();
@@ -87,6 +96,7 @@
   static void OnOutputChange(evbuffer* buffer, const evbuffer_cb_info* info, void* argument);
 
   Limits limits_;
+  ResponseMemory::Part memory_;
   socklen_t address_size_ = 0;  // Declared before address_, whose initializer sets it.
   sockaddr_storage address_{};
   Done done_;
--- a/net/http_response_reader.cc
+++ b/net/http_response_reader.cc
@@ -150,6 +150,10 @@
   return response;
 }
 
+size_t HttpResponseReader::body_bytes() const {
+  return parser_->get().body().size();
+}
+
 bool HttpResponseReader::keep_alive() const {
   return state_ == State::kComplete && parser_->keep_alive();
 }
--- a/net/http_response_reader.h
+++ b/net/http_response_reader.h
@@ -47,6 +47,8 @@
 
   /// Returns the response; must be called at most once, in state kComplete.
   HttpResponsePtr TakeResponse();
+  /// Returns the size of the part of the body that has been read.
+  size_t body_bytes() const;
   /// Whether the server keeps the connection open after the complete response.
   bool keep_alive() const;
   /// Which element was invalid or too large; empty unless the state is kFailed.
--- a/tests/upstream_test.cc
+++ b/tests/upstream_test.cc
@@ -6,11 +6,13 @@
 namespace jd {
 namespace {
 
+constexpr size_t kMemoryBytes = 1 << 20;
+
 // A pool with one endpoint "e", which is a server that the test controls.
 struct Fixture {
   explicit Fixture(std::string upstream_address = "127.0.0.1")
       : server(&loop),
-        pool(&loop, HttpConnection::Limits(), &dialect),
+        pool(&loop, HttpConnection::Limits(), kMemoryBytes, &dialect),
         address(std::move(upstream_address)) {
     Configure(4);
     pool.attempt_ended().connect([this](const AttemptResult& result, HttpResponsePtr&) {
@@ -67,6 +69,44 @@
                  "x-load: in-flight=1;slots=4;state=warm\r\nx-instance-id: i7\r\n",
                  "done");
 
+TEST_CASE("responses without end share one limit on memory", "[upstream_test]") {
+  // Guards against a process that runs out of memory because several upstreams send without end at
+  // the same time: each response was bounded, their sum was not.
+  constexpr uint64_t kEndless = 30;
+  Fixture f;
+  f.Configure(kEndless + 1);
+  f.server.on_request = [](TextConnection& connection) {
+    connection.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  };
+  for (uint64_t attempt = 1; attempt <= kEndless; ++attempt) {
+    f.Send(attempt);
+  }
+  REQUIRE(RunUntil(&f.loop, [&] { return f.server.requests() == kEndless; }));
+  const std::string chunk = "8000\r\n" + std::string(0x8000, 'x') + "\r\n";
+  size_t largest = 0;
+  for (int round = 0; round < 40; ++round) {
+    for (const auto& connection : f.server.connections) {
+      connection->Send(chunk);
+    }
+    f.RunLoopBriefly();
+    largest = std::max(largest, f.pool.response_bytes());
+  }
+  const auto failed = [&] {
+    return std::count_if(f.results.begin(), f.results.end(), [](const auto& entry) {
+      return !entry.second.empty() &&
+             entry.second.front().outcome == AttemptOutcome::kConnectionLost;
+    });
+  };
+  // 30 responses of 40 chunks would take 39 MB. All but the small ones have failed.
+  CHECK(largest <= kMemoryBytes + kEndless * ResponseMemory::kSmallResponseBytes);
+  CHECK(failed() > 0);
+  CHECK(f.pool.response_bytes() <= kMemoryBytes);
+  // Another call is served meanwhile.
+  f.AnswerAll(kOk);
+  f.Send(kEndless + 1);
+  CHECK(f.WaitForResult(kEndless + 1).outcome == AttemptOutcome::kAnswered);
+}
+
 TEST_CASE("an endpoint without an IP address costs its own calls and probes alone",
           "[upstream_test]") {
   // Guards against an exception that leaves the event loop and ends the gateway, with every call in
