--- a/tests/http_harness.h
+++ b/tests/http_harness.h
@@ -108,10 +108,10 @@
  public:
   explicit TextServer(EventLoop* loop) : loop_(loop) {
     const sockaddr_in address = Loopback(0);
-    listener_ = evconnlistener_new_bind(
-        loop->base(), &OnAccept, this,
-        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, -1,
-        reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+    listener_ =
+        evconnlistener_new_bind(loop->base(), &OnAccept, this,
+                                LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+                                -1, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
     sockaddr_in bound{};
     socklen_t size = sizeof(bound);
     getsockname(evconnlistener_get_fd(listener_), reinterpret_cast<sockaddr*>(&bound), &size);
