Reject a call without a request id at once on the platform

Cause: the gateway sent such a call on, and each endpoint answers it with 400.

Why it works: the call is answered with 400 before it is sent to an endpoint, which is what the endpoint would answer.

--- a/tests/platform_adapter_test.cc
+++ b/tests/platform_adapter_test.cc
@@ -1,5 +1,7 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+#include <sys/queue.h>
 
 #include <rapidcheck.h>
 #include <catch2/catch.hpp>
@@ -339,6 +341,22 @@
   }
 }
 
+TEST_CASE("a call without an id is rejected at once", "[platform_adapter_test]") {
+  // Guards against a caller that waits until its deadline, because no answer can name its call.
+  const PlatformDialect dialect;
+  evkeyvalq headers{};
+  TAILQ_INIT(&headers);
+  CallRequest call;
+  CHECK_FALSE(dialect.ParseCallHeaders(&headers, &call).empty());
+  evhttp_add_header(&headers, "Request-Id", "");
+  CHECK_FALSE(dialect.ParseCallHeaders(&headers, &call).empty());
+  evhttp_clear_headers(&headers);
+  evhttp_add_header(&headers, "Request-Id", "r1");
+  CHECK(dialect.ParseCallHeaders(&headers, &call).empty());
+  CHECK(call.request_id == RequestId("r1"));
+  evhttp_clear_headers(&headers);
+}
+
 TEST_CASE("a call counts as not executed only if the upstream says so", "[platform_adapter_test]") {
   // Guards against telling a caller that its call was not executed although it may have been.
   ReplyParser parser;
