Soak: rows of another writer, and ports that are held at a start

It now leaves odd rows among those of the endpoints (host names, ports and slots out of range, nested deeply, cut short, no text) and holds the status port of a gateway while it starts.

--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -21,6 +21,8 @@
 constexpr int64_t kMaxLimits = 6;
 constexpr int64_t kMinLimitMs = 5000;
 constexpr int64_t kMaxLimitMs = 15'000;
+constexpr int64_t kMaxOddRows = 6;
+constexpr int64_t kMaxBusyPorts = 2;
 
 int64_t DrawInteger(RandomEngine* random, int64_t min, int64_t max) {
   return std::uniform_int_distribution<int64_t>(min, max)(*random);
@@ -75,6 +77,10 @@
             &faults);
   AddFaults(FaultKind::kEndpointLimit, kMaxLimits, kMinLimitMs, kMaxLimitMs, duration, &later_kinds,
             &faults);
+  AddFaults(FaultKind::kOddRow, kMaxOddRows, kMinFaultDurationMs, kMaxFaultDurationMs, duration,
+            &later_kinds, &faults);
+  AddFaults(FaultKind::kPortBusy, kMaxBusyPorts, kMinFaultDurationMs, kMaxFaultDurationMs, duration,
+            &later_kinds, &faults);
   std::stable_sort(faults.begin(), faults.end(),
                    [](const Fault& a, const Fault& b) { return a.start < b.start; });
   return faults;
@@ -87,7 +93,8 @@
       "store-link-reset", "endpoint-delay", "endpoint-reset",  "endpoint-silent",
       "endpoint-one-way", "endpoint-crash", "endpoint-leaves", "zone-out",
       "configuration",    "gateway-term",   "gateway-kill",    "gateway-pause",
-      "gateway-hang-up",  "all-kill",       "store-restored",  "endpoint-limit"};
+      "gateway-hang-up",  "all-kill",       "store-restored",  "endpoint-limit",
+      "odd-row",          "port-busy"};
   return names.at(static_cast<size_t>(kind));
 }
 
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -33,8 +33,10 @@
   kAllKilled,          ///< All gateways get SIGKILL at once.
   kStoreRestored,      ///< The store is silent, then comes back from a copy that is seconds old.
   kEndpointLimit,      ///< One endpoint names a limit for the requests of all gateways together.
+  kOddRow,             ///< Another writer leaves a row among those of the endpoints.
+  kPortBusy,           ///< One gateway is killed and a port of it is held while it starts.
 };
-inline constexpr FaultKind kLastFaultKind = FaultKind::kEndpointLimit;
+inline constexpr FaultKind kLastFaultKind = FaultKind::kPortBusy;
 
 /// One fault that the soak injects.
 struct Fault {
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -253,6 +253,10 @@
       return RestoreStore(fault.duration);
     case FaultKind::kEndpointLimit:
       return LimitEndpoint(upstream, fault.target_index, fault.duration);
+    case FaultKind::kOddRow:
+      return WriteOddRow(fault.target_index, fault.duration);
+    case FaultKind::kPortBusy:
+      return HoldPort(gateway, fault.duration);
   }
 }
 
@@ -449,6 +453,30 @@
   MarkGatewayFaulty(gateway, true, duration + kRestartDelay, [] {});
 }
 
+void Soak::HoldPort(Gateway* gateway, Duration duration) {
+  if (gateway->port_holder != nullptr) {
+    return;
+  }
+  KillGateway(gateway, kRestartDelay);
+  const uint16_t port = gateway->process->config().status_port;
+  RunAfter(kRestartDelay / 2, [this, gateway, port] {
+    if (gateway->process->process().Running() || gateway->port_holder != nullptr) {
+      return;
+    }
+    gateway->port_holder = std::make_unique<StandinHttp>(base_, port, [](evhttp_request* request) {
+      evhttp_send_error(request, HTTP_SERVUNAVAIL, nullptr);
+    });
+  });
+  MarkGatewayFaulty(gateway, true, kRestartDelay + duration,
+                    [gateway] { gateway->port_holder.reset(); });
+}
+
+void Soak::WriteOddRow(uint64_t pick, Duration duration) {
+  const std::string key = "odd-" + std::to_string(pick);
+  WriteRow("servers", key, MakeOddRow(pick));
+  RunAfter(duration, [this, key] { store_.store().Put("servers", key, std::nullopt); });
+}
+
 void Soak::PauseGateway(Gateway* gateway, Duration duration) {
   gateway->process->process().Signal(SIGSTOP);
   MarkGatewayFaulty(gateway, false, duration,
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -41,6 +41,7 @@
  private:
   struct Gateway {
     std::unique_ptr<TcpProxy> store_link;
+    std::unique_ptr<StandinHttp> port_holder;  ///< Holds its status port; null if nobody does.
     std::unique_ptr<GatewayProcess> process;
     int active_faults = 0;      ///< Number of active faults.
     bool end_expected = false;  ///< The soak sent a signal that ends the process.
@@ -106,6 +107,10 @@
   void WriteNextConfiguration();
   void TerminateGateway(Gateway* gateway);
   void SendHangUpSignal(const Gateway& gateway);
+  /// Lets another writer leave a row among those of the endpoints for `duration`.
+  void WriteOddRow(uint64_t pick, Duration duration);
+  /// Kills a gateway and holds its status port for `duration`, while it starts again.
+  void HoldPort(Gateway* gateway, Duration duration);
   void KillGateway(Gateway* gateway, Duration duration);
   void PauseGateway(Gateway* gateway, Duration duration);
 
--- a/soak/soak_environment.cc
+++ b/soak/soak_environment.cc
@@ -105,6 +105,27 @@
   return document.dump();
 }
 
+std::string MakeOddRow(uint64_t pick) {
+  constexpr size_t kNestedLevels = 20'000;
+  const auto row_with = [](const std::string& field, const json& value) {
+    json document = json::parse(MakeSoakEndpointRow("north", 1, false, 1));
+    document[field] = value;
+    return document.dump();
+  };
+  const std::vector<std::string> rows = {
+      row_with("address", "ledger-7:8080"),
+      row_with("address", "127.0.0:8080"),
+      row_with("address", "127.0.0.1:70000"),
+      row_with("slots", uint64_t{1} << 32),
+      row_with("born", -1),
+      row_with("zone", json::array({1, 2})),
+      R"({"born":)" + std::string(kNestedLevels, '[') + std::string(kNestedLevels, ']') + "}",
+      row_with("service", "unknown").substr(0, 40),
+      std::string("\xff\x00\xfe", 3),
+  };
+  return rows[pick % rows.size()];
+}
+
 uint16_t NextFreePort() {
   static PortBlock block;
   return block.NextPort();
--- a/soak/soak_environment.h
+++ b/soak/soak_environment.h
@@ -28,6 +28,11 @@
                                 bool leaving,
                                 uint64_t sequence);
 
+/// Returns a row value that another writer may leave among the endpoints and that names none of
+/// them: fields of another type or out of range, nested deeply, cut short, or no text.
+/// @param pick selects the kind of row.
+std::string MakeOddRow(uint64_t pick);
+
 /// Returns a loopback port that is free now and was not returned before.
 /// @throws std::runtime_error if no port is left.
 uint16_t NextFreePort();
