Accept a fraction as the memory of the VM

A platform that gives the memory of a VM as a fraction would keep the process from starting; settings of this kind are checked as numbers now.

--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -16,10 +16,10 @@
 // answer that takes longer.
 constexpr Duration kVmListTimeout = 2s;
 
-constexpr size_t kBytesPerMegabyte = 1 << 20;
-// The part of the memory for incomplete responses of upstreams. The buffer of a response that grows
-// takes up to three times its bytes for a moment.
-constexpr size_t kResponseMemoryDivisor = 8;
+constexpr double kBytesPerMegabyte = 1 << 20;
+// The share of the memory for incomplete responses of upstreams. The buffer of a response that
+// grows takes up to three times its bytes for a moment.
+constexpr double kResponseMemoryShare = 0.125;
 
 // Heartbeat interval between gateways that do not lend each other slots.
 constexpr Duration kHeartbeatWithoutLending = 1s;
@@ -85,11 +85,11 @@
       dialect_(dialect),
       node_(ToNodeSettings(settings, peer_port, *loop)),
       callers_(loop, settings, SeedOf(settings), dialect),
-      upstreams_(loop,
-                 {settings.limits.header_bytes, settings.limits.response_bytes},
-                 static_cast<size_t>(settings.limits.memory_mb) * kBytesPerMegabyte /
-                     kResponseMemoryDivisor,
-                 dialect),
+      upstreams_(
+          loop,
+          {settings.limits.header_bytes, settings.limits.response_bytes},
+          static_cast<size_t>(settings.limits.memory_mb * kBytesPerMegabyte * kResponseMemoryShare),
+          dialect),
       status_(
           loop,
           settings.status,
--- a/gateway/setting_table.cc
+++ b/gateway/setting_table.cc
@@ -174,10 +174,10 @@
     {{"response_bytes", SettingKind::kInteger, "bytes", 1024, 1073741824, "", "16777216",
       "Largest body of a response."},
      [](Limits& object, const SettingValue& value) { object.response_bytes = value.integer; }},
-    {{"memory_mb", SettingKind::kInteger, "MB", 16, 1048576, "", "256",
+    {{"memory_mb", SettingKind::kNumber, "MB", 16, 1048576, "", "256",
       "Memory of the VM that the process may use. An eighth of it is for incomplete responses of "
       "upstreams; beyond that the large ones among them fail."},
-     [](Limits& object, const SettingValue& value) { object.memory_mb = value.integer; }},
+     [](Limits& object, const SettingValue& value) { object.memory_mb = value.number; }},
     {{"idle_connections", SettingKind::kInteger, "connections", 0, 1000000, "", "10000",
       "Idle connections of callers that are kept open; above this number, the connections that "
       "have been idle longest are closed first."},
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -23,7 +23,7 @@
   int64_t header_bytes = 0;
   int64_t body_bytes = 0;
   int64_t response_bytes = 0;
-  int64_t memory_mb = 0;
+  double memory_mb = 0;
   int64_t idle_connections = 0;
   Duration idle_timeout{0};
   Duration header_timeout{0};
