--- a/soak/soak_environment.cc
+++ b/soak/soak_environment.cc
@@ -15,6 +15,8 @@
 
 using nlohmann::json;
 
+// Nesting depth of an odd row; a row of 64 KB holds it.
+constexpr size_t kNestedLevels = 20'000;
 constexpr char kService[] = "soak-service";
 // All ports are below the kernel's ephemeral range: an outgoing connection could otherwise take the
 // port of a gateway that is down.
@@ -106,7 +108,6 @@
 }
 
 std::string MakeOddRow(uint64_t pick) {
-  constexpr size_t kNestedLevels = 20'000;
   const auto row_with = [](const std::string& field, const json& value) {
     json document = json::parse(MakeSoakEndpointRow("north", 1, false, 1));
     document[field] = value;
