--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -236,6 +236,20 @@
                          fault.duration + GuaranteeChecker::kMaxZoneOutDelay);
     case FaultKind::kConfiguration:
       return WriteNextConfiguration();
+    case FaultKind::kStoreRestored:
+      return RestoreStore(fault.duration);
+    case FaultKind::kEndpointLimit:
+      return LimitEndpoint(upstream, fault.target_index, fault.duration);
+    case FaultKind::kOddRow:
+      return WriteOddRow(fault.target_index, fault.duration);
+    default:
+      return InjectGatewayFault(fault);
+  }
+}
+
+void Soak::InjectGatewayFault(const Fault& fault) {
+  Gateway* gateway = &gateways_[fault.target_index % gateways_.size()];
+  switch (fault.kind) {
     case FaultKind::kGatewayTerminated:
       return TerminateGateway(gateway);
     case FaultKind::kGatewayKilled:
@@ -249,14 +263,10 @@
         KillGateway(&each, fault.duration);
       }
       return;
-    case FaultKind::kStoreRestored:
-      return RestoreStore(fault.duration);
-    case FaultKind::kEndpointLimit:
-      return LimitEndpoint(upstream, fault.target_index, fault.duration);
-    case FaultKind::kOddRow:
-      return WriteOddRow(fault.target_index, fault.duration);
     case FaultKind::kPortBusy:
       return HoldPort(gateway, fault.duration);
+    default:
+      return;
   }
 }
 
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -77,6 +77,8 @@
   void PrintFault(const Fault& fault) const;
   /// Prints a fault and starts it.
   void InjectFault(const Fault& fault);
+  /// Starts a fault that a signal to a gateway or a port of it causes.
+  void InjectGatewayFault(const Fault& fault);
   void InjectStoreFault(RowFault kind, Duration duration);
   /// Makes the store unavailable and removes all endpoint rows, as if they had expired.
   void ExpireEndpointRows(Duration duration);
