Look up an endpoint's record after its zone when probes are chosen

Since the records belong to a service, the choice of probes looked up the record of each endpoint of the service, also of those that the stage leaves out by their zone. The zone is compared first again, as before. Same choices, fewer look-ups for each call; not measured.

--- a/policy/fresh_load.cc
+++ b/policy/fresh_load.cc
@@ -53,8 +53,11 @@
   std::vector<Ranked> ranked;
   for (const EndpointView& endpoint : service->second.endpoints) {
     const bool is_local = endpoint.zone == request.local_zone;
+    if (is_local != (stage == 0)) {
+      continue;
+    }
     const EndpointRecord* record = FindRecord(request.service, endpoint.id);
-    if (is_local != (stage == 0) || record == nullptr || !IsUsable(now, endpoint, *record) ||
+    if (record == nullptr || !IsUsable(now, endpoint, *record) ||
         std::find(request.excluded.begin(), request.excluded.end(), endpoint.id) !=
             request.excluded.end()) {
       continue;
