Limit deadlines at a stop without a turn of every timer

Node::LimitDeadlines ran OnTimer of every part to have the next timer set. The next timer already follows from the calls' deadlines, so the gateway schedules it; the function needs neither time nor actions. A cast to the type that the port has is gone.

--- a/cluster/node.cc
+++ b/cluster/node.cc
@@ -409,11 +409,6 @@
   OnLoopIterationEnd(now, actions);
 }
 
-void Node::LimitDeadlines(Now now, MonoTime latest, NodeActions* actions) {
-  dispatcher_.LimitDeadlines(latest);
-  OnTimer(now, actions);
-}
-
 void Node::OnStop(Now now, NodeActions* actions) {
   stopping_ = true;
   dispatcher_.StopAdmission();
--- a/cluster/node.h
+++ b/cluster/node.h
@@ -79,8 +79,8 @@
   /// event loop, so that their effects are sent in few messages.
   void OnLoopIterationEnd(Now now, NodeActions* actions);
   /// Ends every call, also those that arrive later, by `latest`, when the process is about to be
-  /// killed.
-  void LimitDeadlines(Now now, MonoTime latest, NodeActions* actions);
+  /// killed. next_timer() may be earlier afterwards.
+  void LimitDeadlines(MonoTime latest) { dispatcher_.LimitDeadlines(latest); }
   /// Starts a graceful shutdown: refuses new calls, lets the calls in flight finish, and hands over
   /// slots and the ownership of pools. The process may exit once drained() is true.
   void OnStop(Now now, NodeActions* actions);
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -144,9 +144,8 @@
   callers_.AnnounceClose();
   const StopPlan plan = PlanStop(settings_.grace_period, settings_.stop_limit);
   if (plan.last_answer) {
-    NotifyNode([&](Now now, NodeActions* out) {
-      node_.LimitDeadlines(now, now.mono + *plan.last_answer, out);
-    });
+    node_.LimitDeadlines(loop_->ReadClocks().mono + *plan.last_answer);
+    ScheduleNodeTimer();
   }
   grace_timer_.Schedule(plan.admission);
 }
--- a/gateway/http_server.cc
+++ b/gateway/http_server.cc
@@ -52,7 +52,7 @@
   evhttp_bound_socket* socket =
       evhttp_bind_socket_with_handle(server.get(), address.address.c_str(), address.port);
   if (socket == nullptr) {
-    throw ListenError(address.address, static_cast<uint16_t>(address.port), errno);
+    throw ListenError(address.address, address.port, errno);
   }
   evhttp_set_default_content_type(server.get(), nullptr);
   sockaddr_storage storage{};
--- a/policy/dispatcher.h
+++ b/policy/dispatcher.h
@@ -73,7 +73,8 @@
   /// Refuses new calls from now on; calls in progress continue.
   void StopAdmission() { call_manager_.StopAdmission(); }
 
-  /// Ends every call by `latest`, also calls that arrive later. OnTimer must be called afterwards.
+  /// Ends every call by `latest`, also calls that arrive later. next_timer() may be earlier
+  /// afterwards.
   void LimitDeadlines(MonoTime latest) { call_manager_.LimitDeadlines(latest); }
 
   /// Returns when OnTimer must be called next, or nothing if no timer is set.
