--- a/common/configuration.h
+++ b/common/configuration.h
@@ -23,6 +23,7 @@
   /// The run of the upstream process that may serve the requests; empty if any run may. Needed
   /// because the address may be reassigned to another upstream process.
   InstanceId instance = {};
+  SoftwareVersion version = {};  ///< Empty if it is not known.
   bool operator==(const Endpoint&) const = default;
 };
 
@@ -73,6 +74,8 @@
   std::string request_key_header;
   Priority priority = Priority::kNormal;
   int32_t max_queue = 256;  ///< Limit of calls that wait in the queue of one gateway.
+  /// Responses may be large, and are passed on to the caller while they arrive.
+  bool large_responses = false;
   bool operator==(const Profile&) const = default;
 };
 
@@ -90,6 +93,7 @@
   std::string prefix;  ///< Begins and ends with a slash.
   Profile profile;     ///< Profile of these calls; replaces the profile of the target service.
   std::vector<RouteTarget> targets;  ///< Never empty.
+  bool is_public = false;            ///< Callers need no key, even if workspaces have keys.
   bool operator==(const Route&) const = default;
 };
 
@@ -103,6 +107,7 @@
 };
 
 class RouteTable;
+class WorkspaceTable;
 
 enum class ZoneState : uint8_t {
   kIn,         ///< The zone receives traffic.
@@ -126,6 +131,8 @@
   std::map<ZoneId, Zone> zones;
   /// Maps host and path of a call to a service; null if each call names its service.
   std::shared_ptr<const RouteTable> routes;
+  /// Maps the key of a call to its workspace; null if callers are not identified by keys.
+  std::shared_ptr<const WorkspaceTable> workspace_table;
   std::optional<CallerLimits> caller_limits;
   /// Version of the last change to each object, by "kind/name".
   std::map<std::string, ConfigVersion> object_versions;
--- a/common/ids.h
+++ b/common/ids.h
@@ -53,6 +53,8 @@
 /// the form "service#index".
 using PoolId = NameId<struct PoolTag>;
 using RequestId = NameId<struct RequestTag>;
+/// The software release that an upstream process runs; processes of one service may differ in it.
+using SoftwareVersion = NameId<struct SoftwareVersionTag>;
 
 using CallId = NumberId<struct CallTag>;
 using AttemptId = NumberId<struct AttemptTag>;
--- a/policy/call.cc
+++ b/policy/call.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "common/workspace_table.h"
+
 namespace jd {
 namespace {
 
@@ -21,6 +23,18 @@
   return common == configuration.workspaces.end() ? 1.0 : std::max(common->second, kMinShare);
 }
 
+CallRank RankOf(const WorkspaceId& workspace,
+                const Profile& profile,
+                const Configuration& configuration) {
+  CallRank rank;
+  rank.profile = profile.priority;
+  if (configuration.workspace_table != nullptr) {
+    const KeyedWorkspace* known = configuration.workspace_table->FindById(workspace);
+    rank.workspace = known == nullptr ? rank.workspace : known->priority.value_or(rank.workspace);
+  }
+  return rank;
+}
+
 }  // namespace
 
 Call MakeCall(MonoTime now,
@@ -37,7 +51,8 @@
                  profile.hedge_after,
                  profile.retry_budget,
                  profile.max_queue,
-                 profile.priority};
+                 profile.priority,
+                 RankOf(request.workspace, profile, configuration)};
   call.arrival = now;
   call.deadline = now + std::min(profile.deadline, request.timeout.value_or(profile.deadline));
   call.target_time = profile.target_latency == Duration(0)
--- a/policy/call.h
+++ b/policy/call.h
@@ -7,6 +7,7 @@
 #include "common/units.h"
 #include "common/verdict.h"
 #include "policy/call_queue.h"
+#include "policy/call_rank.h"
 #include "policy/call_request.h"
 
 namespace jd {
@@ -20,6 +21,7 @@
   double retry_budget = 0;
   int32_t max_queue = 0;
   Priority priority = Priority::kNormal;
+  CallRank rank = {};  ///< `priority` is its second part.
 };
 
 /// A call in progress: its request, its limits and the state of its attempts.
--- a/policy/call_request.h
+++ b/policy/call_request.h
@@ -13,7 +13,9 @@
 struct CallRequest {
   CallId id;
   RequestId request_id;
-  WorkspaceId workspace;
+  WorkspaceId workspace;  ///< Set on admission if the configuration identifies callers by keys.
+  /// Key that the caller presents; absent if there is none, empty if it is malformed. Never logged.
+  std::optional<std::string> caller_key;
   ServiceId service;  ///< Empty if the route table determines it from host and path.
   ProfileId profile;  ///< Set on admission.
   std::string host;
--- a/policy/refusal.cc
+++ b/policy/refusal.cc
@@ -26,6 +26,10 @@
       return "store-unavailable";
     case RefusalReason::kKeyUnresolved:
       return "key-unresolved";
+    case RefusalReason::kUnknownCaller:
+      return "unknown-caller";
+    case RefusalReason::kOverQuota:
+      return "over-quota";
   }
   return "unknown";
 }
@@ -36,7 +40,10 @@
     case RefusalReason::kUnknownRoute:
       return 404;
     case RefusalReason::kOverload:
+    case RefusalReason::kOverQuota:
       return 429;
+    case RefusalReason::kUnknownCaller:
+      return 401;
     case RefusalReason::kDeadline:
       return 504;
     case RefusalReason::kUpstreamFailed:
--- a/policy/refusal.h
+++ b/policy/refusal.h
@@ -22,6 +22,8 @@
   kCrashesUpstreams,  ///< The same request has crashed upstreams.
   kStoreUnavailable,  ///< The request key cannot be claimed.
   kKeyUnresolved,     ///< Another request with this key may have run.
+  kUnknownCaller,     ///< No workspace holds the key that the caller presents.
+  kOverQuota,         ///< The workspace has used up its quota.
 };
 
 /// Returns the text of the `x-refusal` header.
