Identify callers by the keys of workspaces

Change: the workspace of a call comes from its key, looked up in the configuration's table on admission and again before each attempt if the table has changed; 401 unknown-caller otherwise, public routes excepted. The key and the caller's own word are removed from each attempt, whatever their case and number. Workspaces of the product's own configuration have keys, a priority and a quota too (workspace put NAME FILE, workspace show).

Ruled out: identification in the dialect (no test without HTTP of a key withdrawn in the queue); removing the key on arrival (a table that appears before the send would pass it on).

--- a/cluster/catalog.cc
+++ b/cluster/catalog.cc
@@ -67,6 +67,7 @@
   configuration->version = operator_configuration_->version;
   configuration->routes = routes_;
   configuration->caller_limits = operator_configuration_->limits;
+  configuration->workspace_table = operator_configuration_->workspace_table;
   for (const Service& service : operator_configuration_->services) {
     configuration->services.emplace(service.id, service);
   }
--- a/cluster/discovery.h
+++ b/cluster/discovery.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -11,6 +12,7 @@
 #include "common/ids.h"
 #include "common/units.h"
 #include "common/vm_list.h"
+#include "common/workspace_table.h"
 
 namespace jd {
 
@@ -42,6 +44,8 @@
   std::vector<Route> routes;
   std::vector<Service> services;  ///< Without endpoints.
   CallerLimits limits;
+  /// Null if callers are not identified by keys.
+  std::shared_ptr<const WorkspaceTable> workspace_table = nullptr;
   Fingerprint content = {};  ///< Hash of all that the operators wrote.
 };
 
--- a/cluster/node_operator.cc
+++ b/cluster/node_operator.cc
@@ -61,19 +61,29 @@
                      });
 }
 
+// @param object the workspace's fields, or its share alone.
+std::optional<ConfigChange> ParseWorkspace(const std::string& name,
+                                           Json object,
+                                           ConfigErrors* errors) {
+  if (!object.is_object()) {
+    object = {{"share", object}};
+  }
+  const Json share = object.value("share", Json(1.0));
+  if (!share.is_number() || share.get<double>() <= 0) {
+    errors->push_back({"share", "is not a positive number", "a number above 0"});
+    return std::nullopt;
+  }
+  object["id"] = name;
+  const Json change = {{"change", "put-workspace"}, {"workspace", object}};
+  return ChangeFromJson(change.dump(), errors);
+}
+
 std::optional<ConfigChange> ParsePut(const Json& body, ConfigErrors* errors) {
   const std::string kind = body.value("kind", "");
   const std::string name = body.value("name", "");
   Json object = body.value("object", Json());
   if (kind == "workspace") {
-    if (object.is_object()) {
-      object = object.value("share", Json(1.0));
-    }
-    if (!object.is_number() || object.get<double>() <= 0) {
-      errors->push_back({"share", "is not a positive number", "a number above 0"});
-      return std::nullopt;
-    }
-    return Workspace{WorkspaceId(name), object.get<double>()};
+    return ParseWorkspace(name, object, errors);
   }
   if (kind == "zone") {
     return jd::Zone{ZoneId(name), ZoneState::kIn};
--- a/common/config_change.cc
+++ b/common/config_change.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <set>
 
+#include "common/workspace_table.h"
+
 namespace jd {
 namespace {
 
@@ -98,7 +100,7 @@
   if (workspace == configuration.workspaces.end()) {
     return Removal{object};
   }
-  return Workspace{workspace->first, workspace->second};
+  return workspace->second;
 }
 
 void CheckReferences(const Configuration& configuration,
@@ -134,10 +136,34 @@
   }
 }
 
+void CheckKeys(const Configuration& configuration,
+               const Workspace& workspace,
+               const std::string& path,
+               ConfigErrors* errors) {
+  for (size_t i = 0; i < workspace.keys.size(); ++i) {
+    const std::string& key = workspace.keys[i];
+    const std::string key_path = path + "keys[" + std::to_string(i) + "]";
+    if (key.empty() || key.find_first_of(" \t,") != std::string::npos) {
+      errors->push_back(
+          {key_path, "is empty or has a space, tab or comma", "a key without these characters"});
+    }
+    for (const auto& [id, other] : configuration.workspaces) {
+      const bool shared = id != workspace.id &&
+                          std::find(other.keys.begin(), other.keys.end(), key) != other.keys.end();
+      if (shared) {
+        errors->push_back({key_path, "is also a key of the workspace \"" + id.value + "\"",
+                           "a key that no other workspace has"});
+      }
+    }
+  }
+}
+
 ConfigErrors CheckChange(const Configuration& configuration, const ConfigChange& change) {
   ConfigErrors errors;
   if (const auto* service = std::get_if<Service>(&change)) {
     CheckReferences(configuration, *service, "service.", &errors);
+  } else if (const auto* workspace = std::get_if<Workspace>(&change)) {
+    CheckKeys(configuration, *workspace, "workspace.", &errors);
   } else if (const auto* removal = std::get_if<Removal>(&change)) {
     CheckRemoval(configuration, *removal, &errors);
   }
@@ -152,12 +178,13 @@
   } else if (const auto* service = std::get_if<Service>(&change)) {
     next.services[service->id] = *service;
   } else if (const auto* workspace = std::get_if<Workspace>(&change)) {
-    next.workspaces[workspace->id] = workspace->share;
+    next.workspaces[workspace->id] = *workspace;
   } else if (const auto* zone = std::get_if<Zone>(&change)) {
     next.zones[zone->id] = *zone;
   } else {
     EraseObject(std::get<Removal>(change).object, &next);
   }
+  next.workspace_table = MakeWorkspaceTable(next.workspaces);
   next.object_versions[ObjectOf(change).key()] = next.version;
   return next;
 }
--- a/common/config_change.h
+++ b/common/config_change.h
@@ -10,14 +10,6 @@
 
 namespace jd {
 
-/// A workspace and its default share, which applies to each service that lists no share for the
-/// workspace.
-struct Workspace {
-  WorkspaceId id;
-  double share = 1.0;
-  bool operator==(const Workspace&) const = default;
-};
-
 /// Kinds of configuration objects that an operator can write.
 enum class ObjectKind : uint8_t { kProfile, kService, kWorkspace, kZone };
 
@@ -58,6 +50,14 @@
                      const std::string& path,
                      ConfigErrors* errors);
 
+/// Adds an error for each key of the workspace that is malformed or that another workspace has. No
+/// error contains a key.
+/// @param path prefix of the field paths in the errors.
+void CheckKeys(const Configuration& configuration,
+               const Workspace& workspace,
+               const std::string& path,
+               ConfigErrors* errors);
+
 /// Returns the configuration that results from applying the change, at the next version. Does not
 /// check the change.
 Configuration WithChange(const Configuration& configuration, const ConfigChange& change);
--- a/common/config_codec.cc
+++ b/common/config_codec.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "common/text_rules.h"
+#include "common/workspace_table.h"
 
 namespace jd {
 namespace {
@@ -12,6 +13,7 @@
 
 constexpr int64_t kMaxVersion = std::numeric_limits<int64_t>::max();
 constexpr double kMaxShare = 1000.0;
+constexpr double kMaxQuota = 1e9;
 
 constexpr std::initializer_list<const char*> kPriorityNames = {"low", "normal", "high"};
 constexpr std::initializer_list<const char*> kZoneStateNames = {"in", "out", "returning"};
@@ -70,6 +72,16 @@
 void WorkspaceFields(Archive& archive, T& workspace) {
   archive.Name("id", workspace.id);
   archive.Number("share", workspace.share, 0.0, kMaxShare, Need::kOptional);
+  if constexpr (std::is_same_v<Archive, JsonWriter>) {
+    // A gateway of a version without keys reads a workspace that has none.
+    if (workspace == Workspace{workspace.id, workspace.share}) {
+      return;
+    }
+  }
+  archive.Strings("keys", workspace.keys);
+  archive.Enum("priority", workspace.priority, kPriorityNames, Need::kOptional);
+  archive.Number("quota_per_second", workspace.quota_per_second, 0.0, kMaxQuota, Need::kOptional);
+  archive.Number("quota_burst", workspace.quota_burst, 0.0, kMaxQuota, Need::kOptional);
 }
 
 template <typename Archive, typename T>
@@ -252,10 +264,7 @@
 std::string ToJson(const Configuration& configuration) {
   json value;
   value["version"] = configuration.version.value;
-  value["workspaces"] = json::array();
-  for (const auto& [id, share] : configuration.workspaces) {
-    value["workspaces"].push_back(Encode(Workspace{id, share}));
-  }
+  value["workspaces"] = EncodeList(configuration.workspaces);
   value["profiles"] = EncodeList(configuration.profiles);
   value["services"] = EncodeList(configuration.services);
   value["zones"] = EncodeList(configuration.zones);
@@ -323,7 +332,7 @@
   Configuration result;
   reader.Integer("version", result.version.value, 0, kMaxVersion, Need::kRequired);
   DecodeList<Workspace>(&reader, "workspaces", [&](Workspace item) {
-    return result.workspaces.emplace(item.id, item.share).second;
+    return result.workspaces.emplace(item.id, std::move(item)).second;
   });
   DecodeList<Profile>(&reader, "profiles", [&](Profile item) {
     return result.profiles.emplace(item.id, std::move(item)).second;
@@ -338,6 +347,12 @@
   for (const auto& [id, service] : result.services) {
     CheckReferences(result, service, "service/" + id.value + ".", errors);
   }
+  for (const auto& [id, workspace] : result.workspaces) {
+    CheckKeys(result, workspace, "workspace/" + id.value + ".", errors);
+  }
+  if (errors->size() == before) {
+    result.workspace_table = MakeWorkspaceTable(result.workspaces);
+  }
   return errors->size() > before ? std::nullopt : std::optional(std::move(result));
 }
 
--- a/common/configuration.h
+++ b/common/configuration.h
@@ -27,6 +27,23 @@
   bool operator==(const Endpoint&) const = default;
 };
 
+/// Priority of a call: waiting calls of a higher priority are dispatched first.
+enum class Priority : uint8_t { kLow = 0, kNormal = 1, kHigh = 2 };
+
+/// A workspace, as operators write it.
+struct Workspace {
+  WorkspaceId id;
+  /// Default share, which applies to each service that lists no share for the workspace.
+  double share = 1.0;
+  /// Keys by which the workspace's callers identify themselves. If any workspace has a key, every
+  /// call needs one.
+  std::vector<std::string> keys = {};
+  Priority priority = Priority::kNormal;  ///< Goes before the priority of the profile.
+  double quota_per_second = 0;  ///< Calls per second, by all gateways together; 0: no limit.
+  double quota_burst = 0;       ///< Calls beyond the rate that may be sent at once.
+  bool operator==(const Workspace&) const = default;
+};
+
 /// The share of a service's capacity that a workspace may use while the service is overloaded.
 struct WorkspaceShare {
   WorkspaceId workspace;
@@ -51,9 +68,6 @@
   bool operator==(const Service&) const = default;
 };
 
-/// Priority of a call: waiting calls of a higher priority are dispatched first.
-enum class Priority : uint8_t { kLow = 0, kNormal = 1, kHigh = 2 };
-
 /// Retry, hedging, deadline and queueing rules for the calls of a service. Operators write
 /// profiles, and each service refers to one by name.
 struct Profile {
@@ -125,7 +139,7 @@
 /// All settings that operators change at run time, at one version.
 struct Configuration {
   ConfigVersion version;
-  std::map<WorkspaceId, double> workspaces;  ///< Default share of each workspace.
+  std::map<WorkspaceId, Workspace> workspaces;
   std::map<ProfileId, Profile> profiles;
   std::map<ServiceId, Service> services;
   std::map<ZoneId, Zone> zones;
--- a/common/workspace_table.h
+++ b/common/workspace_table.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "common/configuration.h"
@@ -30,8 +32,8 @@
 /// Finds the workspace of a call by the key that the caller presents.
 class WorkspaceTable {
  public:
-  /// @throws std::invalid_argument if two workspaces have the same name or share a key; the message
-  /// does not contain the key.
+  /// @throws std::invalid_argument if a key is empty, or two workspaces have the same name or share
+  /// a key; the message does not contain the key.
   explicit WorkspaceTable(std::vector<KeyedWorkspace> workspaces);
 
   /// @return the workspace that holds the key, or null.
@@ -42,8 +44,15 @@
 
  private:
   std::vector<KeyedWorkspace> workspaces_;
-  std::map<std::string, size_t, std::less<>> by_key_;  ///< Indices into workspaces_.
-  std::map<WorkspaceId, size_t> by_id_;                ///< Indices into workspaces_.
+  /// Indices into workspaces_, by the hash of the key: the time of a look-up does not depend on how
+  /// many characters of a key a caller has guessed.
+  std::unordered_multimap<Fingerprint, size_t> by_key_hash_;
+  std::map<WorkspaceId, size_t> by_id_;  ///< Indices into workspaces_.
 };
 
+/// Returns the table of the workspaces that operators wrote, or null if none of them has a key.
+/// @param workspaces must have passed CheckKeys.
+std::shared_ptr<const WorkspaceTable> MakeWorkspaceTable(
+    const std::map<WorkspaceId, Workspace>& workspaces);
+
 }  // namespace jd
--- a/control/operator_commands.cc
+++ b/control/operator_commands.cc
@@ -101,12 +101,19 @@
   return key == nullptr ? "" : key;
 }
 
+// Reads a workspace, which is given as its share alone or as a file with its fields.
+Json ReadWorkspace(const std::string& share_or_file) {
+  double share = 0;
+  const char* end = share_or_file.data() + share_or_file.size();
+  const auto [rest, error] = std::from_chars(share_or_file.data(), end, share);
+  return error == std::errc() && rest == end ? Json(share) : ReadObject(share_or_file);
+}
+
 void AddPutFields(const Arguments& args, const std::string& kind, Json* body) {
   (*body)["kind"] = kind;
   (*body)["name"] = ArgumentText(args, "NAME");
-  (*body)["object"] = kind == "workspace"
-                          ? Json(ParseNumber<double>(ArgumentText(args, "SHARE"), "SHARE"))
-                          : ReadObject(ArgumentText(args, "FILE"));
+  (*body)["object"] = kind == "workspace" ? ReadWorkspace(ArgumentText(args, "SHARE_OR_FILE"))
+                                          : ReadObject(ArgumentText(args, "FILE"));
 }
 
 std::pair<std::string, Json> ParseObjectCommand(const Arguments& args, const std::string& kind) {
--- a/gateway/embedded_configuration.cc
+++ b/gateway/embedded_configuration.cc
@@ -5,6 +5,8 @@
 #include <set>
 #include <utility>
 
+#include "common/config_change.h"
+#include "common/workspace_table.h"
 #include "gateway/setting_table.h"
 
 namespace jd {
@@ -47,11 +49,11 @@
       InsertUnique(*table, "zone", &result_.zones, zone.id, zone, errors_);
     }
     for (const toml::table* table : TablesInArray(root_, "workspaces", "workspaces", errors_)) {
-      WorkspaceSetting workspace;
+      Workspace workspace;
       ReadObject(*table, "workspaces", WorkspaceFields(), {}, &workspace, errors_);
-      InsertUnique(*table, "workspace", &result_.workspaces, workspace.id, workspace.share,
-                   errors_);
+      InsertUnique(*table, "workspace", &result_.workspaces, workspace.id, workspace, errors_);
     }
+    ReadWorkspaceTable();
     for (const toml::table* table : TablesInArray(root_, "profiles", "profiles", errors_)) {
       Profile profile;
       ReadObject(*table, "profiles", ProfileFields(), {}, &profile, errors_);
@@ -65,6 +67,20 @@
   }
 
  private:
+  void ReadWorkspaceTable() {
+    ConfigErrors errors;
+    for (const auto& [id, workspace] : result_.workspaces) {
+      CheckKeys(result_, workspace, "workspaces." + id.value + ".", &errors);
+    }
+    for (const ConfigError& error : errors) {
+      errors_->Add(root_.source(),
+                   "'" + error.path + "' " + error.problem + "; accepted: " + error.accepted);
+    }
+    if (errors.empty()) {
+      result_.workspace_table = MakeWorkspaceTable(result_.workspaces);
+    }
+  }
+
   void ReadService(const toml::table& table) {
     Service service;
     ReadObject(table, "services", ServiceFields(), {"shares", "endpoints"}, &service, errors_);
--- a/gateway/http_dialect.h
+++ b/gateway/http_dialect.h
@@ -62,6 +62,8 @@
                                    const HttpResponse& response) const = 0;
   /// Returns whether a header of an upstream's response must not be forwarded to the caller.
   virtual bool HidesResponseHeader(std::string_view name) const = 0;
+  /// Returns the name of the header that tells upstreams the workspace of a call.
+  virtual const char* workspace_header() const = 0;
   /// Returns the name of the header that carries the request id.
   virtual const char* request_id_header() const = 0;
   /// Returns the HTTP status of a refusal.
@@ -84,6 +86,7 @@
   bool AnswersOtherRequest(const RequestId& request_id,
                            const HttpResponse& response) const override;
   bool HidesResponseHeader(std::string_view name) const override;
+  const char* workspace_header() const override { return "x-workspace"; }
   const char* request_id_header() const override { return "x-request-id"; }
   int StatusOf(const Refusal& refusal) const override;
   void AddRefusalHeaders(const Refusal& refusal, evkeyvalq* headers) const override;
--- a/gateway/metrics.cc
+++ b/gateway/metrics.cc
@@ -107,7 +107,7 @@
       "end", CallOutcome::kRejected, [](CallOutcome outcome) { return LabelValue(outcome); });
   refusals_ = AddCounterPerValue(
       RegisterCounterFamily(&registry_, "jackdawdeck_refusals_total", "Refused calls by reason."),
-      "reason", RefusalReason::kKeyUnresolved, &RefusalReasonName);
+      "reason", RefusalReason::kOverQuota, &RefusalReasonName);
   workspace_refusals_ = RegisterCounterFamily(&registry_, "jackdawdeck_workspace_refusals_total",
                                               "Refused calls by workspace.");
   call_latency_ =
--- a/gateway/native_dialect.cc
+++ b/gateway/native_dialect.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "gateway/caller_key.h"
 #include "gateway/header_rules.h"
 #include "gateway/http_dialect.h"
 
@@ -19,6 +20,7 @@
 std::string NativeDialect::ParseCallHeaders(const evkeyvalq* headers, CallRequest* call) const {
   call->request_id = RequestId(HeaderValue(headers, "x-request-id"));
   call->workspace = WorkspaceId(HeaderValue(headers, "x-workspace"));
+  call->caller_key = ParseCallerKey(headers);
   call->service = ServiceId(HeaderValue(headers, "x-service"));
   const std::string deadline = HeaderValue(headers, "x-deadline-ms");
   call->timeout = ParseDeadline(deadline);
@@ -83,6 +85,9 @@
 }
 
 void NativeDialect::AddRefusalHeaders(const Refusal& refusal, evkeyvalq* headers) const {
+  if (refusal.reason == RefusalReason::kUnknownCaller) {
+    evhttp_add_header(headers, "WWW-Authenticate", "Bearer");
+  }
   const std::string verdict(VerdictName(refusal.verdict));
   const std::string reason(RefusalReasonName(refusal.reason));
   evhttp_add_header(headers, "x-verdict", verdict.c_str());
--- a/gateway/setting_table.cc
+++ b/gateway/setting_table.cc
@@ -200,13 +200,28 @@
      }},
 };
 
-constexpr SettingField<WorkspaceSetting> kWorkspaceFields[] = {
+constexpr SettingField<Workspace> kWorkspaceFields[] = {
     {{"id", SettingKind::kName, "", 0, 0, "", nullptr,
       "Name of the workspace, as callers send it in x-workspace."},
-     [](WorkspaceSetting& object, const SettingValue& value) { object.id.value = value.string; }},
+     [](Workspace& object, const SettingValue& value) { object.id.value = value.string; }},
     {{"share", SettingKind::kNumber, "", 0.001, 1000, "", "1.0",
       "Default weight of the workspace in each service."},
-     [](WorkspaceSetting& object, const SettingValue& value) { object.share = value.number; }},
+     [](Workspace& object, const SettingValue& value) { object.share = value.number; }},
+    {{"keys", SettingKind::kStringList, "", 0, 0, "", "[]",
+      "Keys that the workspace's callers send as 'Authorization: Bearer KEY'. If any workspace has "
+      "a key, every call needs one and x-workspace is ignored."},
+     [](Workspace& object, const SettingValue& value) { object.keys = value.string_list; }},
+    {{"priority", SettingKind::kString, "", 0, 0, "low|normal|high", "\"normal\"",
+      "Priority of the workspace's calls; goes before that of the profile."},
+     [](Workspace& object, const SettingValue& value) {
+       object.priority = ParsePriority(value.string);
+     }},
+    {{"quota_per_second", SettingKind::kNumber, "calls/s", 0, 1e9, "", "0",
+      "Calls per second of the workspace, by all gateways together; 0: no limit."},
+     [](Workspace& object, const SettingValue& value) { object.quota_per_second = value.number; }},
+    {{"quota_burst", SettingKind::kNumber, "calls", 0, 1e9, "", "0",
+      "Calls beyond the quota that may be sent at once."},
+     [](Workspace& object, const SettingValue& value) { object.quota_burst = value.number; }},
 };
 
 constexpr SettingField<Profile> kProfileFields[] = {
@@ -368,7 +383,7 @@
   return kLimitsFields;
 }
 
-std::span<const SettingField<WorkspaceSetting>> WorkspaceFields() {
+std::span<const SettingField<Workspace>> WorkspaceFields() {
   return kWorkspaceFields;
 }
 
--- a/gateway/setting_table.h
+++ b/gateway/setting_table.h
@@ -6,12 +6,6 @@
 
 namespace jd {
 
-/// An entry of the `workspaces` array in the settings file.
-struct WorkspaceSetting {
-  WorkspaceId id;
-  double share = 1.0;
-};
-
 // These functions return the settings of each table of the file. Both the parser and the
 // documentation page use them, and the accepted values of a setting are defined nowhere else.
 std::span<const SettingField<Settings>> GatewayFields();
@@ -23,7 +17,7 @@
 std::span<const SettingField<Settings>> RetriesFields();
 std::span<const SettingField<Settings>> ProbesFields();
 std::span<const SettingField<Limits>> LimitsFields();
-std::span<const SettingField<WorkspaceSetting>> WorkspaceFields();
+std::span<const SettingField<Workspace>> WorkspaceFields();
 std::span<const SettingField<Profile>> ProfileFields();
 std::span<const SettingField<Zone>> ZoneFields();
 std::span<const SettingField<Service>> ServiceFields();
--- a/gateway/upstream_pool.cc
+++ b/gateway/upstream_pool.cc
@@ -23,6 +23,16 @@
 // as well.
 constexpr Duration kDefaultIdleTimeout = 5s;
 
+// Removes the caller's key, and replaces what the caller says of its workspace.
+void SetWorkspace(const WorkspaceId& workspace, std::string_view name, HttpHeaders* headers) {
+  std::erase_if(*headers, [&](const auto& header) {
+    return EqualsIgnoreCase(header.first, "Authorization") || EqualsIgnoreCase(header.first, name);
+  });
+  if (!workspace.empty()) {
+    headers->emplace_back(name, workspace.value);
+  }
+}
+
 HttpHeaders WithHostHeader(const HttpHeaders& caller_headers, const std::string& address) {
   HttpHeaders headers = caller_headers;
   if (std::none_of(headers.begin(), headers.end(),
@@ -176,6 +186,9 @@
   ScheduleDeadlineTimer();
   const EndpointConfig& config = exchanges_.at(id).connection->config;
   HttpHeaders headers = WithHostHeader(request.headers, config.address);
+  if (attempt.workspace) {
+    SetWorkspace(*attempt.workspace, dialect_->workspace_header(), &headers);
+  }
   dialect_->AddAttemptHeaders({request.request_id, attempt.timeout, config.instance}, &headers);
   BufferPtr body;
   if (request.body != nullptr && evbuffer_get_length(request.body) > 0) {
--- a/policy/call.cc
+++ b/policy/call.cc
@@ -20,7 +20,7 @@
     return std::max(own->share, kMinShare);
   }
   const auto common = configuration.workspaces.find(workspace);
-  return common == configuration.workspaces.end() ? 1.0 : std::max(common->second, kMinShare);
+  return common == configuration.workspaces.end() ? 1.0 : std::max(common->second.share, kMinShare);
 }
 
 CallRank RankOf(const WorkspaceId& workspace,
@@ -60,6 +60,7 @@
                          : std::min(call.deadline, now + profile.target_latency - caller_wait);
   call.weight = ShareOf(request.workspace, service, configuration);
   call.idempotent = IsIdempotent(profile, request.method, request.path);
+  call.workspace_table = configuration.workspace_table;
   call.sequence = sequence;
   return call;
 }
--- a/policy/call.h
+++ b/policy/call.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <memory>
 #include <optional>
 #include <vector>
 
@@ -39,6 +40,8 @@
   int32_t attempts = 0;   ///< Number of attempts sent.
   bool hedged = false;
   bool queued = false;
+  /// The table that the workspace was found in; null if callers are not identified by keys.
+  std::shared_ptr<const WorkspaceTable> workspace_table;
   Verdict verdict = Verdict::kNotRun;  ///< Combined verdict of the ended attempts.
   std::vector<EndpointId> tried;       ///< Endpoints that attempts were sent to.
   std::vector<AttemptId> running;      ///< Attempts without a result yet.
--- a/policy/call_action.h
+++ b/policy/call_action.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -19,6 +20,9 @@
   EndpointId endpoint;
   Duration timeout{0};      ///< Sent to the upstream and enforced by the event loop.
   bool idempotent = false;  ///< The call may run again.
+  /// The workspace that the caller's key belongs to, empty for a call without one on a public
+  /// route. Absent if callers are not identified by keys; the request is then passed on as it came.
+  std::optional<WorkspaceId> workspace = {};
 };
 
 /// Cancels an attempt: the event loop closes its connection, so a late answer is not delivered.
--- a/policy/call_manager.cc
+++ b/policy/call_manager.cc
@@ -81,12 +81,15 @@
   ServiceState& state = StateOf(*call);
   ++state.calls;
   timers_.emplace(call->deadline, request.id, TimerKind::kDeadline);
-  RecordCallEvent(EventKind::kCallStarted, request.request_id, {},
-                  "service=" + resolved.service.value + " profile=" + resolved.profile.value +
-                      " version=" + std::to_string(configuration_->version.value) +
-                      " deadline_us=" + std::to_string((call->deadline - now).count()) +
-                      " age_us=" + std::to_string(caller_wait.count()),
-                  actions);
+  RecordCallEvent(
+      EventKind::kCallStarted, request.request_id, {},
+      "service=" + resolved.service.value + " profile=" + resolved.profile.value +
+          (call->workspace_table == nullptr ? std::string()
+                                            : " workspace=" + resolved.workspace.value) +
+          " version=" + std::to_string(configuration_->version.value) +
+          " deadline_us=" + std::to_string((call->deadline - now).count()) +
+          " age_us=" + std::to_string(caller_wait.count()),
+      actions);
   if (!CheckBeforeAttempt(now, call, actions)) {
     return nullptr;
   }
@@ -117,10 +120,16 @@
     }
     request->service = ChooseTarget(*route, HashRequestId(request->request_id));
     request->profile = route->profile.id;
+    if (!Identify(route->is_public, request, actions)) {
+      return nullptr;
+    }
     if (configuration_->services.contains(request->service)) {
       return &route->profile;
     }
   } else {
+    if (!Identify(false, request, actions)) {
+      return nullptr;
+    }
     const auto service = configuration_->services.find(request->service);
     if (service != configuration_->services.end()) {
       request->profile = service->second.profile;
@@ -252,6 +261,9 @@
     Expire(call, actions);
     return false;
   }
+  if (!IdentifyAgain(call, actions)) {
+    return false;
+  }
   if (attempts_.crash_guard().Blocks(now, call->request.fingerprint)) {
     Refuse(call, RefusalReason::kCrashesUpstreams, Duration(0),
            "The same request has crashed upstreams and is not sent to another one.", actions);
@@ -292,8 +304,11 @@
   ScheduleHedge(now, call);
   RecordCallEvent(EventKind::kAttemptStarted, call->request.request_id, endpoint, std::move(basis),
                   actions);
-  actions->push_back(
-      SendAttempt{call->request.id, attempt, endpoint, call->deadline - now, call->idempotent});
+  SendAttempt send = {call->request.id, attempt, endpoint, call->deadline - now, call->idempotent};
+  if (call->workspace_table != nullptr) {
+    send.workspace = call->request.workspace;
+  }
+  actions->push_back(std::move(send));
 }
 
 std::optional<EndedAttempt> CallManager::EndAttempt(MonoTime now,
--- a/policy/call_manager.h
+++ b/policy/call_manager.h
@@ -105,6 +105,15 @@
   /// @param request receives the ids of the service and the profile.
   /// @return the profile, or null if the call was refused.
   const Profile* ResolveProfile(CallRequest* request, CallActions* actions);
+  /// Determines the workspace of a new call from the key that its caller presents.
+  /// @param is_public whether the call needs no key.
+  /// @param request receives the id of the workspace.
+  /// @return false if the call was refused.
+  bool Identify(bool is_public, CallRequest* request, CallActions* actions);
+  /// Determines the workspace of a call again if the workspaces or their keys have changed since it
+  /// arrived, so that a withdrawn key has no further attempt sent.
+  /// @return false if the call was refused.
+  bool IdentifyAgain(Call* call, CallActions* actions);
   ServiceState& StateOf(const Call& call) { return services_.at(call.request.service); }
   const ServiceState& StateOf(const Call& call) const { return services_.at(call.request.service); }
   /// Returns after how long a caller refused because of overload should retry.
--- a/policy/call_manager_configuration.cc
+++ b/policy/call_manager_configuration.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "common/workspace_table.h"
 #include "policy/call_manager.h"
 
 namespace jd {
@@ -49,6 +50,49 @@
   }
 }
 
+bool CallManager::Identify(bool is_public, CallRequest* request, CallActions* actions) {
+  if (configuration_->workspace_table == nullptr) {
+    return true;
+  }
+  const KeyedWorkspace* workspace =
+      request->caller_key ? configuration_->workspace_table->FindByKey(*request->caller_key)
+                          : nullptr;
+  if (workspace == nullptr && !is_public) {
+    RefuseNew(*request, RefusalReason::kUnknownCaller, Duration(0),
+              request->caller_key && request->caller_key->empty()
+                  ? "The header Authorization is not one 'Bearer KEY'."
+                  : "No workspace has this key.",
+              actions);
+    return false;
+  }
+  request->workspace = workspace == nullptr ? WorkspaceId() : workspace->id;
+  request->is_public = is_public;
+  return true;
+}
+
+bool CallManager::IdentifyAgain(Call* call, CallActions* actions) {
+  if (call->workspace_table == configuration_->workspace_table) {
+    return true;
+  }
+  call->workspace_table = configuration_->workspace_table;
+  if (call->workspace_table == nullptr || call->request.workspace.empty()) {
+    return true;
+  }
+  const KeyedWorkspace* workspace =
+      call->request.caller_key ? call->workspace_table->FindByKey(*call->request.caller_key)
+                               : nullptr;
+  if (workspace != nullptr && workspace->id == call->request.workspace) {
+    return true;
+  }
+  if (call->request.is_public) {
+    call->request.workspace = WorkspaceId();
+    return true;
+  }
+  Refuse(call, RefusalReason::kUnknownCaller, Duration(0),
+         "The key has been withdrawn from its workspace.", actions);
+  return false;
+}
+
 void CallManager::DiscardRemovedEndpoints(const Configuration& previous) {
   for (const auto& [id, service] : previous.services) {
     const auto present = configuration_->services.find(id);
--- a/policy/call_request.h
+++ b/policy/call_request.h
@@ -16,8 +16,9 @@
   WorkspaceId workspace;  ///< Set on admission if the configuration identifies callers by keys.
   /// Key that the caller presents; absent if there is none, empty if it is malformed. Never logged.
   std::optional<std::string> caller_key;
-  ServiceId service;  ///< Empty if the route table determines it from host and path.
-  ProfileId profile;  ///< Set on admission.
+  bool is_public = false;  ///< The route needs no key; set on admission.
+  ServiceId service;       ///< Empty if the route table determines it from host and path.
+  ProfileId profile;       ///< Set on admission.
   std::string host;
   std::string method;
   std::string path;
--- a/policy/refusal.cc
+++ b/policy/refusal.cc
@@ -43,7 +43,7 @@
     case RefusalReason::kOverQuota:
       return 429;
     case RefusalReason::kUnknownCaller:
-      return 401;
+      return verdict == Verdict::kNotRun ? 401 : 502;
     case RefusalReason::kDeadline:
       return 504;
     case RefusalReason::kUpstreamFailed:
--- a/tests/config_codec_test.cc
+++ b/tests/config_codec_test.cc
@@ -141,7 +141,7 @@
   next.profiles.at(ProfileId("orders")).max_attempts = 3;
   next.services.at(ServiceId("records")).endpoints[0].slots = 5;
   next.zones.clear();
-  next.workspaces[WorkspaceId("brillwerk")] = 1;
+  next.workspaces[WorkspaceId("brillwerk")] = {WorkspaceId("brillwerk"), 1};
   CHECK(Diff(base, next) ==
         std::vector<std::string>{"~ profile/orders max_attempts: 2 -> 3",
                                  "~ service/records endpoints[records/1].slots: 4 -> 5",
--- a/tests/fuzz.cc
+++ b/tests/fuzz.cc
@@ -231,7 +231,7 @@
   Configuration configuration;
   configuration.version = ConfigVersion(7);
   configuration.zones[ZoneId("z")].id = ZoneId("z");
-  configuration.workspaces[WorkspaceId("w")] = 2.0;
+  configuration.workspaces[WorkspaceId("w")] = {WorkspaceId("w"), 2.0};
   configuration.profiles[ProfileId("p")].id = ProfileId("p");
   configuration.services[ServiceId("s")] = SampleService();
   ConfigErrors errors;
--- a/tests/platform_adapter_test.cc
+++ b/tests/platform_adapter_test.cc
@@ -280,6 +280,54 @@
   CHECK_FALSE(ParseZoneOutKey("config"));
 }
 
+std::string ConfigurationWithTenants(const std::string& tenants) {
+  return R"({"config_version":7,"routes":[{"name":"r1","hostname":"h","prefix":"/a/",)"
+         R"("kind":"idempotent","timeout_ms":1500,"target_latency_ms":800,"priority":1,)"
+         R"("service":"s1","max_attempts":2,"public":true}],"services":[],)"
+         R"("limits":{"max_header_bytes":16384,"max_body_bytes":100,"header_timeout_ms":3000,)"
+         R"("idle_timeout_ms":15000},"tenants":)" +
+         tenants + "}";
+}
+
+TEST_CASE("tenants of the operators' configuration become workspaces", "[platform_adapter_test]") {
+  std::string error_message;
+  const auto configuration = ParseOperatorConfiguration(
+      ConfigurationWithTenants(
+          R"([{"name":"a","api_keys":["k1","k2"],"priority":0,"rate_per_s":2.5,"burst":3},)"
+          R"({"name":"b","api_keys":[],"priority":null,"rate_per_s":0}])"),
+      &error_message);
+  REQUIRE(configuration);
+  CHECK(configuration->routes.at(0).is_public);
+  REQUIRE(configuration->workspace_table != nullptr);
+  const KeyedWorkspace* a = configuration->workspace_table->FindByKey("k2");
+  REQUIRE(a != nullptr);
+  CHECK(a->id == WorkspaceId("a"));
+  CHECK(a->priority == Priority::kHigh);
+  CHECK(a->quota == Quota{2.5, 3});
+  const KeyedWorkspace* b = configuration->workspace_table->FindById(WorkspaceId("b"));
+  REQUIRE(b != nullptr);
+  CHECK_FALSE(b->quota);
+  CHECK_FALSE(b->priority);
+}
+
+TEST_CASE("invalid tenants leave the configuration in use, and the error shows no key",
+          "[platform_adapter_test]") {
+  for (const char* tenants :
+       {R"([{"name":"a","api_keys":["secret"]},{"name":"b","api_keys":["secret"]}])",
+        R"([{"name":"a","api_keys":["secret",""]}])", R"([{"name":"a","api_keys":["secret",7]}])",
+        R"([{"name":"","api_keys":["secret"]}])", R"([{"api_keys":["secret"]}])",
+        R"([{"name":"a","api_keys":["secret"],"rate_per_s":-1}])",
+        R"([{"name":"a","api_keys":["secret"],"rate_per_s":1e999}])",
+        R"([{"name":"a","api_keys":["secret"],"burst":"x"}])",
+        R"([{"name":"a","api_keys":["secret" secret}])"}) {
+    INFO(tenants);
+    std::string error_message;
+    CHECK_FALSE(ParseOperatorConfiguration(ConfigurationWithTenants(tenants), &error_message));
+    CHECK_FALSE(error_message.empty());
+    CHECK(error_message.find("secret") == std::string::npos);
+  }
+}
+
 struct ReplyParser {
   UpstreamReply Parse(int status, const std::vector<std::pair<std::string, std::string>>& headers) {
     HttpResponse response;
