--- a/cluster/node.cc
+++ b/cluster/node.cc
@@ -20,6 +20,11 @@
   return PolicyVariant::ByName(settings.policy);
 }
 
+// Returns whether the upstream may have run the request of an attempt.
+bool MayHaveRun(AttemptOutcome outcome) {
+  return outcome != AttemptOutcome::kRefused && outcome != AttemptOutcome::kConnectFailed;
+}
+
 void SetToEarlier(std::optional<MonoTime>* earliest, std::optional<MonoTime> other) {
   if (other && (!*earliest || *other < **earliest)) {
     *earliest = other;
@@ -37,7 +42,8 @@
       slots_(settings, policy_.get_if<SlotHolder>()),
       claims_(settings.id, settings.incarnation),
       timeline_(settings.id, settings.event_capacity),
-      operator_({&settings_, &config_, &membership_, &slots_, &timeline_}) {
+      operator_({&settings_, &config_, &membership_, &slots_, &timeline_}),
+      quotas_(settings.id, settings.seed) {
   if (settings_.retry_limits) {
     dispatcher_.SetRetryLimits(*settings_.retry_limits);
   }
@@ -58,8 +64,9 @@
   OnTimer(now, actions);
 }
 
-void Node::OnCall(Now now, const CallRequest& request, NodeActions* actions) {
+void Node::OnAdmittedCall(Now now, const CallRequest& request, NodeActions* actions) {
   if (!request.request_key.empty() && !config_.has_platform()) {
+    quotas_.OnCallEnded(now.mono, request.id);
     actions->push_back(RefuseCall{request.id,
                                   {RefusalReason::kStoreUnavailable, Verdict::kNotRun, Duration(0),
                                    "Request keys need a platform to be claimed in."}});
@@ -105,6 +112,7 @@
     return;
   }
   keyed_call_starts_.erase(answer.call);
+  quotas_.OnCallEnded(now.mono, answer.call);
   if (answer.decision == ClaimDecision::kReplay) {
     actions->push_back(ReplayCall{answer.call, answer.stored.status, answer.stored.content_type,
                                   answer.stored.body});
@@ -134,6 +142,10 @@
 }
 
 void Node::OnCallerGone(Now now, CallId call, NodeActions* actions) {
+  quotas_.OnCallEnded(now.mono, call);
+  if (calls_awaiting_quota_.erase(call) > 0) {
+    return;
+  }
   if (calls_awaiting_claim_.erase(call) > 0) {
     keyed_call_starts_.erase(call);
     ClaimOutput output;
@@ -175,6 +187,7 @@
 
 void Node::OnAttemptResult(Now now, const AttemptResult& result, NodeActions* actions) {
   const auto attempt = endpoint_by_attempt_.extract(result.attempt);
+  quotas_.OnAttemptEnded(now.mono, result.attempt, MayHaveRun(result.outcome));
   CallActions out;
   dispatcher_.OnAttemptResult(now.mono, result, &out);
   ApplyCallActions(now, out, actions);
@@ -396,6 +409,7 @@
   NodeConfig::Output config = ConfigOutputFor(actions);
   config_.OnTimer(now, &config);
   ApplyConfigOutput(now, &config, actions);
+  quotas_.OnTimer(now.mono);
   ClaimOutput claims;
   claims_.OnTimer(now, &claims);
   ApplyClaimOutput(now, std::move(claims), actions);
@@ -426,6 +440,7 @@
   SetToEarlier(&next, slots_.next_timer());
   SetToEarlier(&next, probes_.next_timer());
   SetToEarlier(&next, claims_.next_timer());
+  SetToEarlier(&next, quotas_.next_timer());
   if (config_.has_platform()) {
     SetToEarlier(&next, next_vm_list_);
   }
--- a/cluster/node.h
+++ b/cluster/node.h
@@ -13,6 +13,7 @@
 #include "cluster/node_action.h"
 #include "cluster/node_config.h"
 #include "cluster/node_operator.h"
+#include "cluster/node_quotas.h"
 #include "cluster/node_settings.h"
 #include "cluster/node_slots.h"
 #include "cluster/node_timeline.h"
@@ -95,10 +96,30 @@
   const NodeSettings& settings() const { return settings_; }
   /// Returns how this gateway's requests for permits have ended.
   const PermitCounts& permit_counts() const { return dispatcher_.permit_counts(); }
-  /// Returns the number of unfinished calls, including those whose request key is being claimed.
-  size_t calls() const { return dispatcher_.calls() + calls_awaiting_claim_.size(); }
+  /// Returns how the calls of workspaces with a quota have ended, and the tokens for them.
+  const QuotaCounts& quota_counts() const { return quotas_.counts(); }
+  /// Returns the number of unfinished calls, including those whose request key is being claimed and
+  /// those that wait for a token of their workspace's quota.
+  size_t calls() const {
+    return dispatcher_.calls() + calls_awaiting_claim_.size() + calls_awaiting_quota_.size();
+  }
 
  private:
+  /// A call that waits for a token of its workspace's quota.
+  struct QuotaWait {
+    CallRequest request;
+    MonoTime since;
+  };
+
+  /// Handles a call that is within the quota of its workspace.
+  void OnAdmittedCall(Now now, const CallRequest& request, NodeActions* actions);
+  void RefuseOverQuota(Now now,
+                       const CallRequest& request,
+                       Duration retry_after,
+                       NodeActions* actions);
+  /// Sends the quota messages that are due, and admits or refuses the calls that waited for tokens.
+  void FlushQuotas(Now now, NodeActions* actions);
+  void UpdateQuotaMembers(Now now);
   /// Carries out the dispatcher's actions: appends those of the event loop to `to`, records events,
   /// sends crash notices to peers and finishes the claims of request keys.
   void ApplyCallActions(Now now, const CallActions& from, NodeActions* to);
@@ -188,6 +209,10 @@
   MonoTime next_vm_list_;
   ZoneContacts zone_contacts_;
   PermitIssuer permit_issuer_;
+  NodeQuotas quotas_;
+  std::unordered_map<CallId, QuotaWait> calls_awaiting_quota_;
+  /// When the log may state next that a workspace exceeds its quota.
+  std::map<WorkspaceId, MonoTime> next_quota_log_;
   size_t gateway_count_ = 0;  ///< Number of gateways that discovery lists, in all zones.
   bool stopping_ = false;
 };
--- a/cluster/node_effects.cc
+++ b/cluster/node_effects.cc
@@ -41,15 +41,18 @@
       }
     } else if (const auto* send = std::get_if<SendAttempt>(&action)) {
       endpoint_by_attempt_[send->attempt] = send->endpoint;
+      quotas_.OnAttemptStarted(now.mono, send->call, send->attempt);
       if (keyed_call_starts_.contains(send->call)) {
         sent_keyed_calls_.insert(send->call);
       }
       to->push_back(*send);
     } else if (const auto* answer = std::get_if<AnswerCall>(&action)) {
+      quotas_.OnCallEnded(now.mono, answer->call);
       const bool keyed = keyed_call_starts_.erase(answer->call) > 0;
       sent_keyed_calls_.erase(answer->call);
       to->push_back(AnswerCall{answer->call, answer->attempt, keyed});
     } else if (const auto* refuse = std::get_if<RefuseCall>(&action)) {
+      quotas_.OnCallEnded(now.mono, refuse->call);
       FinishKeyedCall(now, refuse->call, refuse->refusal.verdict, to);
       to->push_back(*refuse);
     } else if (const auto* cancel = std::get_if<CancelAttempt>(&action)) {
@@ -102,6 +105,10 @@
     OnPermitRequest(now, *permit, actions);
   } else if (const auto* permit_reply = std::get_if<PermitReply>(&message.body)) {
     OnPermitReply(now, *permit_reply, actions);
+  } else if (const auto* quota_request = std::get_if<QuotaRequest>(&message.body)) {
+    quotas_.OnRequest(now.mono, *quota_request);
+  } else if (const auto* quota_grant = std::get_if<QuotaGrant>(&message.body)) {
+    quotas_.OnGrant(now.mono, *quota_grant);
   } else if (const auto* zone = std::get_if<UnrecordedZone>(&message.body)) {
     config_.OnUnrecordedZone(now, *zone, &output);
   }
@@ -141,6 +148,7 @@
     members.incarnations[id] = member.incarnation;
   }
   slots_.SetMembers(now.mono, members);
+  UpdateQuotaMembers(now);
 }
 
 void Node::ApplyConfigOutput(Now now, NodeConfig::Output* from, NodeActions* actions) {
@@ -153,6 +161,7 @@
   }
   if (from->configuration_changed) {
     directory_.SetConfiguration(config_.configuration());
+    quotas_.SetConfiguration(config_.configuration());
     dispatcher_.SetConfiguration(now.mono, config_.configuration());
     RecordTimelineEvent(now, EventKind::kConfigApplied, std::to_string(config_.version().value));
     // The next heartbeat tells the peers the version, whichever way the configuration changed.
@@ -231,6 +240,7 @@
 }
 
 void Node::OnLoopIterationEnd(Now now, NodeActions* actions) {
+  FlushQuotas(now, actions);
   // Sending the waiting calls changes the holder's demand for slots, so a second flush sends the
   // demand that remains.
   for (int pass = 0; pass < 2; ++pass) {
--- /dev/null
+++ b/cluster/node_quotas.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "cluster/peer_message.h"
+#include "cluster/quota_issuer.h"
+#include "common/configuration.h"
+#include "common/ids.h"
+#include "common/random.h"
+#include "common/units.h"
+#include "policy/call_request.h"
+#include "policy/quota_ledger.h"
+
+namespace jd {
+
+/// Keeps the calls of this gateway within the quotas of their workspaces, which are limits for all
+/// gateways together. Holds the tokens of this gateway (QuotaLedger), issues those of the
+/// workspaces that this gateway is the issuer of (QuotaIssuer), and addresses the messages between
+/// them.
+class NodeQuotas {
+ public:
+  /// The gateways that this gateway knows.
+  struct Members {
+    std::vector<GatewayId> issuers;   ///< Gateways that may issue, including this one; empty while
+                                      ///< it is not known which of the peers are live.
+    size_t listed = 1;                ///< Gateways of the deployment in all zones, live or not.
+    std::vector<GatewayId> contacts;  ///< One gateway of each other zone that is not a peer.
+    bool operator==(const Members&) const = default;
+  };
+  struct Message {
+    GatewayId to;
+    PeerBody body;
+  };
+  struct Output {
+    std::vector<Message> messages;
+    std::vector<QuotaLedger::Decision> decisions;
+  };
+
+  /// @param seed of the random choices.
+  NodeQuotas(GatewayId self, uint64_t seed);
+
+  void SetConfiguration(ConfigurationPtr configuration);
+  void SetMembers(MonoTime now, Members members);
+
+  /// Decides about a new call. A call that is admitted, or waits, must be ended with OnCallEnded.
+  /// @param retry_after is set if the call is refused.
+  QuotaAdmission Admit(MonoTime now, const CallRequest& request, Duration* retry_after);
+  /// Returns the workspace whose quota a call counts against, or null.
+  const KeyedWorkspace* LimitedWorkspace(const CallRequest& request) const;
+  /// Accounts for an attempt of a call. The first one uses the call's token.
+  void OnAttemptStarted(MonoTime now, CallId call, AttemptId attempt);
+  /// Ends an attempt.
+  /// @param run whether the upstream may have run the request.
+  void OnAttemptEnded(MonoTime now, AttemptId attempt, bool run);
+  void OnCallEnded(MonoTime now, CallId call);
+
+  void OnRequest(MonoTime now, const QuotaRequest& request);
+  void OnGrant(MonoTime now, const QuotaGrant& grant);
+  void OnTimer(MonoTime now);
+  /// Returns the messages to send and the calls that need not wait any longer.
+  Output Flush(MonoTime now);
+  std::optional<MonoTime> next_timer() const { return ledger_.next_timer(); }
+  const QuotaCounts& counts() const { return ledger_.counts(); }
+
+ private:
+  struct TrackedCall {
+    WorkspaceId workspace;
+    bool has_token = false;  ///< Admitted, and no attempt has used the token yet.
+    bool waits = false;
+  };
+
+  /// Returns the gateway of this zone that issues for a workspace, or nothing if none is known.
+  std::optional<GatewayId> IssuerOf(const WorkspaceId& workspace) const;
+  /// Returns where to send a demand: the issuer, or, if it does not reply, a gateway of another
+  /// zone that passes the demand on to the issuer there.
+  std::optional<GatewayId> TargetOf(MonoTime now, const WorkspaceId& workspace) const;
+  /// Returns the part of a workspace's quota that this gateway issues; nothing if it has no limit.
+  std::optional<QuotaIssuer::Part> PartOf(const WorkspaceId& workspace) const;
+  QuotaLease Decide(MonoTime now, const QuotaDemand& demand);
+  QuotaLease Lend(MonoTime now, const QuotaDemand& demand);
+  void SendDemands(MonoTime now);
+  void SendShortages(MonoTime now);
+  void ApplyLease(MonoTime now, MonoTime request_sent, const QuotaLease& lease);
+  /// Updates the calls that a decision is about.
+  void ApplyDecisions(std::vector<QuotaLedger::Decision> decisions);
+
+  GatewayId self_;
+  RandomEngine random_;
+  ConfigurationPtr configuration_;
+  Members members_;
+  QuotaLedger ledger_;
+  QuotaIssuer issuer_;
+  mutable std::map<WorkspaceId, GatewayId> issuers_;  ///< Cache of IssuerOf.
+  std::map<GatewayId, MonoTime> silent_until_;        ///< Issuers that have not replied.
+  std::unordered_map<CallId, TrackedCall> calls_;
+  std::unordered_map<AttemptId, WorkspaceId> attempts_;
+  Output output_;
+};
+
+}  // namespace jd
--- a/cluster/peer_message.h
+++ b/cluster/peer_message.h
@@ -13,6 +13,7 @@
 #include "common/ids.h"
 #include "common/units.h"
 #include "policy/permit.h"
+#include "policy/quota_message.h"
 #include "policy/slot_message.h"
 
 namespace jd {
@@ -107,7 +108,9 @@
                               TableUpdate,
                               TableFetch,
                               PermitRequest,
-                              PermitReply>;
+                              PermitReply,
+                              QuotaRequest,
+                              QuotaGrant>;
 
 /// A message between gateways. The shared key that authenticates it is added and checked by the
 /// transport.
--- /dev/null
+++ b/cluster/quota_issuer.cc
@@ -0,0 +1,136 @@
+#include "cluster/quota_issuer.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace jd {
+namespace {
+
+// Time constant of the average of the demand.
+constexpr Duration kAveragePeriod = 500ms;
+// An issuer tries to keep tokens for the demand of this time.
+constexpr Duration kReservePeriod = 300ms;
+// Part of the capacity that is left for calls that wait when tokens are issued ahead.
+constexpr double kKeptFromAheadShare = 0.25;
+// Time without a demand after which a bucket is removed.
+constexpr Duration kUnusedBucketLifetime = 60s;
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+int32_t WholeTokens(double tokens) {
+  return static_cast<int32_t>(std::max(std::floor(tokens), 0.0));
+}
+
+}  // namespace
+
+void QuotaIssuer::KeepOnly(const std::function<bool(const WorkspaceId&)>& issues) {
+  std::erase_if(buckets_, [&](const auto& entry) { return !issues(entry.first); });
+}
+
+QuotaLease QuotaIssuer::Decide(MonoTime now, const Part& part, const QuotaDemand& demand) {
+  Bucket& bucket = Refill(now, part, demand.workspace);
+  bucket.tokens = std::min(bucket.tokens + demand.returned, CapacityOf(part));
+  const int32_t needed = std::min(demand.needed, WholeTokens(bucket.tokens));
+  bucket.tokens -= needed;
+  const double spare = bucket.tokens - kKeptFromAheadShare * CapacityOf(part);
+  const int32_t ahead = std::min(demand.ahead, WholeTokens(spare));
+  bucket.tokens -= ahead;
+  bucket.calls_per_s += (demand.needed + ahead) / Seconds(kAveragePeriod);
+  bucket.refusals = std::max(bucket.refusals - needed, 0);
+  CheckShortage(now, part, demand.workspace, &bucket);
+  QuotaLease lease{demand.workspace, demand.needed, needed + ahead, Duration(0)};
+  if (needed < demand.needed) {
+    lease.retry_after = RetryAfter(now, part, demand.needed - needed, &bucket);
+  }
+  return lease;
+}
+
+QuotaLease QuotaIssuer::Lend(MonoTime now, const Part& part, const QuotaDemand& demand) {
+  Bucket& bucket = Refill(now, part, demand.workspace);
+  const int32_t lent = std::min(demand.needed, WholeTokens(bucket.tokens - ReserveOf(bucket)));
+  bucket.tokens -= lent;
+  return {demand.workspace, demand.needed, lent, Duration(0)};
+}
+
+void QuotaIssuer::OnLent(MonoTime now, const Part& part, const QuotaLease& lease) {
+  Bucket& bucket = Refill(now, part, lease.workspace);
+  bucket.tokens = std::min(bucket.tokens + lease.granted, CapacityOf(part));
+  if (lease.granted == 0) {
+    bucket.next_borrow = std::max(bucket.next_borrow, now + kFailedBorrowInterval);
+  }
+}
+
+std::vector<QuotaDemand> QuotaIssuer::TakeShortages() {
+  return std::exchange(shortages_, {});
+}
+
+double QuotaIssuer::CapacityOf(const Part& part) {
+  return part.quota.burst * part.share + RateOf(part) * Seconds(kBurstPeriod) + kSpareTokens;
+}
+
+double QuotaIssuer::ReserveOf(const Bucket& bucket) {
+  return bucket.calls_per_s * Seconds(kReservePeriod);
+}
+
+QuotaIssuer::Bucket& QuotaIssuer::Refill(MonoTime now,
+                                         const Part& part,
+                                         const WorkspaceId& workspace) {
+  RemoveUnused(now);
+  const auto [entry, added] = buckets_.try_emplace(workspace);
+  Bucket& bucket = entry->second;
+  if (added) {
+    bucket.tokens = kSpareTokens;
+    bucket.refilled = std::min(empty_since_, now);
+  }
+  const Duration elapsed = now - bucket.refilled;
+  bucket.tokens = std::min(bucket.tokens + RateOf(part) * Seconds(elapsed), CapacityOf(part));
+  bucket.calls_per_s *= std::exp(-Seconds(elapsed) / Seconds(kAveragePeriod));
+  bucket.refilled = now;
+  return bucket;
+}
+
+void QuotaIssuer::CheckShortage(MonoTime now,
+                                const Part& part,
+                                const WorkspaceId& workspace,
+                                Bucket* bucket) {
+  const double wanted = std::min(std::max(ReserveOf(*bucket), 1.0), CapacityOf(part));
+  if (part.other_issuers <= 0 || bucket->tokens >= wanted || now < bucket->next_borrow) {
+    return;
+  }
+  const double missing = wanted - bucket->tokens;
+  QuotaDemand shortage;
+  shortage.workspace = workspace;
+  shortage.needed = static_cast<int32_t>(std::ceil(missing / part.other_issuers));
+  shortages_.push_back(std::move(shortage));
+  bucket->borrow_until = now + kBorrowTime;
+  bucket->next_borrow = now + kBorrowInterval;
+}
+
+Duration QuotaIssuer::RetryAfter(MonoTime now, const Part& part, int32_t refused, Bucket* bucket) {
+  if (now < bucket->borrow_until) {
+    return kBorrowTime;
+  }
+  const double rate = RateOf(part);
+  // Calls that were refused before come first, so each later one waits a token longer.
+  const double missing = 1 - bucket->tokens + bucket->refusals;
+  if (rate * Seconds(kMaxRetryAfter) <= missing) {
+    return kMaxRetryAfter;
+  }
+  bucket->refusals += refused;
+  return std::max(Scale(Duration(1s), missing / rate), kMinRetryAfter);
+}
+
+void QuotaIssuer::RemoveUnused(MonoTime now) {
+  if (now < next_cleanup_) {
+    return;
+  }
+  next_cleanup_ = now + kUnusedBucketLifetime;
+  std::erase_if(buckets_, [now](const auto& entry) {
+    return now - entry.second.refilled >= kUnusedBucketLifetime;
+  });
+}
+
+}  // namespace jd
--- a/common/event_ring.cc
+++ b/common/event_ring.cc
@@ -28,6 +28,8 @@
       return "endpoint-limit";
     case EventKind::kPermitRefused:
       return "permit-refused";
+    case EventKind::kQuotaExceeded:
+      return "quota-exceeded";
     case EventKind::kSlotsLent:
       return "slots-lent";
     case EventKind::kSlotsExpired:
--- a/common/event_ring.h
+++ b/common/event_ring.h
@@ -24,6 +24,7 @@
   kEndpointEjected,
   kEndpointLimit,
   kPermitRefused,
+  kQuotaExceeded,
   kSlotsLent,
   kSlotsExpired,
   kOwnerChanged,
--- a/gateway/log.cc
+++ b/gateway/log.cc
@@ -116,6 +116,7 @@
     case EventKind::kAttemptEnded:
     case EventKind::kCrashFingerprint:
     case EventKind::kPermitRefused:
+    case EventKind::kQuotaExceeded:
       return LogPart::kCalls;
     case EventKind::kEndpointCold:
     case EventKind::kEndpointWarm:
--- a/gateway/metrics.cc
+++ b/gateway/metrics.cc
@@ -161,6 +161,14 @@
       add("jackdawdeck_permits_refused", "Refused permits for calls to endpoints with a limit.");
   permits_unanswered_ =
       add("jackdawdeck_permits_unanswered", "Requests for permits that got no reply in time.");
+  quota_refused_ =
+      add("jackdawdeck_quota_refused", "Calls refused because their workspace used up its quota.");
+  quota_tokens_requested_ =
+      add("jackdawdeck_quota_tokens_requested", "Requested tokens for calls of workspaces.");
+  quota_tokens_granted_ =
+      add("jackdawdeck_quota_tokens_granted", "Granted tokens for calls of workspaces.");
+  quota_unanswered_ = add("jackdawdeck_quota_unanswered",
+                          "Waits for a token of a quota that got no reply in time.");
   ready_ = add("jackdawdeck_ready", "1 if the balancer may send calls.");
 }
 
@@ -209,6 +217,10 @@
   permits_granted_->Set(static_cast<double>(values.permits.granted));
   permits_refused_->Set(static_cast<double>(values.permits.refused));
   permits_unanswered_->Set(static_cast<double>(values.permits.unanswered));
+  quota_refused_->Set(static_cast<double>(values.quotas.calls_refused));
+  quota_tokens_requested_->Set(static_cast<double>(values.quotas.tokens_requested));
+  quota_tokens_granted_->Set(static_cast<double>(values.quotas.tokens_granted));
+  quota_unanswered_->Set(static_cast<double>(values.quotas.unanswered));
   ready_->Set(values.ready ? 1 : 0);
   return prometheus::TextSerializer().Serialize(registry_.Collect());
 }
--- a/gateway/metrics.h
+++ b/gateway/metrics.h
@@ -16,6 +16,7 @@
 #include "gateway/peer_links.h"
 #include "policy/attempt_result.h"
 #include "policy/permit.h"
+#include "policy/quota_ledger.h"
 #include "policy/refusal.h"
 
 namespace jd {
@@ -39,6 +40,7 @@
   uint64_t config_version = 0;  ///< 0: none.
   bool ready = false;
   PermitCounts permits;
+  QuotaCounts quotas;
 };
 
 /// The metrics of a gateway. Their names are a stable interface.
@@ -99,6 +101,10 @@
   Gauge* permits_granted_ = nullptr;
   Gauge* permits_refused_ = nullptr;
   Gauge* permits_unanswered_ = nullptr;
+  Gauge* quota_refused_ = nullptr;
+  Gauge* quota_tokens_requested_ = nullptr;
+  Gauge* quota_tokens_granted_ = nullptr;
+  Gauge* quota_unanswered_ = nullptr;
   Gauge* ready_ = nullptr;
 };
 
--- a/rpc/gen-cpp/jackdawdeck_types.cpp
+++ b/rpc/gen-cpp/jackdawdeck_types.cpp
@@ -3736,6 +3736,654 @@
 }
 
 
+QuotaDemand::~QuotaDemand() noexcept {
+}
+
+
+void QuotaDemand::__set_workspace(const std::string& val) {
+  this->workspace = val;
+}
+
+void QuotaDemand::__set_needed(const int32_t val) {
+  this->needed = val;
+}
+
+void QuotaDemand::__set_ahead(const int32_t val) {
+  this->ahead = val;
+}
+
+void QuotaDemand::__set_returned(const int32_t val) {
+  this->returned = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaDemand& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaDemand::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->workspace);
+          this->__isset.workspace = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->needed);
+          this->__isset.needed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ahead);
+          this->__isset.ahead = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->returned);
+          this->__isset.returned = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t QuotaDemand::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaDemand");
+
+  xfer += oprot->writeFieldBegin("workspace", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->workspace);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("needed", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->needed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ahead", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->ahead);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("returned", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->returned);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaDemand &a, QuotaDemand &b) {
+  using ::std::swap;
+  swap(a.workspace, b.workspace);
+  swap(a.needed, b.needed);
+  swap(a.ahead, b.ahead);
+  swap(a.returned, b.returned);
+  swap(a.__isset, b.__isset);
+}
+
+QuotaDemand::QuotaDemand(const QuotaDemand& other82) {
+  workspace = other82.workspace;
+  needed = other82.needed;
+  ahead = other82.ahead;
+  returned = other82.returned;
+  __isset = other82.__isset;
+}
+QuotaDemand& QuotaDemand::operator=(const QuotaDemand& other83) {
+  workspace = other83.workspace;
+  needed = other83.needed;
+  ahead = other83.ahead;
+  returned = other83.returned;
+  __isset = other83.__isset;
+  return *this;
+}
+void QuotaDemand::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaDemand(";
+  out << "workspace=" << to_string(workspace);
+  out << ", " << "needed=" << to_string(needed);
+  out << ", " << "ahead=" << to_string(ahead);
+  out << ", " << "returned=" << to_string(returned);
+  out << ")";
+}
+
+
+QuotaRequest::~QuotaRequest() noexcept {
+}
+
+
+void QuotaRequest::__set_requester(const std::string& val) {
+  this->requester = val;
+}
+
+void QuotaRequest::__set_sent(const int64_t val) {
+  this->sent = val;
+}
+
+void QuotaRequest::__set_demands(const std::vector<QuotaDemand> & val) {
+  this->demands = val;
+}
+
+void QuotaRequest::__set_relayed(const bool val) {
+  this->relayed = val;
+}
+
+void QuotaRequest::__set_transfer(const bool val) {
+  this->transfer = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->requester);
+          this->__isset.requester = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sent);
+          this->__isset.sent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->demands.clear();
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->demands.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
+            {
+              xfer += this->demands[_i88].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.demands = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->relayed);
+          this->__isset.relayed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->transfer);
+          this->__isset.transfer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t QuotaRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaRequest");
+
+  xfer += oprot->writeFieldBegin("requester", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->requester);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sent", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->sent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demands.size()));
+    std::vector<QuotaDemand> ::const_iterator _iter89;
+    for (_iter89 = this->demands.begin(); _iter89 != this->demands.end(); ++_iter89)
+    {
+      xfer += (*_iter89).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("relayed", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->relayed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("transfer", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->transfer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaRequest &a, QuotaRequest &b) {
+  using ::std::swap;
+  swap(a.requester, b.requester);
+  swap(a.sent, b.sent);
+  swap(a.demands, b.demands);
+  swap(a.relayed, b.relayed);
+  swap(a.transfer, b.transfer);
+  swap(a.__isset, b.__isset);
+}
+
+QuotaRequest::QuotaRequest(const QuotaRequest& other90) {
+  requester = other90.requester;
+  sent = other90.sent;
+  demands = other90.demands;
+  relayed = other90.relayed;
+  transfer = other90.transfer;
+  __isset = other90.__isset;
+}
+QuotaRequest& QuotaRequest::operator=(const QuotaRequest& other91) {
+  requester = other91.requester;
+  sent = other91.sent;
+  demands = other91.demands;
+  relayed = other91.relayed;
+  transfer = other91.transfer;
+  __isset = other91.__isset;
+  return *this;
+}
+void QuotaRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaRequest(";
+  out << "requester=" << to_string(requester);
+  out << ", " << "sent=" << to_string(sent);
+  out << ", " << "demands=" << to_string(demands);
+  out << ", " << "relayed=" << to_string(relayed);
+  out << ", " << "transfer=" << to_string(transfer);
+  out << ")";
+}
+
+
+QuotaLease::~QuotaLease() noexcept {
+}
+
+
+void QuotaLease::__set_workspace(const std::string& val) {
+  this->workspace = val;
+}
+
+void QuotaLease::__set_needed(const int32_t val) {
+  this->needed = val;
+}
+
+void QuotaLease::__set_granted(const int32_t val) {
+  this->granted = val;
+}
+
+void QuotaLease::__set_retry_after(const int64_t val) {
+  this->retry_after = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaLease& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaLease::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->workspace);
+          this->__isset.workspace = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->needed);
+          this->__isset.needed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->granted);
+          this->__isset.granted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->retry_after);
+          this->__isset.retry_after = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t QuotaLease::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaLease");
+
+  xfer += oprot->writeFieldBegin("workspace", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->workspace);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("needed", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->needed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->granted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retry_after", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->retry_after);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaLease &a, QuotaLease &b) {
+  using ::std::swap;
+  swap(a.workspace, b.workspace);
+  swap(a.needed, b.needed);
+  swap(a.granted, b.granted);
+  swap(a.retry_after, b.retry_after);
+  swap(a.__isset, b.__isset);
+}
+
+QuotaLease::QuotaLease(const QuotaLease& other92) {
+  workspace = other92.workspace;
+  needed = other92.needed;
+  granted = other92.granted;
+  retry_after = other92.retry_after;
+  __isset = other92.__isset;
+}
+QuotaLease& QuotaLease::operator=(const QuotaLease& other93) {
+  workspace = other93.workspace;
+  needed = other93.needed;
+  granted = other93.granted;
+  retry_after = other93.retry_after;
+  __isset = other93.__isset;
+  return *this;
+}
+void QuotaLease::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaLease(";
+  out << "workspace=" << to_string(workspace);
+  out << ", " << "needed=" << to_string(needed);
+  out << ", " << "granted=" << to_string(granted);
+  out << ", " << "retry_after=" << to_string(retry_after);
+  out << ")";
+}
+
+
+QuotaGrant::~QuotaGrant() noexcept {
+}
+
+
+void QuotaGrant::__set_request_sent(const int64_t val) {
+  this->request_sent = val;
+}
+
+void QuotaGrant::__set_leases(const std::vector<QuotaLease> & val) {
+  this->leases = val;
+}
+
+void QuotaGrant::__set_transfer(const bool val) {
+  this->transfer = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaGrant& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->request_sent);
+          this->__isset.request_sent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->leases.clear();
+            uint32_t _size94;
+            ::apache::thrift::protocol::TType _etype97;
+            xfer += iprot->readListBegin(_etype97, _size94);
+            this->leases.resize(_size94);
+            uint32_t _i98;
+            for (_i98 = 0; _i98 < _size94; ++_i98)
+            {
+              xfer += this->leases[_i98].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.leases = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->transfer);
+          this->__isset.transfer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t QuotaGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaGrant");
+
+  xfer += oprot->writeFieldBegin("request_sent", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->request_sent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leases", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leases.size()));
+    std::vector<QuotaLease> ::const_iterator _iter99;
+    for (_iter99 = this->leases.begin(); _iter99 != this->leases.end(); ++_iter99)
+    {
+      xfer += (*_iter99).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("transfer", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->transfer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaGrant &a, QuotaGrant &b) {
+  using ::std::swap;
+  swap(a.request_sent, b.request_sent);
+  swap(a.leases, b.leases);
+  swap(a.transfer, b.transfer);
+  swap(a.__isset, b.__isset);
+}
+
+QuotaGrant::QuotaGrant(const QuotaGrant& other100) {
+  request_sent = other100.request_sent;
+  leases = other100.leases;
+  transfer = other100.transfer;
+  __isset = other100.__isset;
+}
+QuotaGrant& QuotaGrant::operator=(const QuotaGrant& other101) {
+  request_sent = other101.request_sent;
+  leases = other101.leases;
+  transfer = other101.transfer;
+  __isset = other101.__isset;
+  return *this;
+}
+void QuotaGrant::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaGrant(";
+  out << "request_sent=" << to_string(request_sent);
+  out << ", " << "leases=" << to_string(leases);
+  out << ", " << "transfer=" << to_string(transfer);
+  out << ")";
+}
+
+
 OperatorRequest::~OperatorRequest() noexcept {
 }
 
@@ -3862,19 +4510,19 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorRequest::OperatorRequest(const OperatorRequest& other82) {
-  id = other82.id;
-  command = other82.command;
-  body = other82.body;
-  timeout = other82.timeout;
-  __isset = other82.__isset;
+OperatorRequest::OperatorRequest(const OperatorRequest& other102) {
+  id = other102.id;
+  command = other102.command;
+  body = other102.body;
+  timeout = other102.timeout;
+  __isset = other102.__isset;
 }
-OperatorRequest& OperatorRequest::operator=(const OperatorRequest& other83) {
-  id = other83.id;
-  command = other83.command;
-  body = other83.body;
-  timeout = other83.timeout;
-  __isset = other83.__isset;
+OperatorRequest& OperatorRequest::operator=(const OperatorRequest& other103) {
+  id = other103.id;
+  command = other103.command;
+  body = other103.body;
+  timeout = other103.timeout;
+  __isset = other103.__isset;
   return *this;
 }
 void OperatorRequest::printTo(std::ostream& out) const {
@@ -3997,17 +4645,17 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorReply::OperatorReply(const OperatorReply& other84) {
-  id = other84.id;
-  status = other84.status;
-  body = other84.body;
-  __isset = other84.__isset;
+OperatorReply::OperatorReply(const OperatorReply& other104) {
+  id = other104.id;
+  status = other104.status;
+  body = other104.body;
+  __isset = other104.__isset;
 }
-OperatorReply& OperatorReply::operator=(const OperatorReply& other85) {
-  id = other85.id;
-  status = other85.status;
-  body = other85.body;
-  __isset = other85.__isset;
+OperatorReply& OperatorReply::operator=(const OperatorReply& other105) {
+  id = other105.id;
+  status = other105.status;
+  body = other105.body;
+  __isset = other105.__isset;
   return *this;
 }
 void OperatorReply::printTo(std::ostream& out) const {
@@ -4093,6 +4741,16 @@
   this->permit_reply = val;
 __isset.permit_reply = true;
 }
+
+void Body::__set_quota_request(const QuotaRequest& val) {
+  this->quota_request = val;
+__isset.quota_request = true;
+}
+
+void Body::__set_quota_grant(const QuotaGrant& val) {
+  this->quota_grant = val;
+__isset.quota_grant = true;
+}
 std::ostream& operator<<(std::ostream& out, const Body& obj)
 {
   obj.printTo(out);
@@ -4233,6 +4891,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->quota_request.read(iprot);
+          this->__isset.quota_request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->quota_grant.read(iprot);
+          this->__isset.quota_grant = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4320,6 +4994,16 @@
     xfer += this->permit_reply.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.quota_request) {
+    xfer += oprot->writeFieldBegin("quota_request", ::apache::thrift::protocol::T_STRUCT, 17);
+    xfer += this->quota_request.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.quota_grant) {
+    xfer += oprot->writeFieldBegin("quota_grant", ::apache::thrift::protocol::T_STRUCT, 18);
+    xfer += this->quota_grant.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4341,42 +5025,48 @@
   swap(a.table_fetch, b.table_fetch);
   swap(a.permit_request, b.permit_request);
   swap(a.permit_reply, b.permit_reply);
+  swap(a.quota_request, b.quota_request);
+  swap(a.quota_grant, b.quota_grant);
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other86) {
-  heartbeat = other86.heartbeat;
-  slot_request = other86.slot_request;
-  slot_grant = other86.slot_grant;
-  endpoint_notice = other86.endpoint_notice;
-  crash_notice = other86.crash_notice;
-  config_entries = other86.config_entries;
-  config_fetch = other86.config_fetch;
-  unrecorded_zone = other86.unrecorded_zone;
-  operator_request = other86.operator_request;
-  operator_reply = other86.operator_reply;
-  table_news = other86.table_news;
-  table_fetch = other86.table_fetch;
-  permit_request = other86.permit_request;
-  permit_reply = other86.permit_reply;
-  __isset = other86.__isset;
-}
-Body& Body::operator=(const Body& other87) {
-  heartbeat = other87.heartbeat;
-  slot_request = other87.slot_request;
-  slot_grant = other87.slot_grant;
-  endpoint_notice = other87.endpoint_notice;
-  crash_notice = other87.crash_notice;
-  config_entries = other87.config_entries;
-  config_fetch = other87.config_fetch;
-  unrecorded_zone = other87.unrecorded_zone;
-  operator_request = other87.operator_request;
-  operator_reply = other87.operator_reply;
-  table_news = other87.table_news;
-  table_fetch = other87.table_fetch;
-  permit_request = other87.permit_request;
-  permit_reply = other87.permit_reply;
-  __isset = other87.__isset;
+Body::Body(const Body& other106) {
+  heartbeat = other106.heartbeat;
+  slot_request = other106.slot_request;
+  slot_grant = other106.slot_grant;
+  endpoint_notice = other106.endpoint_notice;
+  crash_notice = other106.crash_notice;
+  config_entries = other106.config_entries;
+  config_fetch = other106.config_fetch;
+  unrecorded_zone = other106.unrecorded_zone;
+  operator_request = other106.operator_request;
+  operator_reply = other106.operator_reply;
+  table_news = other106.table_news;
+  table_fetch = other106.table_fetch;
+  permit_request = other106.permit_request;
+  permit_reply = other106.permit_reply;
+  quota_request = other106.quota_request;
+  quota_grant = other106.quota_grant;
+  __isset = other106.__isset;
+}
+Body& Body::operator=(const Body& other107) {
+  heartbeat = other107.heartbeat;
+  slot_request = other107.slot_request;
+  slot_grant = other107.slot_grant;
+  endpoint_notice = other107.endpoint_notice;
+  crash_notice = other107.crash_notice;
+  config_entries = other107.config_entries;
+  config_fetch = other107.config_fetch;
+  unrecorded_zone = other107.unrecorded_zone;
+  operator_request = other107.operator_request;
+  operator_reply = other107.operator_reply;
+  table_news = other107.table_news;
+  table_fetch = other107.table_fetch;
+  permit_request = other107.permit_request;
+  permit_reply = other107.permit_reply;
+  quota_request = other107.quota_request;
+  quota_grant = other107.quota_grant;
+  __isset = other107.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -4396,6 +5086,8 @@
   out << ", " << "table_fetch="; (__isset.table_fetch ? (out << to_string(table_fetch)) : (out << "<null>"));
   out << ", " << "permit_request="; (__isset.permit_request ? (out << to_string(permit_request)) : (out << "<null>"));
   out << ", " << "permit_reply="; (__isset.permit_reply ? (out << to_string(permit_reply)) : (out << "<null>"));
+  out << ", " << "quota_request="; (__isset.quota_request ? (out << to_string(quota_request)) : (out << "<null>"));
+  out << ", " << "quota_grant="; (__isset.quota_grant ? (out << to_string(quota_grant)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4543,21 +5235,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other88) {
-  key = other88.key;
-  sender = other88.sender;
-  incarnation = other88.incarnation;
-  stamp = other88.stamp;
-  body = other88.body;
-  __isset = other88.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other89) {
-  key = other89.key;
-  sender = other89.sender;
-  incarnation = other89.incarnation;
-  stamp = other89.stamp;
-  body = other89.body;
-  __isset = other89.__isset;
+Envelope::Envelope(const Envelope& other108) {
+  key = other108.key;
+  sender = other108.sender;
+  incarnation = other108.incarnation;
+  stamp = other108.stamp;
+  body = other108.body;
+  __isset = other108.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other109) {
+  key = other109.key;
+  sender = other109.sender;
+  incarnation = other109.incarnation;
+  stamp = other109.stamp;
+  body = other109.body;
+  __isset = other109.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/rpc/gen-cpp/jackdawdeck_types.h
+++ b/rpc/gen-cpp/jackdawdeck_types.h
@@ -61,6 +61,14 @@
 
 class PermitReply;
 
+class QuotaDemand;
+
+class QuotaRequest;
+
+class QuotaLease;
+
+class QuotaGrant;
+
 class OperatorRequest;
 
 class OperatorReply;
@@ -1540,6 +1548,266 @@
 
 std::ostream& operator<<(std::ostream& out, const PermitReply& obj);
 
+typedef struct _QuotaDemand__isset {
+  _QuotaDemand__isset() : workspace(false), needed(false), ahead(false), returned(false) {}
+  bool workspace :1;
+  bool needed :1;
+  bool ahead :1;
+  bool returned :1;
+} _QuotaDemand__isset;
+
+/**
+ * The demand of one gateway for a workspace.
+ */
+class QuotaDemand : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaDemand(const QuotaDemand&);
+  QuotaDemand& operator=(const QuotaDemand&);
+  QuotaDemand() noexcept
+              : workspace(),
+                needed(0),
+                ahead(0),
+                returned(0) {
+  }
+
+  virtual ~QuotaDemand() noexcept;
+  std::string workspace;
+  int32_t needed;
+  int32_t ahead;
+  /**
+   * Tokens given back; negative: calls sent without a token.
+   */
+  int32_t returned;
+
+  _QuotaDemand__isset __isset;
+
+  void __set_workspace(const std::string& val);
+
+  void __set_needed(const int32_t val);
+
+  void __set_ahead(const int32_t val);
+
+  void __set_returned(const int32_t val);
+
+  bool operator == (const QuotaDemand & rhs) const
+  {
+    if (!(workspace == rhs.workspace))
+      return false;
+    if (!(needed == rhs.needed))
+      return false;
+    if (!(ahead == rhs.ahead))
+      return false;
+    if (!(returned == rhs.returned))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaDemand &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaDemand & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaDemand &a, QuotaDemand &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaDemand& obj);
+
+typedef struct _QuotaRequest__isset {
+  _QuotaRequest__isset() : requester(false), sent(false), demands(false), relayed(false), transfer(false) {}
+  bool requester :1;
+  bool sent :1;
+  bool demands :1;
+  bool relayed :1;
+  bool transfer :1;
+} _QuotaRequest__isset;
+
+class QuotaRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaRequest(const QuotaRequest&);
+  QuotaRequest& operator=(const QuotaRequest&);
+  QuotaRequest() noexcept
+               : requester(),
+                 sent(0),
+                 relayed(0),
+                 transfer(0) {
+  }
+
+  virtual ~QuotaRequest() noexcept;
+  std::string requester;
+  int64_t sent;
+  std::vector<QuotaDemand>  demands;
+  bool relayed;
+  bool transfer;
+
+  _QuotaRequest__isset __isset;
+
+  void __set_requester(const std::string& val);
+
+  void __set_sent(const int64_t val);
+
+  void __set_demands(const std::vector<QuotaDemand> & val);
+
+  void __set_relayed(const bool val);
+
+  void __set_transfer(const bool val);
+
+  bool operator == (const QuotaRequest & rhs) const
+  {
+    if (!(requester == rhs.requester))
+      return false;
+    if (!(sent == rhs.sent))
+      return false;
+    if (!(demands == rhs.demands))
+      return false;
+    if (!(relayed == rhs.relayed))
+      return false;
+    if (!(transfer == rhs.transfer))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaRequest &a, QuotaRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaRequest& obj);
+
+typedef struct _QuotaLease__isset {
+  _QuotaLease__isset() : workspace(false), needed(false), granted(false), retry_after(false) {}
+  bool workspace :1;
+  bool needed :1;
+  bool granted :1;
+  bool retry_after :1;
+} _QuotaLease__isset;
+
+class QuotaLease : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaLease(const QuotaLease&);
+  QuotaLease& operator=(const QuotaLease&);
+  QuotaLease() noexcept
+             : workspace(),
+               needed(0),
+               granted(0),
+               retry_after(0) {
+  }
+
+  virtual ~QuotaLease() noexcept;
+  std::string workspace;
+  int32_t needed;
+  int32_t granted;
+  int64_t retry_after;
+
+  _QuotaLease__isset __isset;
+
+  void __set_workspace(const std::string& val);
+
+  void __set_needed(const int32_t val);
+
+  void __set_granted(const int32_t val);
+
+  void __set_retry_after(const int64_t val);
+
+  bool operator == (const QuotaLease & rhs) const
+  {
+    if (!(workspace == rhs.workspace))
+      return false;
+    if (!(needed == rhs.needed))
+      return false;
+    if (!(granted == rhs.granted))
+      return false;
+    if (!(retry_after == rhs.retry_after))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaLease &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaLease & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaLease &a, QuotaLease &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaLease& obj);
+
+typedef struct _QuotaGrant__isset {
+  _QuotaGrant__isset() : request_sent(false), leases(false), transfer(false) {}
+  bool request_sent :1;
+  bool leases :1;
+  bool transfer :1;
+} _QuotaGrant__isset;
+
+class QuotaGrant : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaGrant(const QuotaGrant&);
+  QuotaGrant& operator=(const QuotaGrant&);
+  QuotaGrant() noexcept
+             : request_sent(0),
+               transfer(0) {
+  }
+
+  virtual ~QuotaGrant() noexcept;
+  int64_t request_sent;
+  std::vector<QuotaLease>  leases;
+  bool transfer;
+
+  _QuotaGrant__isset __isset;
+
+  void __set_request_sent(const int64_t val);
+
+  void __set_leases(const std::vector<QuotaLease> & val);
+
+  void __set_transfer(const bool val);
+
+  bool operator == (const QuotaGrant & rhs) const
+  {
+    if (!(request_sent == rhs.request_sent))
+      return false;
+    if (!(leases == rhs.leases))
+      return false;
+    if (!(transfer == rhs.transfer))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaGrant &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaGrant & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaGrant &a, QuotaGrant &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaGrant& obj);
+
 typedef struct _OperatorRequest__isset {
   _OperatorRequest__isset() : id(false), command(false), body(false), timeout(false) {}
   bool id :1;
@@ -1662,7 +1930,7 @@
 std::ostream& operator<<(std::ostream& out, const OperatorReply& obj);
 
 typedef struct _Body__isset {
-  _Body__isset() : heartbeat(false), slot_request(false), slot_grant(false), endpoint_notice(false), crash_notice(false), config_entries(false), config_fetch(false), unrecorded_zone(false), operator_request(false), operator_reply(false), table_news(false), table_fetch(false), permit_request(false), permit_reply(false) {}
+  _Body__isset() : heartbeat(false), slot_request(false), slot_grant(false), endpoint_notice(false), crash_notice(false), config_entries(false), config_fetch(false), unrecorded_zone(false), operator_request(false), operator_reply(false), table_news(false), table_fetch(false), permit_request(false), permit_reply(false), quota_request(false), quota_grant(false) {}
   bool heartbeat :1;
   bool slot_request :1;
   bool slot_grant :1;
@@ -1677,6 +1945,8 @@
   bool table_fetch :1;
   bool permit_request :1;
   bool permit_reply :1;
+  bool quota_request :1;
+  bool quota_grant :1;
 } _Body__isset;
 
 /**
@@ -1705,6 +1975,8 @@
   TableFetch table_fetch;
   PermitRequest permit_request;
   PermitReply permit_reply;
+  QuotaRequest quota_request;
+  QuotaGrant quota_grant;
 
   _Body__isset __isset;
 
@@ -1736,6 +2008,10 @@
 
   void __set_permit_reply(const PermitReply& val);
 
+  void __set_quota_request(const QuotaRequest& val);
+
+  void __set_quota_grant(const QuotaGrant& val);
+
   bool operator == (const Body & rhs) const
   {
     if (__isset.heartbeat != rhs.__isset.heartbeat)
@@ -1794,6 +2070,14 @@
       return false;
     else if (__isset.permit_reply && !(permit_reply == rhs.permit_reply))
       return false;
+    if (__isset.quota_request != rhs.__isset.quota_request)
+      return false;
+    else if (__isset.quota_request && !(quota_request == rhs.quota_request))
+      return false;
+    if (__isset.quota_grant != rhs.__isset.quota_grant)
+      return false;
+    else if (__isset.quota_grant && !(quota_grant == rhs.quota_grant))
+      return false;
     return true;
   }
   bool operator != (const Body &rhs) const {
--- a/rpc/jackdawdeck.thrift
+++ b/rpc/jackdawdeck.thrift
@@ -178,6 +178,36 @@
   4: i64 retry_after
 }
 
+/** The demand of one gateway for a workspace. */
+struct QuotaDemand {
+  1: string workspace
+  2: i32 needed
+  3: i32 ahead
+  /** Tokens given back; negative: calls sent without a token. */
+  4: i32 returned
+}
+
+struct QuotaRequest {
+  1: string requester
+  2: i64 sent
+  3: list<QuotaDemand> demands
+  4: bool relayed
+  5: bool transfer
+}
+
+struct QuotaLease {
+  1: string workspace
+  2: i32 needed
+  3: i32 granted
+  4: i64 retry_after
+}
+
+struct QuotaGrant {
+  1: i64 request_sent
+  2: list<QuotaLease> leases
+  3: bool transfer
+}
+
 struct OperatorRequest {
   1: i64 id
   2: string command
@@ -207,6 +237,8 @@
   12: TableFetch table_fetch
   13: PermitRequest permit_request
   14: PermitReply permit_reply
+  17: QuotaRequest quota_request
+  18: QuotaGrant quota_grant
 }
 
 struct Envelope {
