--- a/cluster/quota_issuer.cc
+++ b/cluster/quota_issuer.cc
@@ -13,6 +13,8 @@
 constexpr Duration kReservePeriod = 300ms;
 // Part of the capacity that is left for calls that wait when tokens are issued ahead.
 constexpr double kKeptFromAheadShare = 0.25;
+// Most tokens that one loan transfers.
+constexpr double kMaxLoan = 100'000;
 // Time without a demand after which a bucket is removed.
 constexpr Duration kUnusedBucketLifetime = 60s;
 
@@ -20,6 +22,13 @@
   return std::chrono::duration<double>(duration).count();
 }
 
+// Issuers lend each other parts of tokens, so that a token can be put together from all zones.
+constexpr double kLoanUnitsPerToken = 1000;
+
+int32_t LoanUnits(double tokens) {
+  return static_cast<int32_t>(std::clamp(tokens, 0.0, kMaxLoan) * kLoanUnitsPerToken);
+}
+
 int32_t WholeTokens(double tokens) {
   return static_cast<int32_t>(std::max(std::floor(tokens), 0.0));
 }
@@ -50,14 +59,14 @@
 
 QuotaLease QuotaIssuer::Lend(MonoTime now, const Part& part, const QuotaDemand& demand) {
   Bucket& bucket = Refill(now, part, demand.workspace);
-  const int32_t lent = std::min(demand.needed, WholeTokens(bucket.tokens - ReserveOf(bucket)));
-  bucket.tokens -= lent;
+  const int32_t lent = std::min(demand.needed, LoanUnits(bucket.tokens - ReserveOf(bucket)));
+  bucket.tokens -= lent / kLoanUnitsPerToken;
   return {demand.workspace, demand.needed, lent, Duration(0)};
 }
 
 void QuotaIssuer::OnLent(MonoTime now, const Part& part, const QuotaLease& lease) {
   Bucket& bucket = Refill(now, part, lease.workspace);
-  bucket.tokens = std::min(bucket.tokens + lease.granted, CapacityOf(part));
+  bucket.tokens = std::min(bucket.tokens + lease.granted / kLoanUnitsPerToken, CapacityOf(part));
   if (lease.granted == 0) {
     bucket.next_borrow = std::max(bucket.next_borrow, now + kFailedBorrowInterval);
   }
@@ -103,7 +112,7 @@
   const double missing = wanted - bucket->tokens;
   QuotaDemand shortage;
   shortage.workspace = workspace;
-  shortage.needed = static_cast<int32_t>(std::ceil(missing / part.other_issuers));
+  shortage.needed = LoanUnits(missing / part.other_issuers) + 1;
   shortages_.push_back(std::move(shortage));
   bucket->borrow_until = now + kBorrowTime;
   bucket->next_borrow = now + kBorrowInterval;
--- a/policy/quota_message.h
+++ b/policy/quota_message.h
@@ -24,8 +24,8 @@
   MonoTime sent;        ///< By the requester's clock; echoed in the grant.
   std::vector<QuotaDemand> demands;
   bool relayed = false;  ///< Another gateway than the requester has passed the request on.
-  /// The requester is an issuer that borrows from the issuer of another zone: `needed` is the
-  /// number of tokens.
+  /// The requester is an issuer that borrows from the issuer of another zone: `needed` here and
+  /// `granted` in the reply are in thousandths of a token.
   bool transfer = false;
 };
 
--- a/rpc/convert.cc
+++ b/rpc/convert.cc
@@ -131,6 +131,38 @@
           WallFromMicros(in.written)};
 }
 
+wire::QuotaDemand ToWire(const QuotaDemand& in) {
+  wire::QuotaDemand out;
+  out.workspace = in.workspace.value;
+  out.needed = in.needed;
+  out.ahead = in.ahead;
+  out.returned = in.returned;
+  return out;
+}
+
+QuotaDemand FromWire(const wire::QuotaDemand& in) {
+  if (in.needed < 0 || in.ahead < 0) {
+    throw FrameError("negative demand for a quota");
+  }
+  return {WorkspaceId(in.workspace), in.needed, in.ahead, in.returned};
+}
+
+wire::QuotaLease ToWire(const QuotaLease& in) {
+  wire::QuotaLease out;
+  out.workspace = in.workspace.value;
+  out.needed = in.needed;
+  out.granted = in.granted;
+  out.retry_after = in.retry_after.count();
+  return out;
+}
+
+QuotaLease FromWire(const wire::QuotaLease& in) {
+  if (in.needed < 0 || in.granted < 0) {
+    throw FrameError("negative grant of a quota");
+  }
+  return {WorkspaceId(in.workspace), in.needed, in.granted, Duration(in.retry_after)};
+}
+
 template <typename In>
 auto ToWireList(const std::vector<In>& in) {
   std::vector<decltype(ToWire(in.front()))> out;
@@ -277,22 +309,6 @@
       CallId(ToUnsigned(in.call)), EndpointId(in.endpoint), {in.granted, Duration(in.retry_after)}};
 }
 
-wire::QuotaDemand ToWire(const QuotaDemand& in) {
-  wire::QuotaDemand out;
-  out.workspace = in.workspace.value;
-  out.needed = in.needed;
-  out.ahead = in.ahead;
-  out.returned = in.returned;
-  return out;
-}
-
-QuotaDemand FromWire(const wire::QuotaDemand& in) {
-  if (in.needed < 0 || in.ahead < 0) {
-    throw FrameError("negative demand for a quota");
-  }
-  return {WorkspaceId(in.workspace), in.needed, in.ahead, in.returned};
-}
-
 wire::QuotaRequest ToWire(const QuotaRequest& in) {
   wire::QuotaRequest out;
   out.requester = in.requester.value;
@@ -308,22 +324,6 @@
           in.transfer};
 }
 
-wire::QuotaLease ToWire(const QuotaLease& in) {
-  wire::QuotaLease out;
-  out.workspace = in.workspace.value;
-  out.needed = in.needed;
-  out.granted = in.granted;
-  out.retry_after = in.retry_after.count();
-  return out;
-}
-
-QuotaLease FromWire(const wire::QuotaLease& in) {
-  if (in.needed < 0 || in.granted < 0) {
-    throw FrameError("negative grant of a quota");
-  }
-  return {WorkspaceId(in.workspace), in.needed, in.granted, Duration(in.retry_after)};
-}
-
 wire::QuotaGrant ToWire(const QuotaGrant& in) {
   wire::QuotaGrant out;
   out.request_sent = Micros(in.request_sent);
--- /dev/null
+++ b/tests/quota_network.h
@@ -0,0 +1,288 @@
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "cluster/node_quotas.h"
+#include "common/workspace_table.h"
+#include "rpc/convert.h"
+#include "rpc/frame.h"
+
+namespace jd {
+
+/// A token bucket that sees all calls at once: what a quota could allow with full knowledge.
+struct ReferenceBucket {
+  Quota quota;
+  double tokens = 0;
+  MonoTime refilled;
+
+  bool Take(MonoTime now) {
+    const double elapsed = std::chrono::duration<double>(now - refilled).count();
+    tokens = std::min(tokens + quota.calls_per_second * elapsed, std::max(quota.burst, 1.0));
+    refilled = now;
+    if (tokens < 1) {
+      return false;
+    }
+    tokens -= 1;
+    return true;
+  }
+};
+
+/// Simulates the quotas of gateways in three zones, or in one. The test sets the faults of the
+/// gateways and of the links between them. Members are known with a delay, as from heartbeats.
+class QuotaNetwork {
+ public:
+  struct Gateway {
+    GatewayId id;
+    size_t zone = 0;
+    std::unique_ptr<NodeQuotas> quotas;
+    bool listed = true;
+    bool alive = true;
+    MonoTime paused_until;
+    int side = 0;  ///< Gateways of different sides do not reach each other.
+    std::optional<MonoTime> next_timer;
+  };
+  struct Message {
+    size_t from, to;
+    PeerBody body;
+  };
+
+  static constexpr Duration kTick = 1ms;
+  static constexpr Duration kMembershipDelay = 1s;
+
+  QuotaNetwork(size_t gateways, size_t zones, uint64_t seed) : zones_(zones), random(seed) {
+    for (size_t i = 0; i < gateways; ++i) {
+      AddGateway();
+    }
+    UpdateMembers();
+  }
+
+  void AddGateway() {
+    const size_t i = nodes.size();
+    Gateway gateway;
+    gateway.id = GatewayId("gateway-" + std::to_string(i));
+    gateway.zone = i % zones_;
+    index_[gateway.id] = i;
+    nodes.push_back(std::move(gateway));
+    Restart(i);
+  }
+  void Restart(size_t i) {
+    Gateway& gateway = nodes[i];
+    gateway.alive = true;
+    gateway.next_timer.reset();
+    gateway.quotas = std::make_unique<NodeQuotas>(gateway.id, random());
+    gateway.quotas->SetConfiguration(configuration);
+  }
+  void SetQuota(const WorkspaceId& workspace, std::optional<Quota> quota) {
+    quotas_[workspace] = quota;
+    std::vector<KeyedWorkspace> workspaces;
+    for (const auto& [id, limit] : quotas_) {
+      workspaces.push_back({id, {"key-" + id.value}, std::nullopt, limit});
+    }
+    auto changed = std::make_shared<Configuration>();
+    changed->workspace_table = std::make_shared<WorkspaceTable>(std::move(workspaces));
+    configuration = std::move(changed);
+  }
+  void ApplyConfiguration() {
+    for (Gateway& gateway : nodes) {
+      gateway.quotas->SetConfiguration(configuration);
+    }
+  }
+  /// Tells each gateway the members that it would know by now.
+  void UpdateMembers() {
+    const auto listed = static_cast<size_t>(std::count_if(
+        nodes.begin(), nodes.end(), [](const Gateway& gateway) { return gateway.listed; }));
+    for (Gateway& gateway : nodes) {
+      if (!gateway.alive) {
+        continue;
+      }
+      NodeQuotas::Members members;
+      members.listed = listed;
+      for (const Gateway& other : nodes) {
+        if (other.zone == gateway.zone && Reaches(gateway, other)) {
+          members.issuers.push_back(other.id);
+        }
+      }
+      std::sort(members.issuers.begin(), members.issuers.end());
+      for (size_t zone = 0; zone < zones_; ++zone) {
+        if (zone != gateway.zone) {
+          members.contacts.push_back(ContactOf(zone));
+        }
+      }
+      gateway.quotas->SetMembers(now, std::move(members));
+    }
+    next_members_update_ = now + kMembershipDelay;
+  }
+
+  /// A call arrives at a gateway.
+  /// @return whether it was sent at once.
+  void Call(size_t i, const WorkspaceId& workspace) {
+    Gateway& gateway = nodes[i];
+    if (!gateway.alive || gateway.paused_until > now) {
+      ++lost;
+      return;
+    }
+    CallRequest request;
+    request.id = CallId(++last_call_);
+    request.workspace = workspace;
+    request.caller_key = "key-" + workspace.value;
+    workspaces_[request.id] = workspace;
+    Duration retry_after{0};
+    const QuotaAdmission admission = gateway.quotas->Admit(now, request, &retry_after);
+    if (admission == QuotaAdmission::kAdmitted) {
+      Send(&gateway, request.id);
+    } else if (admission == QuotaAdmission::kRefused) {
+      ++refused;
+      retry_afters.push_back(retry_after);
+    } else {
+      ++waited;
+    }
+    Flush(i);
+  }
+  /// Lets one tick of time pass.
+  void Step() {
+    now += kTick;
+    if (now >= next_members_update_) {
+      UpdateMembers();
+    }
+    while (!messages_.empty() && messages_.begin()->first <= now) {
+      const Message message = std::move(messages_.begin()->second);
+      messages_.erase(messages_.begin());
+      Deliver(message);
+    }
+    for (size_t i = 0; i < nodes.size(); ++i) {
+      Gateway& gateway = nodes[i];
+      if (gateway.alive && gateway.paused_until <= now && gateway.next_timer &&
+          *gateway.next_timer <= now) {
+        gateway.quotas->OnTimer(now);
+        Flush(i);
+      }
+    }
+  }
+  /// Returns the largest number of calls sent in any 5 s that start at `from` or later.
+  size_t MostSentInWindow(const WorkspaceId& workspace, MonoTime from, MonoTime until) const {
+    const auto found = sent.find(workspace);
+    size_t most = 0;
+    if (found == sent.end()) {
+      return most;
+    }
+    const std::vector<MonoTime>& times = found->second;
+    size_t first = 0;
+    for (size_t last = 0; last < times.size() && times[last] < until; ++last) {
+      while (times[last] - times[first] >= 5s || times[first] < from) {
+        if (++first > last) {
+          break;
+        }
+      }
+      most = std::max(most, first <= last ? last - first + 1 : 0);
+    }
+    return most;
+  }
+  static double Bound(const Quota& quota) {
+    return (quota.calls_per_second * 5 + quota.burst) * 1.1 + 20;
+  }
+
+  std::vector<Gateway> nodes;
+  ConfigurationPtr configuration = std::make_shared<Configuration>();
+  MonoTime now = MonoTime(1000s);
+  std::map<WorkspaceId, std::vector<MonoTime>> sent;
+  size_t refused = 0;
+  size_t waited = 0;
+  size_t lost = 0;  ///< Calls to gateways that are down.
+  size_t bytes = 0;
+  size_t message_count = 0;
+  double message_loss = 0;
+  std::vector<Duration> retry_afters;
+
+ private:
+  bool Reaches(const Gateway& a, const Gateway& b) const {
+    return a.alive && b.alive && a.side == b.side;
+  }
+  // The contact is the first gateway of the zone that is up, whether it is reached or not.
+  GatewayId ContactOf(size_t zone) const {
+    GatewayId contact;
+    for (const Gateway& gateway : nodes) {
+      if (gateway.zone == zone && (contact.empty() || gateway.alive)) {
+        contact = gateway.id;
+        if (gateway.alive) {
+          break;
+        }
+      }
+    }
+    return contact;
+  }
+  void Send(Gateway* gateway, CallId call) {
+    gateway->quotas->OnAttemptStarted(now, call, AttemptId(call.value));
+    gateway->quotas->OnAttemptEnded(now, AttemptId(call.value), true);
+    gateway->quotas->OnCallEnded(now, call);
+    sent[workspaces_.at(call)].push_back(now);
+  }
+  void Flush(size_t i) {
+    Gateway& gateway = nodes[i];
+    NodeQuotas::Output output = gateway.quotas->Flush(now);
+    for (const QuotaLedger::Decision& decision : output.decisions) {
+      if (decision.admitted) {
+        Send(&gateway, decision.call);
+      } else {
+        ++refused;
+        retry_afters.push_back(decision.retry_after);
+      }
+    }
+    for (NodeQuotas::Message& message : output.messages) {
+      Post(i, std::move(message));
+    }
+    gateway.next_timer = gateway.quotas->next_timer();
+  }
+  void Post(size_t from, NodeQuotas::Message message) {
+    const auto to = index_.find(message.to);
+    if (to == index_.end()) {
+      return;
+    }
+    const PeerMessage frame{nodes[from].id, Incarnation(1'700'000'000'000'000), {}, message.body};
+    bytes += EncodeFrame(ToEnvelope(frame, "", nullptr)).size();
+    ++message_count;
+    if (std::uniform_real_distribution<>(0, 1)(random) < message_loss) {
+      return;
+    }
+    const bool same_zone = nodes[from].zone == nodes[to->second].zone;
+    messages_.emplace(now + (same_zone ? 1ms : 2ms),
+                      Message{from, to->second, std::move(message.body)});
+  }
+  void Deliver(const Message& message) {
+    Gateway& to = nodes[message.to];
+    if (to.paused_until > now) {
+      messages_.emplace(to.paused_until, message);
+      return;
+    }
+    if (!Reaches(nodes[message.from], to)) {
+      return;
+    }
+    if (const auto* request = std::get_if<QuotaRequest>(&message.body)) {
+      to.quotas->OnRequest(now, *request);
+    } else if (const auto* grant = std::get_if<QuotaGrant>(&message.body)) {
+      to.quotas->OnGrant(now, *grant);
+    }
+    Flush(message.to);
+  }
+
+  size_t zones_;
+  std::map<GatewayId, size_t> index_;
+  std::map<WorkspaceId, std::optional<Quota>> quotas_;
+  std::multimap<MonoTime, Message> messages_;
+  std::map<CallId, WorkspaceId> workspaces_;
+  uint64_t last_call_ = 0;
+  MonoTime next_members_update_;
+
+ public:
+  std::mt19937_64 random;
+};
+
+}  // namespace jd
