--- a/cluster/node.h
+++ b/cluster/node.h
@@ -119,7 +119,8 @@
                        NodeActions* actions);
   /// Sends the quota messages that are due, and admits or refuses the calls that waited for tokens.
   void FlushQuotas(Now now, NodeActions* actions);
-  void UpdateQuotaMembers(Now now);
+  /// @param issuers the gateways that may issue tokens, if the list of gateways is known.
+  void UpdateQuotaMembers(Now now, std::vector<GatewayId> issuers);
   /// Carries out the dispatcher's actions: appends those of the event loop to `to`, records events,
   /// sends crash notices to peers and finishes the claims of request keys.
   void ApplyCallActions(Now now, const CallActions& from, NodeActions* to);
--- a/cluster/node_effects.cc
+++ b/cluster/node_effects.cc
@@ -148,7 +148,7 @@
     members.incarnations[id] = member.incarnation;
   }
   slots_.SetMembers(now.mono, members);
-  UpdateQuotaMembers(now);
+  UpdateQuotaMembers(now, std::move(members.owner_candidates));
 }
 
 void Node::ApplyConfigOutput(Now now, NodeConfig::Output* from, NodeActions* actions) {
--- a/cluster/node_quota_calls.cc
+++ b/cluster/node_quota_calls.cc
@@ -87,10 +87,10 @@
   ApplyCallActions(now, out, actions);
 }
 
-void Node::UpdateQuotaMembers(Now now) {
+void Node::UpdateQuotaMembers(Now now, std::vector<GatewayId> issuers) {
   NodeQuotas::Members members;
   if (!settings_.gateways_listed_by_discovery || gateway_count_ > 0) {
-    members.issuers = membership_.owner_candidates();
+    members.issuers = std::move(issuers);
   }
   members.listed = gateway_count_ > 0 ? gateway_count_ : membership_.roster().size();
   members.contacts = zone_contacts_.contacts();
