--- a/cluster/node.cc
+++ b/cluster/node.cc
@@ -43,7 +43,8 @@
       claims_(settings.id, settings.incarnation),
       timeline_(settings.id, settings.event_capacity),
       operator_({&settings_, &config_, &membership_, &slots_, &timeline_}),
-      quotas_(settings.id, settings.seed) {
+      quotas_(settings.id, settings.seed),
+      next_quota_contact_(settings.seed) {
   if (settings_.retry_limits) {
     dispatcher_.SetRetryLimits(*settings_.retry_limits);
   }
--- a/cluster/node.h
+++ b/cluster/node.h
@@ -211,6 +211,8 @@
   ZoneContacts zone_contacts_;
   PermitIssuer permit_issuer_;
   NodeQuotas quotas_;
+  /// Seeded, so that gateways choose different contacts.
+  size_t next_quota_contact_ = 0;
   std::unordered_map<CallId, QuotaWait> calls_awaiting_quota_;
   /// When the log may state next that a workspace exceeds its quota.
   std::map<WorkspaceId, MonoTime> next_quota_log_;
--- a/cluster/node_quotas.cc
+++ b/cluster/node_quotas.cc
@@ -32,7 +32,8 @@
 }
 
 void NodeQuotas::SetMembers(MonoTime now, Members members) {
-  if (members == members_) {
+  if (members.issuers == members_.issuers) {
+    members_ = std::move(members);
     return;
   }
   const bool lost_issuer =
--- a/cluster/node_quotas.h
+++ b/cluster/node_quotas.h
@@ -28,8 +28,7 @@
     std::vector<GatewayId> issuers;   ///< Gateways that may issue, including this one; empty while
                                       ///< it is not known which of the peers are live.
     size_t listed = 1;                ///< Gateways of the deployment in all zones, live or not.
-    std::vector<GatewayId> contacts;  ///< One gateway of each other zone that is not a peer.
-    bool operator==(const Members&) const = default;
+    std::vector<GatewayId> contacts;  ///< Any one gateway of each zone without peers.
   };
   struct Message {
     GatewayId to;
--- a/cluster/zone_contacts.cc
+++ b/cluster/zone_contacts.cc
@@ -6,10 +6,12 @@
 
 void ZoneContacts::SetGateways(const VmList& gateways) {
   gateways_.clear();
+  by_zone_.clear();
   std::map<ZoneId, GatewayId> first;
   for (const Vm& vm : gateways) {
     const GatewayId id(vm.name);
     gateways_.insert(id);
+    by_zone_[vm.zone].push_back(id);
     const auto [lowest, added] = first.emplace(vm.zone, id);
     lowest->second = std::min(lowest->second, id);
   }
@@ -38,4 +40,12 @@
   return ids;
 }
 
+std::vector<GatewayId> ZoneContacts::OneOfEachZone(size_t index) const {
+  std::vector<GatewayId> chosen;
+  for (const auto& [zone, gateways] : by_zone_) {
+    chosen.push_back(gateways[index % gateways.size()]);
+  }
+  return chosen;
+}
+
 }  // namespace jd
--- a/cluster/zone_contacts.h
+++ b/cluster/zone_contacts.h
@@ -26,11 +26,15 @@
   std::vector<GatewayId> contacts() const;
   /// Returns the contact of a zone, or nothing if the zone has no gateways.
   std::optional<GatewayId> contact(const ZoneId& zone) const;
+  /// Returns one gateway of each zone, another one for each `index`, so that requests of many
+  /// gateways are spread and one that has failed is not asked for long.
+  std::vector<GatewayId> OneOfEachZone(size_t index) const;
   /// Returns all gateways of other zones.
   const std::set<GatewayId>& gateways() const { return gateways_; }
 
  private:
   std::set<GatewayId> gateways_;
+  std::map<ZoneId, std::vector<GatewayId>> by_zone_;
   std::map<ZoneId, GatewayId> contacts_;
 };
 
