--- a/policy/quota_message.h
+++ b/policy/quota_message.h
@@ -27,6 +27,7 @@
   /// The requester is an issuer that borrows from the issuer of another zone: `needed` here and
   /// `granted` in the reply are in thousandths of a token.
   bool transfer = false;
+  bool operator==(const QuotaRequest&) const = default;
 };
 
 /// The part of a grant for one workspace.
@@ -44,6 +45,7 @@
   MonoTime request_sent;  ///< `sent` of the request.
   std::vector<QuotaLease> leases;
   bool transfer = false;
+  bool operator==(const QuotaGrant&) const = default;
 };
 
 }  // namespace jd
--- a/tests/node_quotas_test.cc
+++ b/tests/node_quotas_test.cc
@@ -58,6 +58,11 @@
     node.OnCall(now, request, &actions);
     node.OnLoopIterationEnd(now, &actions);
   }
+  void Wait(Duration time) {
+    now.mono += time;
+    actions.clear();
+    node.OnTimer(now, &actions);
+  }
   template <typename Action>
   const Action* Find() const {
     for (const NodeAction& action : actions) {
@@ -147,18 +152,17 @@
 TEST_CASE("a retry counts against the quota", "[node_quotas_test]") {
   // Guards against attempts that arrive at endpoints beyond the quota.
   Fixture f(Quota{1, 3});
-  f.Call();
-  f.EndAttempt(AttemptOutcome::kConnectionLost);
-  CHECK(f.Find<SendAttempt>() != nullptr);
-  f.EndAttempt(AttemptOutcome::kAnswered);
-  f.now.mono += 100ms;
-  f.actions.clear();
-  f.node.OnTimer(f.now, &f.actions);
   Fixture without_retry(Quota{1, 3});
-  without_retry.Call();
-  without_retry.EndAttempt(AttemptOutcome::kAnswered);
-  without_retry.now.mono += 100ms;
-  without_retry.node.OnTimer(without_retry.now, &without_retry.actions);
+  for (Fixture* gateway : {&f, &without_retry}) {
+    gateway->Wait(10s);
+    gateway->Call();
+  }
+  f.EndAttempt(AttemptOutcome::kConnectionLost);
+  REQUIRE(f.Find<SendAttempt>() != nullptr);
+  for (Fixture* gateway : {&f, &without_retry}) {
+    gateway->EndAttempt(AttemptOutcome::kAnswered);
+    gateway->Wait(100ms);
+  }
   CHECK(f.SentUntilRefused() == without_retry.SentUntilRefused() - 1);
 }
 
--- a/tests/rpc_test.cc
+++ b/tests/rpc_test.cc
@@ -59,6 +59,21 @@
   CHECK(std::get<SlotRequest>(received.body) == std::get<SlotRequest>(sent.body));
 }
 
+TEST_CASE("quota messages are unchanged after encoding and decoding", "[rpc_test]") {
+  const QuotaRequest request{
+      GatewayId("g1"), MonoFromMicros(77), {{WorkspaceId("w"), 2, 3, -4}}, true, true};
+  const QuotaGrant grant{MonoFromMicros(78), {{WorkspaceId("w"), 5, 6, 7ms}}, true};
+  const auto pass_on = [](const PeerBody& body) {
+    const PeerMessage sent{GatewayId("g1"), Incarnation(9), {}, body};
+    return std::get<PeerMessage>(FromEnvelope(ToEnvelope(sent, "key"))).body;
+  };
+  CHECK(std::get<QuotaRequest>(pass_on(request)) == request);
+  CHECK(std::get<QuotaGrant>(pass_on(grant)) == grant);
+  CHECK_THROWS_AS(pass_on(QuotaRequest{GatewayId("g1"), {}, {{WorkspaceId("w"), -1, 0, 0}}}),
+                  FrameError);
+  CHECK_THROWS_AS(pass_on(QuotaGrant{{}, {{WorkspaceId("w"), 1, -1, 0ms}}}), FrameError);
+}
+
 TEST_CASE("a table update is unchanged after encoding and decoding", "[rpc_test]") {
   // Guards against a snapshot that is taken for a confirmed one, or an update that is passed on
   // again and again.
