--- a/cluster/node_quotas.cc
+++ b/cluster/node_quotas.cc
@@ -114,7 +114,7 @@
 }
 
 std::optional<GatewayId> NodeQuotas::TargetOf(MonoTime now, const WorkspaceId& workspace) const {
-  const std::optional<GatewayId> issuer = IssuerOf(workspace);
+  std::optional<GatewayId> issuer = IssuerOf(workspace);
   const auto silent = issuer ? silent_until_.find(*issuer) : silent_until_.end();
   if (issuer && (silent == silent_until_.end() || silent->second <= now)) {
     return issuer;
