--- a/cluster/node_quotas.cc
+++ b/cluster/node_quotas.cc
@@ -48,12 +48,11 @@
 }
 
 const KeyedWorkspace* NodeQuotas::LimitedWorkspace(const CallRequest& request) const {
-  if (configuration_ == nullptr || configuration_->workspace_table == nullptr) {
+  if (configuration_ == nullptr || configuration_->workspace_table == nullptr ||
+      !request.caller_key) {
     return nullptr;
   }
-  const WorkspaceTable& table = *configuration_->workspace_table;
-  const KeyedWorkspace* workspace =
-      request.caller_key ? table.FindByKey(*request.caller_key) : table.FindById(request.workspace);
+  const KeyedWorkspace* workspace = configuration_->workspace_table->FindByKey(*request.caller_key);
   return workspace != nullptr && IsLimit(workspace->quota) ? workspace : nullptr;
 }
 
--- a/tests/node_quotas_test.cc
+++ b/tests/node_quotas_test.cc
@@ -238,10 +238,27 @@
   CHECK(sends() == 1);
 }
 
-TEST_CASE("callers without a key of the workspace use none of its quota", "[node_quotas_test]") {
+TEST_CASE("calls of a workspace without a quota are not limited", "[node_quotas_test]") {
   Fixture f(std::nullopt);
   CHECK(f.SentUntilRefused() == 100);
 }
 
+TEST_CASE("a caller without the key uses no quota of a workspace", "[node_quotas_test]") {
+  // Guards against callers that name another workspace and use up its quota.
+  Fixture f(Quota{1, 0});
+  for (int i = 0; i < 20; ++i) {
+    CallRequest request;
+    request.id = CallId(900 + static_cast<uint64_t>(i));
+    request.workspace = WorkspaceId("w");
+    request.service = ServiceId("s");
+    f.actions.clear();
+    f.node.OnCall(f.now, request, &f.actions);
+    const RefuseCall* refuse = f.Find<RefuseCall>();
+    REQUIRE(refuse != nullptr);
+    CHECK(refuse->refusal.reason == RefusalReason::kUnknownCaller);
+  }
+  CHECK(f.SentUntilRefused() == 1);
+}
+
 }  // namespace
 }  // namespace jd
--- a/tests/quota_network.h
+++ b/tests/quota_network.h
@@ -132,7 +132,6 @@
     }
     CallRequest request;
     request.id = CallId(++last_call_);
-    request.workspace = workspace;
     request.caller_key = "key-" + workspace.value;
     workspaces_[request.id] = workspace;
     Duration retry_after{0};
