Quotas: conversion of the messages in a file of its own; bounds on the numbers of a message

A grant that names a send time in the future, or a retry-after time near the range of its type, would have given tokens without expiry or overflowed.

--- a/cluster/quota_issuer.cc
+++ b/cluster/quota_issuer.cc
@@ -13,6 +13,8 @@
 constexpr Duration kReservePeriod = 300ms;
 // Part of the capacity that is left for calls that wait when tokens are issued ahead.
 constexpr double kKeptFromAheadShare = 0.25;
+// Most tokens that one demand is answered with.
+constexpr double kMaxTokens = 1e9;
 // Most tokens that one loan transfers.
 constexpr double kMaxLoan = 100'000;
 // Time without a demand after which a bucket is removed.
@@ -30,7 +32,7 @@
 }
 
 int32_t WholeTokens(double tokens) {
-  return static_cast<int32_t>(std::max(std::floor(tokens), 0.0));
+  return static_cast<int32_t>(std::clamp(std::floor(tokens), 0.0, kMaxTokens));
 }
 
 }  // namespace
--- a/policy/quota_ledger.cc
+++ b/policy/quota_ledger.cc
@@ -117,8 +117,9 @@
   Account& account = accounts_[lease.workspace];
   if (lease.granted > 0) {
     counts_.tokens_granted += static_cast<uint64_t>(lease.granted);
-    account.leases.push_back({request_sent + kLeaseLifetime, lease.granted});
+    account.leases.push_back({std::min(request_sent, now) + kLeaseLifetime, lease.granted});
   }
+  const Duration retry_after = std::min(lease.retry_after, kMaxRetryAfter);
   DropExpired(now, &account);
   int32_t unanswered = lease.needed;
   for (WaitingCall& waiting : std::exchange(account.waiting, {})) {
@@ -126,13 +127,13 @@
     unanswered -= asked ? 1 : 0;
     if (TakeToken(now, &account)) {
       decisions->push_back({waiting.call, true, Duration(0)});
-    } else if (!asked || !RefuseWaiting(now, lease.retry_after, &waiting, decisions)) {
+    } else if (!asked || !RefuseWaiting(now, retry_after, &waiting, decisions)) {
       account.waiting.push_back(waiting);
     }
   }
-  if (lease.granted < lease.needed && lease.retry_after > kMaxHold) {
-    account.refused_until = now + std::min(lease.retry_after, kMaxLocalRefusal);
-    account.next_token = now + lease.retry_after;
+  if (lease.granted < lease.needed && retry_after > kMaxHold) {
+    account.refused_until = now + std::min(retry_after, kMaxLocalRefusal);
+    account.next_token = now + retry_after;
   }
 }
 
--- a/policy/quota_ledger.h
+++ b/policy/quota_ledger.h
@@ -44,6 +44,7 @@
   static constexpr Duration kMaxHold = 15ms;
   /// Calls of a workspace are refused without a request for at most this time after a refusal.
   static constexpr Duration kMaxLocalRefusal = 50ms;
+  static constexpr Duration kMaxRetryAfter = 2s;
   /// Retry-after time of a call for which no issuer has replied.
   static constexpr Duration kUnansweredRetryAfter = 300ms;
 
--- a/rpc/convert.cc
+++ b/rpc/convert.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "rpc/frame.h"
+#include "rpc/quota_wire.h"
 #include "rpc/table_update.h"
 #include "rpc/wire_integers.h"
 
@@ -131,38 +132,6 @@
           WallFromMicros(in.written)};
 }
 
-wire::QuotaDemand ToWire(const QuotaDemand& in) {
-  wire::QuotaDemand out;
-  out.workspace = in.workspace.value;
-  out.needed = in.needed;
-  out.ahead = in.ahead;
-  out.returned = in.returned;
-  return out;
-}
-
-QuotaDemand FromWire(const wire::QuotaDemand& in) {
-  if (in.needed < 0 || in.ahead < 0) {
-    throw FrameError("negative demand for a quota");
-  }
-  return {WorkspaceId(in.workspace), in.needed, in.ahead, in.returned};
-}
-
-wire::QuotaLease ToWire(const QuotaLease& in) {
-  wire::QuotaLease out;
-  out.workspace = in.workspace.value;
-  out.needed = in.needed;
-  out.granted = in.granted;
-  out.retry_after = in.retry_after.count();
-  return out;
-}
-
-QuotaLease FromWire(const wire::QuotaLease& in) {
-  if (in.needed < 0 || in.granted < 0) {
-    throw FrameError("negative grant of a quota");
-  }
-  return {WorkspaceId(in.workspace), in.needed, in.granted, Duration(in.retry_after)};
-}
-
 template <typename In>
 auto ToWireList(const std::vector<In>& in) {
   std::vector<decltype(ToWire(in.front()))> out;
@@ -309,33 +278,6 @@
       CallId(ToUnsigned(in.call)), EndpointId(in.endpoint), {in.granted, Duration(in.retry_after)}};
 }
 
-wire::QuotaRequest ToWire(const QuotaRequest& in) {
-  wire::QuotaRequest out;
-  out.requester = in.requester.value;
-  out.sent = Micros(in.sent);
-  out.demands = ToWireList(in.demands);
-  out.relayed = in.relayed;
-  out.transfer = in.transfer;
-  return out;
-}
-
-QuotaRequest FromWire(const wire::QuotaRequest& in) {
-  return {GatewayId(in.requester), MonoFromMicros(in.sent), FromWireList(in.demands), in.relayed,
-          in.transfer};
-}
-
-wire::QuotaGrant ToWire(const QuotaGrant& in) {
-  wire::QuotaGrant out;
-  out.request_sent = Micros(in.request_sent);
-  out.leases = ToWireList(in.leases);
-  out.transfer = in.transfer;
-  return out;
-}
-
-QuotaGrant FromWire(const wire::QuotaGrant& in) {
-  return {MonoFromMicros(in.request_sent), FromWireList(in.leases), in.transfer};
-}
-
 wire::CrashNotice ToWire(const CrashNotice& in) {
   wire::CrashNotice out;
   out.fingerprint = ToSigned(in.fingerprint.value);
@@ -420,8 +362,8 @@
   void operator()(const TableFetch& in) { body->__set_table_fetch(ToWire(in)); }
   void operator()(const PermitRequest& in) { body->__set_permit_request(ToWire(in)); }
   void operator()(const PermitReply& in) { body->__set_permit_reply(ToWire(in)); }
-  void operator()(const QuotaRequest& in) { body->__set_quota_request(ToWire(in)); }
-  void operator()(const QuotaGrant& in) { body->__set_quota_grant(ToWire(in)); }
+  void operator()(const QuotaRequest& in) { body->__set_quota_request(QuotaRequestToWire(in)); }
+  void operator()(const QuotaGrant& in) { body->__set_quota_grant(QuotaGrantToWire(in)); }
   void operator()(const CrashNotice& in) { body->__set_crash_notice(ToWire(in)); }
   void operator()(const ConfigEntries& in) { body->__set_config_entries(ToWire(in)); }
   void operator()(const ConfigFetch& in) { body->__set_config_fetch(ToWire(in)); }
@@ -455,10 +397,10 @@
     return FromWire(body.permit_reply);
   }
   if (set.quota_request) {
-    return FromWire(body.quota_request);
+    return QuotaRequestFromWire(body.quota_request);
   }
   if (set.quota_grant) {
-    return FromWire(body.quota_grant);
+    return QuotaGrantFromWire(body.quota_grant);
   }
   if (set.crash_notice) {
     return FromWire(body.crash_notice);
