--- a/tests/quota_issuer_test.cc
+++ b/tests/quota_issuer_test.cc
@@ -1,6 +1,7 @@
 #include "cluster/quota_issuer.h"
 
 #include <catch2/catch.hpp>
+#include <limits>
 
 namespace jd {
 namespace {
@@ -123,6 +124,15 @@
   CHECK(requests <= 11);
 }
 
+TEST_CASE("an enormous burst and demand are issued within the range of the type",
+          "[quota_issuer_test]") {
+  Fixture f;
+  f.part = {{10, 1e300}, 1.0, 1};
+  f.issuer.SetEmptySince(f.now - 3600s);
+  CHECK(f.Issue(1'000'000'000, std::numeric_limits<int32_t>::max()) == 1'000'000'000);
+  CHECK(f.issuer.Lend(f.now, f.part, {kWorkspace, 1'000'000'000, 0, 0}).granted > 0);
+}
+
 TEST_CASE("buckets of workspaces without calls are removed", "[quota_issuer_test]") {
   Fixture f;
   f.Issue(1);
--- a/tests/quota_ledger_test.cc
+++ b/tests/quota_ledger_test.cc
@@ -100,6 +100,22 @@
   }
 }
 
+TEST_CASE("odd numbers in a grant give no lasting token", "[quota_ledger_test]") {
+  // Guards against tokens without expiry from a grant that names a send time in the future.
+  Fixture f;
+  f.Call();
+  f.Demand();
+  f.decisions.clear();
+  f.ledger.OnLease(f.now, MonoTime::max(), {kWorkspace, 1, 5, Duration::max()}, &f.decisions);
+  CHECK(f.Call() == QuotaAdmission::kAdmitted);
+  f.now += QuotaLedger::kLeaseLifetime;
+  CHECK(f.Call() == QuotaAdmission::kWaiting);
+  f.Demand();
+  f.Reply(1, 0, Duration::max());
+  REQUIRE(f.decisions.size() == 1);
+  CHECK(f.decisions[0].retry_after <= QuotaLedger::kMaxRetryAfter);
+}
+
 TEST_CASE("a call without a reply is asked for once more and then refused", "[quota_ledger_test]") {
   // Guards against calls that wait for an issuer that is down until their deadline.
   Fixture f;
