--- a/rpc/convert.cc
+++ b/rpc/convert.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "rpc/frame.h"
+#include "rpc/quota_wire.h"
 #include "rpc/table_update.h"
 #include "rpc/wire_integers.h"
 
@@ -361,6 +362,8 @@
   void operator()(const TableFetch& in) { body->__set_table_fetch(ToWire(in)); }
   void operator()(const PermitRequest& in) { body->__set_permit_request(ToWire(in)); }
   void operator()(const PermitReply& in) { body->__set_permit_reply(ToWire(in)); }
+  void operator()(const QuotaRequest& in) { body->__set_quota_request(QuotaRequestToWire(in)); }
+  void operator()(const QuotaGrant& in) { body->__set_quota_grant(QuotaGrantToWire(in)); }
   void operator()(const CrashNotice& in) { body->__set_crash_notice(ToWire(in)); }
   void operator()(const ConfigEntries& in) { body->__set_config_entries(ToWire(in)); }
   void operator()(const ConfigFetch& in) { body->__set_config_fetch(ToWire(in)); }
@@ -393,6 +396,12 @@
   if (set.permit_reply) {
     return FromWire(body.permit_reply);
   }
+  if (set.quota_request) {
+    return QuotaRequestFromWire(body.quota_request);
+  }
+  if (set.quota_grant) {
+    return QuotaGrantFromWire(body.quota_grant);
+  }
   if (set.crash_notice) {
     return FromWire(body.crash_notice);
   }
