Hold endpoints below nearly full under overload, and let calls wait for freed slots

In the load simulation (55 endpoints of 6 slots, 113% of the room) 5.3 of 6 slots were busy, so endpoints worked 1.7 times slower; half of the calls refused had an endpoint with room in their zone, and 470 in 2 s were late.

Change: latencies count for the estimate of the slowdown only if the endpoint was nearly full, or not, at both ends of the call and not slow otherwise; all slots are used only for a clear gain, by urgent calls too. A call that finds no room waits while it can still be answered in time; a slot that an answer reports free goes to it without a probe. Endpoints are probed for waiting calls only within the probe budget. Calls that can't be answered in time, and calls of a lower rank, leave a slot to others that lack room; one of eight calls has the highest rank, so that none is shut out.

--- a/policy/call.cc
+++ b/policy/call.cc
@@ -58,6 +58,7 @@
   call.target_time = profile.target_latency == Duration(0)
                          ? call.deadline
                          : std::min(call.deadline, now + profile.target_latency - caller_wait);
+  call.came_back = caller_wait > Duration(0);
   call.weight = ShareOf(request.workspace, service, configuration);
   call.idempotent = IsIdempotent(profile, request.method, request.path);
   call.sequence = sequence;
--- a/policy/call.h
+++ b/policy/call.h
@@ -26,6 +26,8 @@
 
 /// A call in progress: its request, its limits and the state of its attempts.
 struct Call {
+  static constexpr uint64_t kPromotionInterval = 8;
+
   CallRequest request;
   CallLimits limits;
   MonoTime arrival;
@@ -39,6 +41,11 @@
   int32_t attempts = 0;   ///< Number of attempts sent.
   bool hedged = false;
   bool queued = false;
+  bool waited = false;     ///< The call has found no room and waited for it.
+  bool came_back = false;  ///< The caller has been refused before.
+  /// While the call waits for a free slot: the latest time at which it can be sent and still be
+  /// answered by its target time.
+  std::optional<MonoTime> latest_start;
   Verdict verdict = Verdict::kNotRun;  ///< Combined verdict of the ended attempts.
   std::vector<EndpointId> tried;       ///< Endpoints that attempts were sent to.
   std::vector<AttemptId> running;      ///< Attempts without a result yet.
@@ -52,9 +59,21 @@
   Verdict verdict_if_ended_now() const {
     return running.empty() ? verdict : CombineVerdicts(verdict, Verdict::kMayHaveRun);
   }
+  /// Returns the rank by which the call is admitted when there is too little room. One of
+  /// kPromotionInterval calls has the highest rank, so that no rank is shut out by more urgent
+  /// ones.
+  CallRank admission_rank() const {
+    return sequence % kPromotionInterval == 0 ? CallRank{Priority::kHigh, Priority::kHigh}
+                                              : limits.rank;
+  }
   QueuedCall ToQueued() const {
-    return {request.id, request.workspace, weight,  limits.priority,
-            idempotent, attempts == 0,     sequence};
+    const CallRank rank =
+        waited ? admission_rank() : CallRank{limits.rank.workspace, limits.priority};
+    QueuedCall queued{request.id, request.workspace, weight,  rank.profile,
+                      idempotent, attempts == 0,     sequence};
+    queued.workspace_priority = rank.workspace;
+    queued.came_back = came_back && waited;
+    return queued;
   }
 };
 
--- a/policy/call_manager.cc
+++ b/policy/call_manager.cc
@@ -16,14 +16,6 @@
 /// Until an upstream has answered, the service time of a call is assumed to be this share of its
 /// target latency.
 constexpr double kDefaultServiceTimeShare = 0.35;
-/// Upper limit of the retry-after time, as a share of the time that the caller has left.
-constexpr double kMaxRetryAfterShare = 0.33;
-/// The retry-after time is drawn at random between this share of the longest useful time and that
-/// time itself, so that refused callers do not all retry at once.
-constexpr double kMinRetryAfterShare = 0.3;
-/// With less slack than this before the target time, a retry by the caller cannot be answered in
-/// time.
-constexpr Duration kMinSlack = 40ms;
 constexpr int kFirstServerError = 500;
 /// An upstream that refused a call although it had room may accept the call shortly afterwards.
 constexpr Duration kRetryAfterUpstreamRefusal = 10ms;
@@ -144,40 +136,7 @@
     StateOf(*call).load.OnDequeued(now);
     Dequeue(call);
   }
-}
-
-void CallManager::HandleNoProbedCapacity(MonoTime now,
-                                         Call* call,
-                                         RandomEngine& random,
-                                         CallActions* actions) {
-  if (!call->running.empty()) {
-    AbandonHedge(call);
-    return;
-  }
-  if (call->attempts > 0) {
-    Refuse(call, RefusalReason::kUpstreamFailed, kRetryAfterUpstreamRefusal,
-           "The attempt failed and no other endpoint has room.", actions);
-    return;
-  }
-  if (StateOf(*call).usable.empty()) {
-    Refuse(call, RefusalReason::kNoEndpoint, kRetryAfterFailure,
-           "The service has no usable endpoint.", actions);
-    return;
-  }
-  Refuse(call, RefusalReason::kOverload, RetryAfterOverload(now, *call, random),
-         "No measured endpoint can finish the call in time.", actions);
-}
-
-Duration CallManager::RetryAfterOverload(MonoTime now,
-                                         const Call& call,
-                                         RandomEngine& random) const {
-  const Duration timeout = call.request.timeout.value_or(call.deadline - call.arrival);
-  const Duration longest = Scale(call.arrival + timeout - now, kMaxRetryAfterShare);
-  // A caller that retries within this slack may still get its answer before the target time.
-  const Duration slack = call.target_time - now - UsualServiceTime(call);
-  const Duration until = slack > kMinSlack ? std::min(slack, longest) : longest;
-  const double share = std::uniform_real_distribution<double>(kMinRetryAfterShare, 1.0)(random);
-  return Scale(until, share);
+  ClearWaitTimer(call);
 }
 
 void CallManager::Enqueue(MonoTime now, Call* call, CallActions* actions) {
@@ -282,6 +241,7 @@
     state.load.OnDequeued(now);
     Dequeue(call);
   }
+  ClearWaitTimer(call);
   state.queue.ChargeWorkspace(call->request.workspace, call->weight);
   const AttemptId attempt =
       attempts_.Start(now, {call->request.id, call->request.request_id, call->request.service,
@@ -391,7 +351,7 @@
   RemoveCall(call);
 }
 
-Call* CallManager::HandleDueTimers(MonoTime now, CallActions* actions) {
+Call* CallManager::HandleDueTimers(MonoTime now, RandomEngine& random, CallActions* actions) {
   attempts_.AnnounceCrashes(now, actions);
   while (!timers_.empty() && std::get<MonoTime>(*timers_.begin()) <= now) {
     const auto [due, id, kind] = *timers_.begin();
@@ -400,6 +360,10 @@
       Expire(call, actions);
       continue;
     }
+    if (kind == TimerKind::kWait) {
+      HandleNoProbedCapacity(now, call, random, actions);
+      continue;
+    }
     ClearHedgeTimer(call);
     if (TryChargeHedge(now, call)) {
       return call;
@@ -485,6 +449,7 @@
 
 void CallManager::RemoveCall(Call* call) {
   Dequeue(call);
+  ClearWaitTimer(call);
   ClearHedgeTimer(call);
   timers_.erase(Timer(call->deadline, call->request.id, TimerKind::kDeadline));
   --StateOf(*call).calls;
--- a/policy/call_manager.h
+++ b/policy/call_manager.h
@@ -42,6 +42,16 @@
   void Requeue(Call* call);
   /// Removes a call from its queue, if it is queued, while endpoints are probed for it.
   void DequeueForProbing(MonoTime now, Call* call);
+  /// Returns whether a call may wait for a free slot: its turn is expected to come while it can
+  /// still be answered by its target time.
+  bool MayWaitForRoom(MonoTime now, const Call& call) const;
+  /// Lets a call for which no endpoint has room wait for a free slot, if it may. It is refused once
+  /// it can no longer be answered by its target time.
+  /// @return false if the call doesn't wait; it hasn't ended then.
+  bool WaitForRoom(MonoTime now, Call* call);
+  /// Returns whether calls of a more urgent rank have lacked room recently, so that this call must
+  /// leave room for them.
+  bool MustYield(MonoTime now, const Call& call) const;
   /// Handles a call for which no probed endpoint has room: abandons the hedge if another attempt is
   /// still running, otherwise refuses the call.
   void HandleNoProbedCapacity(MonoTime now, Call* call, RandomEngine& random, CallActions* actions);
@@ -82,7 +92,7 @@
   /// Handles due timers until one starts a hedge.
   /// @return a call to be hedged now, already charged to the retry budget, or null once no timer is
   /// due.
-  Call* HandleDueTimers(MonoTime now, CallActions* actions);
+  Call* HandleDueTimers(MonoTime now, RandomEngine& random, CallActions* actions);
   /// Refunds the retry budget charged for a hedge that found no free endpoint; the call continues
   /// without it.
   void AbandonHedge(Call* call);
@@ -96,7 +106,7 @@
   size_t attempts() const { return attempts_.size(); }
 
  private:
-  enum class TimerKind : uint8_t { kDeadline, kHedge };
+  enum class TimerKind : uint8_t { kDeadline, kHedge, kWait };
   using Timer = std::tuple<MonoTime, CallId, TimerKind>;
 
   /// Discards the state of endpoints that the current configuration no longer contains.
@@ -111,6 +121,12 @@
   Duration RetryAfterOverload(MonoTime now, const Call& call, RandomEngine& random) const;
   /// Applies `latest_deadline_` to the deadline and the target time of a call.
   void LimitDeadline(Call* call) const;
+  /// Estimates how long a call would wait until the attempts in progress have freed a slot for it.
+  Duration ExpectedWait(const Call& call) const;
+  /// Returns the latest time at which the call can be sent and still be answered by its target
+  /// time.
+  MonoTime LatestStart(const Call& call) const;
+  void ClearWaitTimer(Call* call);
   void InsertIntoQueue(Call* call);
   void Dequeue(Call* call);
   void ClearHedgeTimer(Call* call);
--- a/policy/call_queue.cc
+++ b/policy/call_queue.cc
@@ -13,11 +13,13 @@
 }  // namespace
 
 CallQueue::SubQueueKey CallQueue::KeyOf(const QueuedCall& call) {
-  return {call.idempotent, call.priority, call.workspace};
+  return {
+      call.idempotent, {call.workspace_priority, call.priority}, call.workspace, call.came_back};
 }
 
-std::pair<bool, int> CallQueue::RankOf(bool idempotent, Priority priority) const {
-  return {degraded_ && idempotent, -static_cast<int>(priority)};
+CallQueue::Order CallQueue::OrderOf(bool idempotent, const CallRank& rank) const {
+  return {degraded_ && idempotent, -static_cast<int>(rank.workspace),
+          -static_cast<int>(rank.profile)};
 }
 
 double CallQueue::StartTagOf(const WorkspaceId& workspace) const {
@@ -62,7 +64,7 @@
 
 std::optional<CallId> CallQueue::Next(const std::vector<CallId>& skipped) const {
   const QueuedCall* next = nullptr;
-  std::tuple<std::pair<bool, int>, double, uint64_t> next_order;
+  std::tuple<Order, double, bool, uint64_t> next_order;
   for (const auto& [key, sub_queue] : sub_queues_) {
     const auto first =
         std::find_if(sub_queue.begin(), sub_queue.end(), [&](const QueuedCall& call) {
@@ -71,8 +73,8 @@
     if (first == sub_queue.end()) {
       continue;
     }
-    const auto order = std::tuple(RankOf(key.idempotent, key.priority), StartTagOf(key.workspace),
-                                  first->sequence);
+    const auto order = std::tuple(OrderOf(key.idempotent, key.rank), StartTagOf(key.workspace),
+                                  !key.came_back, first->sequence);
     if (next == nullptr || order < next_order) {
       next = &*first;
       next_order = order;
@@ -104,7 +106,8 @@
   const bool own_workspace = *workspace == arriving.workspace;
   const QueuedCall* last = own_workspace ? &arriving : nullptr;
   const auto order = [this](const QueuedCall& call) {
-    return std::pair(RankOf(call.idempotent, call.priority), call.sequence);
+    return std::tuple(OrderOf(call.idempotent, {call.workspace_priority, call.priority}),
+                      !call.came_back, call.sequence);
   };
   for (const auto& [key, sub_queue] : sub_queues_) {
     if (key.workspace != *workspace) {
@@ -120,15 +123,16 @@
 }
 
 double CallQueue::CallsAhead(const QueuedCall& arriving) const {
-  const auto rank = RankOf(arriving.idempotent, arriving.priority);
+  const Order order =
+      OrderOf(arriving.idempotent, {arriving.workspace_priority, arriving.priority});
   double own = 0;
   double ahead = 0;
   std::map<WorkspaceId, double> others;
   for (const auto& [key, sub_queue] : sub_queues_) {
-    const auto sub_queue_rank = RankOf(key.idempotent, key.priority);
-    if (sub_queue_rank < rank) {
+    const Order sub_queue_order = OrderOf(key.idempotent, key.rank);
+    if (sub_queue_order < order) {
       ahead += static_cast<double>(sub_queue.size());
-    } else if (sub_queue_rank == rank) {
+    } else if (sub_queue_order == order) {
       (key.workspace == arriving.workspace ? own : others[key.workspace]) +=
           static_cast<double>(sub_queue.size());
     }
--- a/policy/call_queue.h
+++ b/policy/call_queue.h
@@ -9,6 +9,7 @@
 
 #include "common/configuration.h"
 #include "common/ids.h"
+#include "policy/call_rank.h"
 
 namespace jd {
 
@@ -21,6 +22,8 @@
   bool idempotent = false;
   bool untried = true;    ///< No attempt was sent, so the call can be refused as not run.
   uint64_t sequence = 0;  ///< Order of arrival at the gateway.
+  Priority workspace_priority = Priority::kNormal;  ///< Goes before `priority`.
+  bool came_back = false;  ///< Served before the workspace's calls that were not refused before.
 };
 
 /// The waiting calls of one service, ordered by priority, then by workspace share, then by arrival.
@@ -55,8 +58,9 @@
  private:
   struct SubQueueKey {
     bool idempotent = false;
-    Priority priority = Priority::kNormal;
+    CallRank rank;
     WorkspaceId workspace;
+    bool came_back = false;
     auto operator<=>(const SubQueueKey&) const = default;
   };
   /// Calls of the same key in order of arrival.
@@ -68,8 +72,9 @@
   };
 
   static SubQueueKey KeyOf(const QueuedCall& call);
-  /// Returns a rank by degradation and priority; the lowest rank is served first.
-  std::pair<bool, int> RankOf(bool idempotent, Priority priority) const;
+  /// The order of service by degradation and rank; the lowest is served first.
+  using Order = std::tuple<bool, int, int>;
+  Order OrderOf(bool idempotent, const CallRank& rank) const;
   /// Returns the start tag of a workspace: at least the virtual time.
   double StartTagOf(const WorkspaceId& workspace) const;
 
--- a/policy/dispatcher.h
+++ b/policy/dispatcher.h
@@ -94,6 +94,9 @@
   /// A retried call may find a free slot only at endpoints that it must avoid. Up to this many such
   /// calls are skipped so that the calls queued behind them can be sent.
   static constexpr size_t kMaxSkipped = 8;
+  /// Time between two probe rounds for the waiting calls of a service. A round doesn't pay more
+  /// often, because endpoints free their slots no faster.
+  static constexpr Duration kWaitingProbeInterval = 25ms;
   /// No permit for an endpoint is requested within this time after a request without a reply.
   static constexpr Duration kRetryAfterNoReply = 500ms;
   /// A limit from this rate on needs no permits, because no gateway reaches it.
@@ -103,9 +106,18 @@
   void SendHedge(MonoTime now, Call* call, CallActions* actions);
   /// Returns whether the policy has endpoints probed before each call.
   bool UsesProbes() const;
-  AcquireRequest MakeAcquireRequest(const Call& call) const;
+  AcquireRequest MakeAcquireRequest(MonoTime now, const Call& call) const;
   /// Returns the load data that the choice of an endpoint is based on, for the timeline.
   std::string DescribeChoice(MonoTime now, const EndpointId& endpoint) const;
+  /// Lets a new call wait behind those that wait for room already, or probes endpoints for it.
+  void HandleNewProbedCall(MonoTime now, Call* call, CallActions* actions);
+  /// Sends the waiting calls of a service to endpoints that have just reported room, and probes
+  /// endpoints for the next one if the service's last such probes are not too recent.
+  void SendProbedWaitingCalls(MonoTime now, const ServiceId& service, CallActions* actions);
+  /// Probes for the waiting calls of the services for which that is due.
+  void SendWaitingCallsDue(MonoTime now, CallActions* actions);
+  /// Lets a call without room wait, or refuses it.
+  void HandleNoRoom(MonoTime now, Call* call, CallActions* actions);
   /// Probes the candidate endpoints of the call's next stage. If no candidates are left, sends the
   /// call to an endpoint that was probed before, or gives up.
   void ProbeCandidates(MonoTime now, Call* call, CallActions* actions);
@@ -148,6 +160,8 @@
   ProbeRounds probe_rounds_;
   PermitWaits permit_waits_;
   PermitCounts permit_counts_;
+  /// When endpoints may be probed again for the waiting calls of a service.
+  std::map<ServiceId, MonoTime> waiting_probe_times_;
 };
 
 template <RoutingPolicy Policy>
@@ -156,6 +170,11 @@
   if (call == nullptr) {
     return;
   }
+  if (UsesProbes()) {
+    HandleNewProbedCall(now, call, actions);
+    ReportQueueLengths(now);
+    return;
+  }
   // A new call does not bypass waiting calls, but the queue's order may put it ahead of them.
   const bool waiting = call_manager_.HasWaitingCalls(call->request.service);
   const ServiceId service = call->request.service;
@@ -208,13 +227,14 @@
 
 template <RoutingPolicy Policy>
 void Dispatcher<Policy>::OnTimer(MonoTime now, CallActions* actions) {
-  while (Call* call = call_manager_.HandleDueTimers(now, actions)) {
+  while (Call* call = call_manager_.HandleDueTimers(now, random_, actions)) {
     SendHedge(now, call, actions);
   }
   for (const CallId id : probe_rounds_.TakeExpired(now)) {
     FinishProbeRound(now, id, actions);
   }
   HandleExpiredPermitWaits(now, actions);
+  SendWaitingCallsDue(now, actions);
   ReportQueueLengths(now);
 }
 
@@ -229,7 +249,7 @@
     return SendOutcome::kProbing;
   }
   const std::optional<EndpointId> endpoint =
-      policy_->Acquire(now, MakeAcquireRequest(*call), random_);
+      policy_->Acquire(now, MakeAcquireRequest(now, *call), random_);
   if (!endpoint) {
     return SendOutcome::kNoSlot;
   }
@@ -247,7 +267,7 @@
 }
 
 template <RoutingPolicy Policy>
-AcquireRequest Dispatcher<Policy>::MakeAcquireRequest(const Call& call) const {
+AcquireRequest Dispatcher<Policy>::MakeAcquireRequest(MonoTime now, const Call& call) const {
   AcquireRequest request;
   request.service = call.request.service;
   request.local_zone = zone_;
@@ -256,6 +276,8 @@
   request.priority = call.limits.priority;
   request.usual_service_time = call_manager_.UsualServiceTime(call);
   request.excluded = call_manager_.ExcludedEndpoints(call);
+  request.yields = call_manager_.MustYield(now, call);
+  request.waiting = call.waited;
   return request;
 }
 
@@ -275,7 +297,7 @@
       ReleaseUnused(now, *wait);
     }
     call_manager_.DequeueForProbing(now, call);
-    const AcquireRequest request = MakeAcquireRequest(*call);
+    const AcquireRequest request = MakeAcquireRequest(now, *call);
     std::vector<EndpointId> candidates;
     for (; call->probe_stage < kProbeStages && candidates.empty(); ++call->probe_stage) {
       candidates = policy_->ChooseProbeTargets(now, request, call->probe_stage, random_);
@@ -283,7 +305,7 @@
     if (candidates.empty()) {
       // Every candidate has been probed, so decide with the results so far.
       if (!SendToProbedEndpoint(now, call, true, actions)) {
-        call_manager_.HandleNoProbedCapacity(now, call, random_, actions);
+        HandleNoRoom(now, call, actions);
       }
       return;
     }
@@ -310,13 +332,15 @@
                                               Call* call,
                                               bool last_stage,
                                               CallActions* actions) {
-  AcquireRequest request = MakeAcquireRequest(*call);
-  request.last_stage = last_stage;
+  AcquireRequest request = MakeAcquireRequest(now, *call);
+  // A late answer is not accepted while the call may wait for an earlier one.
+  request.last_stage = last_stage && !call_manager_.MayWaitForRoom(now, *call);
   const std::optional<EndpointId> endpoint = policy_->Acquire(now, request, random_);
   if (!endpoint) {
     return false;
   }
   if (NeedsPermit(*endpoint)) {
+    call_manager_.DequeueForProbing(now, call);
     permit_waits_.Start(now, call->request.id, *endpoint);
     actions->push_back(
         RequestPermit{call->request.id, *endpoint, *KnownLimit(*endpoint), call->limits.priority});
@@ -352,6 +376,11 @@
   if (const std::optional<MonoTime> permit = permit_waits_.next_timer()) {
     next = std::min(next.value_or(*permit), *permit);
   }
+  for (const auto& [service, due] : waiting_probe_times_) {
+    if (call_manager_.HasWaitingCalls(service)) {
+      next = std::min(next.value_or(due), due);
+    }
+  }
   return next;
 }
 
@@ -362,7 +391,7 @@
     ProbeCandidates(now, call, actions);
     return;
   }
-  AcquireRequest request = MakeAcquireRequest(*call);
+  AcquireRequest request = MakeAcquireRequest(now, *call);
   request.excluded = call->tried;
   const std::optional<EndpointId> endpoint = policy_->Acquire(now, request, random_);
   if (!endpoint) {
@@ -376,6 +405,10 @@
 void Dispatcher<Policy>::SendWaitingCalls(MonoTime now,
                                           const ServiceId& service,
                                           CallActions* actions) {
+  if (UsesProbes()) {
+    SendProbedWaitingCalls(now, service, actions);
+    return;
+  }
   std::vector<CallId> skipped;
   while (Call* call = call_manager_.NextWaitingCall(service, skipped)) {
     if (TrySend(now, call, actions) != SendOutcome::kNoSlot) {
@@ -397,5 +430,7 @@
 
 }  // namespace jd
 
+// The members for calls that wait for room.
+#include "policy/dispatcher_waiting.h"
 // The members for endpoints that name a limit.
 #include "policy/dispatcher_permits.h"
--- /dev/null
+++ b/policy/dispatcher_waiting.h
@@ -0,0 +1,68 @@
+#pragma once
+
+// Members of Dispatcher for calls that wait until a probed endpoint has room. Included by
+// policy/dispatcher.h.
+
+#include "policy/dispatcher.h"
+
+namespace jd {
+
+template <RoutingPolicy Policy>
+void Dispatcher<Policy>::HandleNewProbedCall(MonoTime now, Call* call, CallActions* actions) {
+  if (!call_manager_.HasWaitingCalls(call->request.service)) {
+    TrySend(now, call, actions);
+    return;
+  }
+  const ServiceId service = call->request.service;
+  HandleNoRoom(now, call, actions);
+  SendProbedWaitingCalls(now, service, actions);
+}
+
+template <RoutingPolicy Policy>
+void Dispatcher<Policy>::HandleNoRoom(MonoTime now, Call* call, CallActions* actions) {
+  const ServiceId service = call->request.service;
+  if (!call_manager_.WaitForRoom(now, call)) {
+    call_manager_.HandleNoProbedCapacity(now, call, random_, actions);
+    return;
+  }
+  waiting_probe_times_.try_emplace(service, now + kWaitingProbeInterval);
+}
+
+template <RoutingPolicy Policy>
+void Dispatcher<Policy>::SendWaitingCallsDue(MonoTime now, CallActions* actions) {
+  std::vector<ServiceId> due_services;
+  std::erase_if(waiting_probe_times_, [&](const auto& entry) {
+    if (entry.second > now) {
+      return false;
+    }
+    due_services.push_back(entry.first);
+    return true;
+  });
+  for (const ServiceId& service : due_services) {
+    SendProbedWaitingCalls(now, service, actions);
+  }
+}
+
+template <RoutingPolicy Policy>
+void Dispatcher<Policy>::SendProbedWaitingCalls(MonoTime now,
+                                                const ServiceId& service,
+                                                CallActions* actions) {
+  while (Call* call = call_manager_.NextWaitingCall(service, {})) {
+    // A call that is tried again is probed for at once.
+    const bool retried = call->attempts > 0;
+    if (!retried && call_manager_.CheckBeforeAttempt(now, call, actions) &&
+        !SendToProbedEndpoint(now, call, false, actions)) {
+      break;
+    }
+    if (retried) {
+      TrySend(now, call, actions);
+    }
+  }
+  Call* next = call_manager_.NextWaitingCall(service, {});
+  if (next != nullptr && !waiting_probe_times_.contains(service)) {
+    waiting_probe_times_[service] = now + kWaitingProbeInterval;
+    TrySend(now, next, actions);
+  }
+}
+
+}  // namespace jd
--- a/policy/fresh_load.cc
+++ b/policy/fresh_load.cc
@@ -20,6 +20,10 @@
 // caused by the request.
 constexpr int32_t kToleratedFailures = 1;
 
+bool IsSlow(const LoadReport& report) {
+  return report.slowdown_percent > LoadReport::kNormalSlowdownPercent;
+}
+
 bool IsFailure(const AttemptResult& result) {
   switch (result.outcome) {
     case AttemptOutcome::kConnectFailed:
@@ -66,8 +70,11 @@
     ranked.push_back({ProbeRank(now, *record) + jitter, &endpoint});
   }
   const size_t wanted = std::min(stage == 0 ? kProbesPerCall : kRemoteProbesPerCall, ranked.size());
+  // A call is never sent to an endpoint whose load is unknown, so a new call has one probe at
+  // least.
+  const int32_t minimum = request.waiting ? 0 : 1;
   const auto count = static_cast<size_t>(
-      probe_budgets_[request.service].TakeTokens(now, static_cast<int32_t>(wanted)));
+      probe_budgets_[request.service].TakeTokens(now, static_cast<int32_t>(wanted), minimum));
   std::partial_sort(ranked.begin(), ranked.begin() + static_cast<ptrdiff_t>(count), ranked.end(),
                     [](const Ranked& a, const Ranked& b) { return a.rank < b.rank; });
   std::vector<EndpointId> candidates;
@@ -152,7 +159,8 @@
   }
   ++best_record->sent_since_report;
   best_record->in_flight.push_back(
-      {now, SaturationSlowdown::IsNearlyFull(EstimatedCalls(*best_record), best->slots)});
+      {now, SaturationSlowdown::IsNearlyFull(EstimatedCalls(*best_record), best->slots),
+       IsSlow(best_record->report)});
   return best->id;
 }
 
@@ -200,12 +208,23 @@
     RecordFailure(now, &record);
   } else if (result.outcome == AttemptOutcome::kAnswered) {
     record.consecutive_failures = 0;
-    if (sent) {
+    if (sent && IsSaturationSample(*sent, result)) {
       saturation_slowdowns_[record.service].OnAnswered(sent->nearly_full, result.latency);
     }
   }
 }
 
+bool FreshLoad::IsSaturationSample(const SentCall& sent, const AttemptResult& result) {
+  if (!result.report) {
+    return true;
+  }
+  const LoadReport& report = *result.report;
+  const int32_t calls_with_this_one = report.in_flight + 1;
+  return !sent.slow && !IsSlow(report) && report.waiting == 0 &&
+         sent.nearly_full ==
+             SaturationSlowdown::IsNearlyFull(calls_with_this_one, std::max(report.slots, 1));
+}
+
 std::optional<FreshLoad::SentCall> FreshLoad::RemoveSentCall(EndpointRecord* record,
                                                              MonoTime sent_at) {
   const auto nearest = std::min_element(record->in_flight.begin(), record->in_flight.end(),
@@ -337,9 +356,6 @@
   if (now + expected_latency > request.deadline) {
     return false;
   }
-  if (request.priority == Priority::kHigh && meets_target) {
-    return true;
-  }
   // An endpoint of another zone, not probed yet, may still answer before the target time.
   if (!meets_target && !request.last_stage &&
       now + request.usual_service_time < request.target_time) {
@@ -349,6 +365,7 @@
   // under overload another call can use this slot and still finish in time.
   int32_t limit = SlowdownOf(record).OptimalConcurrency(endpoint.slots);
   limit -= meets_target ? 0 : 1;
+  limit -= request.yields ? 1 : 0;
   return EstimatedCalls(record) < std::max(limit, 1);
 }
 
--- a/policy/fresh_load.h
+++ b/policy/fresh_load.h
@@ -71,6 +71,7 @@
   struct SentCall {
     MonoTime sent_at;
     bool nearly_full = false;  ///< Whether the endpoint was nearly full with this call.
+    bool slow = false;         ///< Whether the endpoint reported to be slower than usual.
   };
   /// What this gateway knows about one endpoint.
   struct EndpointRecord {
@@ -116,6 +117,10 @@
                  const EndpointRecord& record,
                  const EndpointView& endpoint,
                  Duration expected_latency) const;
+  /// Returns whether the latency of an answered call shows how a nearly full endpoint slows down:
+  /// the endpoint was nearly full, or not, both when the call was sent and when it was answered,
+  /// and was not slow for another reason.
+  static bool IsSaturationSample(const SentCall& sent, const AttemptResult& result);
   /// Removes the call whose send time is closest to `sent_at` from the calls in flight and returns
   /// it.
   /// @return nothing if no call is in flight.
--- a/policy/probe_budget.cc
+++ b/policy/probe_budget.cc
@@ -16,12 +16,14 @@
   per_second_ = per_second;
 }
 
-int32_t ProbeBudget::TakeTokens(MonoTime now, int32_t wanted) {
+int32_t ProbeBudget::TakeTokens(MonoTime now, int32_t wanted, int32_t minimum) {
   if (per_second_ <= 0) {
     return wanted;
   }
   Refill(now);
-  const int32_t taken = std::clamp(static_cast<int32_t>(tokens_), std::min(1, wanted), wanted);
+  // The balance may be negative after probes without tokens.
+  const int32_t taken =
+      std::clamp(static_cast<int32_t>(tokens_), std::min(minimum, wanted), wanted);
   tokens_ -= taken;
   return taken;
 }
--- a/policy/probe_budget.h
+++ b/policy/probe_budget.h
@@ -14,10 +14,10 @@
 
   /// @param per_second probes per second over all endpoints of the service; 0: no limit.
   void SetRate(MonoTime now, double per_second);
-  /// Takes tokens for up to `wanted` probes. One probe is always allowed, because a call is never
-  /// sent to an endpoint whose load is unknown.
+  /// Takes tokens for up to `wanted` probes.
+  /// @param minimum number of probes that are allowed without tokens.
   /// @return the number of probes that may be sent.
-  int32_t TakeTokens(MonoTime now, int32_t wanted);
+  int32_t TakeTokens(MonoTime now, int32_t wanted, int32_t minimum = 1);
 
  private:
   /// Adds the tokens for the time since the last refill.
--- a/policy/routing_policy.h
+++ b/policy/routing_policy.h
@@ -43,6 +43,11 @@
   /// Whether no further endpoints will be probed for this call, so that a late answer is
   /// acceptable.
   bool last_stage = true;
+  /// Whether more urgent calls of the service find no room, so that this call leaves them a slot of
+  /// each endpoint.
+  bool yields = false;
+  /// Whether the call waits for room. Endpoints are probed for it only within the probe budget.
+  bool waiting = false;
   /// Time that an upstream at its usual speed takes for such a call.
   Duration usual_service_time{0};
   /// Endpoints that this call has already tried.
--- a/policy/service_state.h
+++ b/policy/service_state.h
@@ -6,6 +6,7 @@
 #include "policy/call.h"
 #include "policy/call_queue.h"
 #include "policy/retry_budget.h"
+#include "policy/room_shortage.h"
 #include "policy/service_load.h"
 
 namespace jd {
@@ -18,6 +19,7 @@
   std::vector<EndpointId> usable;        ///< Endpoints to which new attempts may be sent.
   std::optional<MonoTime> usable_until;  ///< When `usable` last became empty.
   bool has_service_view = false;         ///< `usable` was set from a ServiceView.
+  RoomShortage shortage;                 ///< Ranks whose calls have lacked room recently.
   int32_t calls = 0;                     ///< Calls in progress, waiting or in flight.
   int32_t reported_queue_length = 0;     ///< Queue length last reported to the policy.
 
