--- a/policy/call.h
+++ b/policy/call.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <memory>
 #include <optional>
 #include <vector>
 
@@ -46,6 +47,8 @@
   /// While the call waits for a free slot: the latest time at which it can be sent and still be
   /// answered by its target time.
   std::optional<MonoTime> latest_start;
+  /// The table that the workspace was found in; null if callers are not identified by keys.
+  std::shared_ptr<const WorkspaceTable> workspace_table;
   Verdict verdict = Verdict::kNotRun;  ///< Combined verdict of the ended attempts.
   std::vector<EndpointId> tried;       ///< Endpoints that attempts were sent to.
   std::vector<AttemptId> running;      ///< Attempts without a result yet.
