--- a/policy/fresh_load.h
+++ b/policy/fresh_load.h
@@ -30,8 +30,11 @@
   /// Maximum number of endpoints of other zones probed in parallel for one call; lower, because
   /// each of these probes costs more.
   static constexpr size_t kRemoteProbesPerCall = 2;
+  /// Maximum number of endpoints probed at once for a call that waits for room. It is probed for
+  /// repeatedly, so single probes find a freed slot sooner than the same number at once.
+  static constexpr size_t kProbesPerWaitingCall = 1;
   /// Endpoints whose latest load report is older than this are not chosen.
-  static constexpr Duration kMaxReportAge = 40ms;
+  static constexpr Duration kMaxReportAge = 15ms;
 
   /// Returns the endpoints to probe before the call is sent, limited by the probe budget.
   /// @param stage 0 for endpoints of the local zone, 1 for endpoints of the other zones.
@@ -71,6 +74,7 @@
   struct SentCall {
     MonoTime sent_at;
     bool nearly_full = false;  ///< Whether the endpoint was nearly full with this call.
+    bool slow = false;         ///< Whether the endpoint reported to be slower than usual.
   };
   /// What this gateway knows about one endpoint.
   struct EndpointRecord {
@@ -116,6 +120,10 @@
                  const EndpointRecord& record,
                  const EndpointView& endpoint,
                  Duration expected_latency) const;
+  /// Returns whether the latency of an answered call shows how a nearly full endpoint slows down:
+  /// the endpoint was nearly full, or not, both when the call was sent and when it was answered,
+  /// and was not slow for another reason.
+  static bool IsSaturationSample(const SentCall& sent, const AttemptResult& result);
   /// Removes the call whose send time is closest to `sent_at` from the calls in flight and returns
   /// it.
   /// @return nothing if no call is in flight.
