--- a/standin/child_process.h
+++ b/standin/child_process.h
@@ -31,6 +31,8 @@
   void Signal(int signal) const;
   /// Returns whether the process is running, and reaps it if it has ended.
   bool Running();
+  /// Id of the running process, or -1 if none is running.
+  pid_t pid() const { return pid_; }
   /// Status from waitpid of the most recent process that ended.
   int exit_status() const { return exit_status_; }
 
