A status out of 100 to 599 is no answer; a chunked end in small pieces does not end the process

Status: 000 and 099 were taken for interim answers, after which the call waited for its deadline; 600 and 999 were relayed.

End of a chunked body: Boost.Beast's parser asserts that it gets at least 5 bytes when it returns to the last chunk. An upstream that sent "0" and a line end, and then one more byte, ended the process (assertions stay on in all builds). The parser is now not called with fewer bytes.

--- a/net/http_response_reader.cc
+++ b/net/http_response_reader.cc
@@ -9,6 +9,8 @@
 #include <new>
 #include <utility>
 
+#include "net/chunked_body.h"
+
 namespace jd {
 namespace {
 
@@ -17,7 +19,9 @@
 // Bytes that are passed to the parser at once.
 constexpr int64_t kMaxReadBytes = 65536;
 constexpr int kSwitchingProtocols = 101;
+constexpr int kFirstStatus = 100;
 constexpr int kFirstFinalStatus = 200;
+constexpr int kLastStatus = 599;
 
 std::string ToString(boost::beast::string_view text) {
   return {text.data(), text.size()};
@@ -70,6 +74,10 @@
   const auto size =
       static_cast<ev_ssize_t>(std::min(static_cast<int64_t>(evbuffer_get_length(input)),
                                        std::max(kMaxReadBytes, limits_.header_bytes + 1)));
+  if (parser_->is_header_done() && parser_->chunked() &&
+      static_cast<size_t>(size) < kMinChunkedBytes) {
+    return false;
+  }
   const void* data = evbuffer_pullup(input, size);
   boost::beast::error_code error;
   const size_t used =
@@ -99,6 +107,10 @@
 void HttpResponseReader::OnHeader() {
   const auto& message = parser_->get();
   const int status = static_cast<int>(message.result_int());
+  if (status < kFirstStatus || status > kLastStatus) {
+    Fail("invalid status " + std::to_string(status));
+    return;
+  }
   if (status == kSwitchingProtocols) {
     Fail("unexpected status 101");
     return;
--- a/net/http_response_reader.h
+++ b/net/http_response_reader.h
@@ -22,7 +22,7 @@
 /// before it is buffered, so that a server that sends without end costs a bounded amount of memory.
 ///
 /// Interim responses (status 100 to 199) are skipped. Status 101 is an error, because no request
-/// asks for another protocol.
+/// asks for another protocol. A status out of 100 to 599 is an error.
 class HttpResponseReader {
  public:
   /// Maximum number of interim responses before a final one.
--- a/tests/http_response_reader_test.cc
+++ b/tests/http_response_reader_test.cc
@@ -59,6 +59,19 @@
   }
 }
 
+TEST_CASE("the end of a chunked response may arrive one byte at a time",
+          "[http_response_reader_test]") {
+  // Guards against the parser's assertion on a few bytes of the last chunk, which ends the process.
+  const std::string body =
+      GENERATE(as<std::string>{}, "0\r\n\r\n", "1\r\na\r\n0\r\n\r\n", "0\r\nt: v\r\n\r\n");
+  Stream stream;
+  CHECK(stream.Feed(kChunked) == State::kIncomplete);
+  for (size_t i = 0; i + 1 < body.size(); ++i) {
+    CHECK(stream.Feed(body.substr(i, 1)) == State::kIncomplete);
+  }
+  CHECK(stream.Feed(body.substr(body.size() - 1)) == State::kComplete);
+}
+
 TEST_CASE("every element without end is refused in bounded memory", "[http_response_reader_test]") {
   // Guards against a server that sends bytes until the caller closes.
   struct Case {
@@ -118,6 +131,19 @@
   CHECK(switching.Feed("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n") == State::kFailed);
 }
 
+TEST_CASE("a status out of 100 to 599 is no response", "[http_response_reader_test]") {
+  // Guards against a status that is taken for an interim response, after which the call waits for
+  // its deadline, and against one that is relayed to the caller.
+  const std::string status =
+      GENERATE(as<std::string>{}, "000", "099", "600", "999", "0", "20", "2000");
+  INFO(status);
+  Stream stream;
+  CHECK(stream.Feed("HTTP/1.1 " + status + " OK\r\nContent-Length: 0\r\n\r\n") == State::kFailed);
+  CHECK_FALSE(stream.reader.error().empty());
+  Stream last_valid;
+  CHECK(last_valid.Feed("HTTP/1.1 599 OK\r\nContent-Length: 0\r\n\r\n") == State::kComplete);
+}
+
 TEST_CASE("responses that have no body are complete after their headers",
           "[http_response_reader_test]") {
   Stream head(true);
--- a/tests/upstream_test.cc
+++ b/tests/upstream_test.cc
@@ -468,6 +468,19 @@
   CHECK(f.pool.connections() == 0);
 }
 
+TEST_CASE("an answer with an invalid status is a lost connection at once", "[upstream_test]") {
+  // Guards against a call that waits for its deadline although another attempt could serve it.
+  Fixture f;
+  const std::string status = GENERATE(as<std::string>{}, "000", "099", "600", "999");
+  f.AnswerAll(HttpResponse(status + " OK", "", "done"));
+  f.Send(1);
+  const AttemptResult result = f.WaitForResult(1);
+  CHECK(result.outcome == AttemptOutcome::kConnectionLost);
+  CHECK(result.response_started);
+  CHECK(VerdictOf(result) == Verdict::kMayHaveRun);
+  CHECK(f.pool.connections() == 0);
+}
+
 TEST_CASE("a probe requests the health path", "[upstream_test]") {
   Fixture f;
   f.AnswerAll(kOk);
