Read callers with Boost.Beast's parser, bound their memory together, and pipeline

Cause: evhttp keeps whole bodies of all callers without a common bound, keeps the blocks in which small chunks arrive, and reads a pipelined request only after the answer before it.

Change: net/http_request_reader reads one request with every element bounded; net/request_memory counts what all callers have sent and what waits for them (limits.caller_memory_mb, default a quarter of memory_mb, at least one largest request) and names the largest incomplete request, which gets 503, not run, retry-after 1 s; gateway/caller_server owns the connections. Up to 16 calls of a connection run at a time: idempotent ones as they arrive, others after those before them; answers in order. policy/call_profile tells what is idempotent. Dialects take HttpHeaders. docs/design/caller-connections.md, docs/decisions/005.

Tests changed: callers_test checked that pipelined calls use one upstream connection; they now run side by side, so it checks that calls one after another use one connection and three pipelined ones three. chunk_size_guard_test goes with its module; http_request_reader_test checks the same (size line too long however split, size out of range, bodies without chunks) on the reader that replaces it. platform_adapter_test and fuzz build HttpHeaders in place of evkeyvalq; fuzz also reads requests.

Ruled out: bounds round evhttp (chunks of one byte keep their blocks, pipelining stays serial).

--- a/gateway/caller_connection.cc
+++ b/gateway/caller_connection.cc
@@ -1,79 +1,58 @@
 #include "gateway/caller_connection.h"
 
 #include <algorithm>
-#include <array>
 
-#include "net/http_message.h"
+#include "gateway/caller_response.h"
 
 namespace jd {
-namespace {
 
-constexpr std::array<std::string_view, 7> kMethods = {"GET",    "POST",    "HEAD", "PUT",
-                                                      "DELETE", "OPTIONS", "PATCH"};
-
-constexpr std::string_view kTransferEncoding = "transfer-encoding:";
-
-}  // namespace
-
-void CallerConnection::ResetForNextRequest(MonoTime now) {
-  state = CallerState::kIdle;
-  state_since = now;
-  consecutive_line_ends = 0;
-  method.clear();
-  method_known = false;
-  header_line_.clear();
-  chunked_ = false;
-  chunk_size_guard_ = ChunkSizeGuard();
+PipelinedCall* CallerConnection::FindRunning(CallId id) {
+  const auto found = std::find_if(calls.begin(), calls.end(), [id](const auto& call) {
+    return call->state == PipelinedCall::State::kRunning && call->call.id == id;
+  });
+  return found == calls.end() ? nullptr : found->get();
 }
 
-void CallerConnection::TrackMethodByte(char c) {
-  if (c != ' ' && method.size() < 8) {
-    method += c;
-    return;
+PipelinedCall* CallerConnection::NextToStart(const IsIdempotent& is_idempotent) {
+  bool unanswered = false;  // A call before the current one is not answered.
+  bool overtakable = true;  // All calls before the current one that are not answered may run again.
+  for (const auto& call : calls) {
+    if (call->state == PipelinedCall::State::kAnswered) {
+      continue;
+    }
+    if (call->state == PipelinedCall::State::kWaiting) {
+      const bool may_start =
+          !unanswered || (overtakable && is_idempotent && is_idempotent(call->call));
+      return may_start ? call.get() : nullptr;
+    }
+    unanswered = true;
+    overtakable = overtakable && is_idempotent && is_idempotent(call->call);
   }
-  method_known = true;
-  // evhttp answers other methods with status 501 without reading a body, and would then parse the
-  // body as the next request.
-  must_close = std::find(kMethods.begin(), kMethods.end(), method) == kMethods.end();
+  return nullptr;
 }
 
-void CallerConnection::TrackHeaderByte(char c) {
-  if (c == '\n') {
-    // Any mention of the coding counts; a request with another coding than chunked is rejected.
-    chunked_ = chunked_ || EqualsIgnoreCase(header_line_, kTransferEncoding);
-    header_line_.clear();
-  } else if (header_line_.size() < kTransferEncoding.size()) {
-    header_line_ += c;
-  }
+bool CallerConnection::MayReadNext() const {
+  return state != CallerState::kStopped && calls.size() < kMaxPipelinedCalls &&
+         std::none_of(calls.begin(), calls.end(), [](const auto& call) {
+           return call->state == PipelinedCall::State::kWaiting;
+         });
 }
 
-void CallerConnection::TrackBytes(std::string_view bytes,
-                                  MonoTime now,
-                                  size_t max_chunk_line_bytes) {
-  if (state == CallerState::kIdle && !bytes.empty()) {
-    state = CallerState::kHeader;
-    used = true;
-    state_since = now;
-  }
-  size_t i = 0;
-  for (; i < bytes.size() && state == CallerState::kHeader; ++i) {
-    if (!method_known) {
-      TrackMethodByte(bytes[i]);
-    }
-    TrackHeaderByte(bytes[i]);
-    if (bytes[i] == '\n' && ++consecutive_line_ends == 2) {
-      state = CallerState::kBody;
-      state_since = now;
-      if (chunked_) {
-        chunk_size_guard_.Start(max_chunk_line_bytes);
-      }
-    } else if (bytes[i] != '\n' && bytes[i] != '\r') {
-      consecutive_line_ends = 0;
-    }
-  }
-  if (state == CallerState::kBody && !chunk_size_guard_.Track(bytes.substr(i))) {
-    must_close = true;
+bool CallerConnection::idle() const {
+  return state == CallerState::kIdle && calls.empty() &&
+         evbuffer_get_length(bufferevent_get_output(stream.get())) == 0;
+}
+
+RequestMemory::Usage CallerConnection::MemoryUsage() const {
+  RequestMemory::Usage usage;
+  usage.incomplete = evbuffer_get_length(bufferevent_get_input(stream.get())) +
+                     (reader == nullptr ? 0 : reader->memory_bytes());
+  usage.unwritten = evbuffer_get_length(bufferevent_get_output(stream.get()));
+  for (const auto& call : calls) {
+    usage.complete += call->request_bytes;
+    usage.unwritten += call->response_bytes;
   }
+  return usage;
 }
 
 }  // namespace jd
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -8,6 +8,7 @@
 #include "gateway/header_rules.h"
 #include "gateway/log.h"
 #include "gateway/stop_plan.h"
+#include "policy/call_profile.h"
 
 namespace jd {
 namespace {
@@ -58,8 +59,8 @@
   return node;
 }
 
-HttpHeaders UpstreamHeaders(evhttp_request* request, const HttpDialect& dialect) {
-  HttpHeaders headers = EndToEndHeaders(evhttp_request_get_input_headers(request));
+HttpHeaders UpstreamHeaders(const HttpRequest& request, const HttpDialect& dialect) {
+  HttpHeaders headers = EndToEndHeaders(request.headers);
   std::erase_if(headers,
                 [&](const auto& header) { return dialect.ReplacesRequestHeader(header.first); });
   return headers;
@@ -112,6 +113,9 @@
     platform_ =
         std::make_unique<PlatformClient>(loop, settings.platform.address, settings.platform.port);
   }
+  callers_.SetIdempotenceRule([this](const CallRequest& request) {
+    return configuration_ != nullptr && IsIdempotent(*configuration_, request);
+  });
   callers_.rejected().connect([this](int) { metrics_.CountCall(CallOutcome::kRejected); });
   callers_.call_arrived().connect(sigc::mem_fun(*this, &Gateway::OnCall));
   callers_.caller_gone().connect(sigc::mem_fun(*this, &Gateway::OnCallerGone));
@@ -244,34 +248,27 @@
 }
 
 std::string Gateway::RequestKey(const CallRequest& request) const {
-  if (configuration_ == nullptr) {
-    return {};
-  }
-  const auto service = configuration_->services.find(request.service);
-  if (service == configuration_->services.end()) {
-    return {};
-  }
-  const auto profile = configuration_->profiles.find(service->second.profile);
-  if (profile == configuration_->profiles.end() || profile->second.request_key_header.empty()) {
+  const Profile* profile =
+      configuration_ == nullptr ? nullptr : FindProfile(*configuration_, request);
+  if (profile == nullptr || profile->request_key_header.empty()) {
     return {};
   }
-  return HeaderValue(evhttp_request_get_input_headers(callers_.request(request.id)),
-                     profile->second.request_key_header.c_str());
+  return HeaderValue(callers_.request(request.id).headers, profile->request_key_header);
 }
 
 void Gateway::OnCall(const CallRequest& arrived) {
   CallRequest request = arrived;
   request.request_key = RequestKey(arrived);
-  evhttp_request* http = callers_.request(request.id);
+  const HttpRequest& http = callers_.request(request.id);
   Call call;
   call.request_id = request.request_id;
   call.workspace = request.workspace;
   call.arrived = loop_->ReadClocks().mono;
-  call.upstream_request.method = evhttp_request_get_command(http);
+  call.upstream_request.method = http.method;
   call.upstream_request.target = request.path;
   call.upstream_request.request_id = request.request_id;
   call.upstream_request.headers = UpstreamHeaders(http, *dialect_);
-  call.upstream_request.body = evhttp_request_get_input_buffer(http);
+  call.upstream_request.body = http.body.get();
   calls_.emplace(request.id, std::move(call));
   NotifyNode([&](Now now, NodeActions* out) { node_.OnCall(now, request, out); });
 }
--- a/gateway/header_rules.cc
+++ b/gateway/header_rules.cc
@@ -1,6 +1,5 @@
 #include "gateway/header_rules.h"
 
-#include <event2/keyvalq_struct.h>
 #include <algorithm>
 #include <array>
 #include <cctype>
@@ -86,15 +85,6 @@
 
 }  // namespace
 
-HttpHeaders EndToEndHeaders(const evkeyvalq* headers) {
-  HttpHeaders all;
-  for (const evkeyval* header = headers->tqh_first; header != nullptr;
-       header = header->next.tqe_next) {
-    all.emplace_back(header->key, header->value);
-  }
-  return EndToEndHeaders(all);
-}
-
 HttpHeaders EndToEndHeaders(const HttpHeaders& headers) {
   std::vector<std::string_view> dropped(kHopByHop.begin(), kHopByHop.end());
   dropped.emplace_back("content-length");
@@ -109,23 +99,21 @@
   return kept;
 }
 
-std::string FindRequestError(const evkeyvalq* headers, std::string_view target) {
+std::string FindRequestError(const HttpHeaders& headers, std::string_view target) {
   int lengths = 0;
   int encodings = 0;
-  for (const evkeyval* header = headers->tqh_first; header != nullptr;
-       header = header->next.tqe_next) {
-    const std::string_view name = header->key;
+  for (const auto& [name, value] : headers) {
     if (name.empty() || !std::all_of(name.begin(), name.end(), IsTokenCharacter)) {
       return "A header name has a character that is not allowed.";
     }
     if (EqualsIgnoreCase(name, "content-length")) {
       ++lengths;
-      if (!IsNumber(header->value)) {
+      if (!IsNumber(value)) {
         return "Content-Length is not a whole number.";
       }
     } else if (EqualsIgnoreCase(name, "transfer-encoding")) {
       ++encodings;
-      if (!EqualsIgnoreCase(Trim(header->value), "chunked")) {
+      if (!EqualsIgnoreCase(Trim(value), "chunked")) {
         return "Only the transfer encoding 'chunked' is accepted.";
       }
     }
@@ -141,10 +129,10 @@
   return {};
 }
 
-bool AnnouncesBody(const evkeyvalq* headers) {
+bool AnnouncesBody(const HttpHeaders& headers) {
   const std::string length = HeaderValue(headers, "Content-Length");
   return length.find_first_not_of('0') != std::string::npos ||
-         evhttp_find_header(headers, "Transfer-Encoding") != nullptr;
+         FindHeader(headers, "Transfer-Encoding") != nullptr;
 }
 
 std::optional<Duration> ParseDeadline(std::string_view text) {
--- a/gateway/http_dialect.h
+++ b/gateway/http_dialect.h
@@ -43,7 +43,7 @@
 
   /// Parses the headers of a caller's request and sets the fields of `call` that they specify.
   /// @return an error message for the caller, or an empty string if the headers are valid.
-  virtual std::string ParseCallHeaders(const evkeyvalq* headers, CallRequest* call) const = 0;
+  virtual std::string ParseCallHeaders(const HttpHeaders& headers, CallRequest* call) const = 0;
   /// Returns whether a header of the caller's request is not forwarded, because the gateway sets
   /// that header itself.
   virtual bool ReplacesRequestHeader(std::string_view name) const = 0;
@@ -67,7 +67,7 @@
   /// Returns the HTTP status of a refusal.
   virtual int StatusOf(const Refusal& refusal) const = 0;
   /// Adds the headers that describe a refusal to the response to the caller.
-  virtual void AddRefusalHeaders(const Refusal& refusal, evkeyvalq* headers) const = 0;
+  virtual void AddRefusalHeaders(const Refusal& refusal, HttpHeaders* headers) const = 0;
   /// Returns the path of the readiness check by the platform's balancer.
   virtual const char* ready_path() const = 0;
 };
@@ -75,7 +75,7 @@
 /// The product's own headers and status codes, see docs/design.md, section 4.
 class NativeDialect : public HttpDialect {
  public:
-  std::string ParseCallHeaders(const evkeyvalq* headers, CallRequest* call) const override;
+  std::string ParseCallHeaders(const HttpHeaders& headers, CallRequest* call) const override;
   bool ReplacesRequestHeader(std::string_view name) const override;
   void AddAttemptHeaders(const AttemptMetadata& attempt, HttpHeaders* headers) const override;
   HttpHeaders ProbeHeaders(const ServiceId& service, uint64_t probe) const override;
@@ -86,7 +86,7 @@
   bool HidesResponseHeader(std::string_view name) const override;
   const char* request_id_header() const override { return "x-request-id"; }
   int StatusOf(const Refusal& refusal) const override;
-  void AddRefusalHeaders(const Refusal& refusal, evkeyvalq* headers) const override;
+  void AddRefusalHeaders(const Refusal& refusal, HttpHeaders* headers) const override;
   const char* ready_path() const override { return "/ready"; }
 };
 
--- a/gateway/native_dialect.cc
+++ b/gateway/native_dialect.cc
@@ -16,7 +16,7 @@
   return std::to_string(std::max<int64_t>(millis, 1));
 }
 
-std::string NativeDialect::ParseCallHeaders(const evkeyvalq* headers, CallRequest* call) const {
+std::string NativeDialect::ParseCallHeaders(const HttpHeaders& headers, CallRequest* call) const {
   call->request_id = RequestId(HeaderValue(headers, "x-request-id"));
   call->workspace = WorkspaceId(HeaderValue(headers, "x-workspace"));
   call->service = ServiceId(HeaderValue(headers, "x-service"));
@@ -82,15 +82,15 @@
   return RefusalStatus(refusal.reason, refusal.verdict);
 }
 
-void NativeDialect::AddRefusalHeaders(const Refusal& refusal, evkeyvalq* headers) const {
+void NativeDialect::AddRefusalHeaders(const Refusal& refusal, HttpHeaders* headers) const {
   const std::string verdict(VerdictName(refusal.verdict));
   const std::string reason(RefusalReasonName(refusal.reason));
-  evhttp_add_header(headers, "x-verdict", verdict.c_str());
-  evhttp_add_header(headers, "x-refusal", reason.c_str());
+  headers->emplace_back("x-verdict", verdict);
+  headers->emplace_back("x-refusal", reason);
   if (refusal.retry_after > Duration(0)) {
     // The header is in whole seconds; rounding down would make callers retry too early.
     const auto seconds = std::chrono::ceil<std::chrono::seconds>(refusal.retry_after).count();
-    evhttp_add_header(headers, "retry-after", std::to_string(seconds).c_str());
+    headers->emplace_back("retry-after", std::to_string(seconds));
   }
 }
 
--- a/gateway/setting_table.cc
+++ b/gateway/setting_table.cc
@@ -178,6 +178,12 @@
       "Memory of the VM that the process may use. An eighth of it is for incomplete responses of "
       "upstreams; beyond that the large ones among them fail."},
      [](Limits& object, const SettingValue& value) { object.memory_mb = value.number; }},
+    {{"caller_memory_mb", SettingKind::kNumber, "MB", 0, 1048576, "", "0",
+      "Memory for the requests of all callers and the answers that wait to be written to them; 0 "
+      "is "
+      "a quarter of memory_mb. It has room for one request of maximum size in any case. Beyond it "
+      "the largest incomplete requests are refused with status 503."},
+     [](Limits& object, const SettingValue& value) { object.caller_memory_mb = value.number; }},
     {{"idle_connections", SettingKind::kInteger, "connections", 0, 1000000, "", "10000",
       "Idle connections of callers that are kept open; above this number, the connections that "
       "have been idle longest are closed first."},
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -24,6 +24,7 @@
   int64_t body_bytes = 0;
   int64_t response_bytes = 0;
   double memory_mb = 0;
+  double caller_memory_mb = 0;  ///< 0: a quarter of memory_mb.
   int64_t idle_connections = 0;
   Duration idle_timeout{0};
   Duration header_timeout{0};
--- a/net/http_connection.cc
+++ b/net/http_connection.cc
@@ -38,13 +38,6 @@
   return storage;
 }
 
-// Returns the value of a header on one line. A line end would end the header early.
-std::string OneLine(std::string value) {
-  std::replace_if(
-      value.begin(), value.end(), [](char c) { return c == '\r' || c == '\n'; }, ' ');
-  return value;
-}
-
 bool MayHaveBody(evhttp_cmd_type method) {
   return method == EVHTTP_REQ_POST || method == EVHTTP_REQ_PUT || method == EVHTTP_REQ_PATCH;
 }
--- a/net/http_message.cc
+++ b/net/http_message.cc
@@ -22,9 +22,10 @@
   return value == nullptr ? std::string() : *value;
 }
 
-std::string HeaderValue(const evkeyvalq* headers, const char* name) {
-  const char* value = evhttp_find_header(headers, name);
-  return value == nullptr ? std::string() : std::string(value);
+std::string OneLine(std::string value) {
+  std::replace_if(
+      value.begin(), value.end(), [](char c) { return c == '\r' || c == '\n'; }, ' ');
+  return value;
 }
 
 std::string MethodName(evhttp_cmd_type method) {
--- a/net/http_message.h
+++ b/net/http_message.h
@@ -33,7 +33,9 @@
 
 /// Returns the value of a header, or an empty string if the header is absent.
 std::string HeaderValue(const HttpHeaders& headers, std::string_view name);
-std::string HeaderValue(const evkeyvalq* headers, const char* name);
+
+/// Returns the value of a header on one line. A line end would end the header early.
+std::string OneLine(std::string value);
 
 /// Returns the name of a method, for example "GET".
 std::string MethodName(evhttp_cmd_type method);
