Metric for the memory of callers; close without waiting where a caller has sent nothing more

A connection that its caller asked to close is closed at once, as before; only one that was refused, or on which more has arrived, discards what the caller still sends. Test of a caller that does not read its answers.

--- a/gateway/caller_connection.h
+++ b/gateway/caller_connection.h
@@ -78,7 +78,9 @@
   /// Whether the caller waits for an interim response before it sends the body.
   bool continue_expected = false;
   bool processing = false;  ///< The input is being processed further up the stack.
-  bool ended = false;       ///< The last response of the connection has been written.
+  /// The caller may still be sending when the connection is closed.
+  bool lingers = false;
+  bool ended = false;  ///< The last response of the connection has been written.
   std::unique_ptr<HttpRequestReader> reader;  ///< Null in the states kIdle and kStopped.
   CallRequest arriving;  ///< What the header of the request in state kBody says.
   std::deque<std::unique_ptr<PipelinedCall>> calls;
--- a/gateway/caller_server.cc
+++ b/gateway/caller_server.cc
@@ -148,8 +148,10 @@
   while (may_read() && ReadRequest(connection, input)) {
   }
   connection->processing = false;
-  if (!connection->closed && connection->state == CallerState::kStopped) {
+  if (!connection->closed && connection->state == CallerState::kStopped &&
+      evbuffer_get_length(input) > 0) {
     evbuffer_drain(input, evbuffer_get_length(input));
+    connection->lingers = true;
   }
   CountMemory(connection);
 }
@@ -297,6 +299,7 @@
   entry->response_bytes = MemoryBytes(response);
   entry->response = std::move(response);
   entry->closes_connection = true;
+  connection->lingers = true;
   connection->reader.reset();
   SetState(connection, CallerState::kStopped);
   evbuffer* input = bufferevent_get_input(connection->stream.get());
@@ -437,8 +440,7 @@
     return;
   }
   if (connection->state == CallerState::kStopped && connection->calls.empty()) {
-    // The caller may have sent more, for example a pipelined request.
-    self->CloseConnection(connection, true);
+    self->CloseConnection(connection, connection->lingers || self->close_announced_);
     return;
   }
   if (connection->idle()) {
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -318,6 +318,7 @@
         return call.second.running_attempts == 0;
       }));
   values.caller_connections = callers_.connections();
+  values.caller_memory_bytes = callers_.memory_bytes();
   values.upstream_connections = upstreams_.connections();
   values.config_version = configuration_ == nullptr ? 0 : configuration_->version.value;
   values.ready = ready();
--- a/gateway/metrics.cc
+++ b/gateway/metrics.cc
@@ -148,6 +148,8 @@
   calls_in_flight_ = add("jackdawdeck_calls_in_flight", "Calls not ended yet.");
   calls_waiting_ = add("jackdawdeck_calls_waiting", "Calls without an attempt.");
   caller_connections_ = add("jackdawdeck_caller_connections", "Connections of callers.");
+  caller_memory_bytes_ = add("jackdawdeck_caller_memory_bytes",
+                             "Memory of callers' requests and of answers that are not written.");
   upstream_connections_ = add("jackdawdeck_upstream_connections", "Connections to endpoints.");
   peer_bytes_sent_ = add("jackdawdeck_peer_bytes_sent", "Bytes sent to peers since the start.");
   peer_bytes_received_ = add("jackdawdeck_peer_bytes_received",
@@ -201,6 +203,7 @@
   calls_in_flight_->Set(static_cast<double>(values.calls_in_flight));
   calls_waiting_->Set(static_cast<double>(values.calls_waiting));
   caller_connections_->Set(static_cast<double>(values.caller_connections));
+  caller_memory_bytes_->Set(static_cast<double>(values.caller_memory_bytes));
   peer_bytes_sent_->Set(static_cast<double>(values.peer_traffic.bytes_sent));
   peer_bytes_received_->Set(static_cast<double>(values.peer_traffic.bytes_received));
   peer_messages_sent_->Set(static_cast<double>(values.peer_traffic.messages_sent));
--- a/gateway/metrics.h
+++ b/gateway/metrics.h
@@ -35,6 +35,7 @@
   size_t calls_in_flight = 0;  ///< Calls that have not ended.
   size_t calls_waiting = 0;    ///< Calls without a running attempt.
   size_t caller_connections = 0;
+  size_t caller_memory_bytes = 0;  ///< Of requests and of answers that are not written.
   size_t upstream_connections = 0;
   uint64_t config_version = 0;  ///< 0: none.
   bool ready = false;
@@ -91,6 +92,7 @@
   Gauge* calls_in_flight_ = nullptr;
   Gauge* calls_waiting_ = nullptr;
   Gauge* caller_connections_ = nullptr;
+  Gauge* caller_memory_bytes_ = nullptr;
   Gauge* peer_bytes_sent_ = nullptr;
   Gauge* peer_bytes_received_ = nullptr;
   Gauge* peer_messages_sent_ = nullptr;
--- a/tests/pipelining_test.cc
+++ b/tests/pipelining_test.cc
@@ -176,5 +176,22 @@
   CHECK(f.WaitFor(*smaller, "done"));
 }
 
+TEST_CASE("a caller that does not read its answers is closed over the limit on memory",
+          "[pipelining_test]") {
+  // Guards against answers that pile up until the process has no memory left.
+  GatewayFixture f("[limits]\nbody_bytes = 1000\ncaller_memory_mb = 1\n");
+  f.AnswerAll("", std::string(8 << 20, 'x'));
+  const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+  const sockaddr_in address = Loopback(f.gateway.caller_port());
+  REQUIRE(connect(socket, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0);
+  const std::string requests = Get("/a") + Get("/b") + Get("/c") + Get("/d");
+  REQUIRE(send(socket, requests.data(), requests.size(), MSG_NOSIGNAL) > 0);
+  REQUIRE(f.Wait([&] { return f.upstream.requests() > 0; }));
+  CHECK(f.Wait([&] {
+    return f.Status("/metrics").find("jackdawdeck_caller_connections 0") != std::string::npos;
+  }));
+  evutil_closesocket(socket);
+}
+
 }  // namespace
 }  // namespace jd
