--- a/gateway/caller_key.cc
+++ b/gateway/caller_key.cc
@@ -1,10 +1,7 @@
 #include "gateway/caller_key.h"
 
-#include <event2/keyvalq_struct.h>
 #include <string_view>
 
-#include "net/http_message.h"
-
 namespace jd {
 namespace {
 
@@ -27,12 +24,11 @@
 
 }  // namespace
 
-std::optional<std::string> ParseCallerKey(const evkeyvalq* headers) {
+std::optional<std::string> ParseCallerKey(const HttpHeaders& headers) {
   std::optional<std::string> key;
-  for (const evkeyval* header = headers->tqh_first; header != nullptr;
-       header = header->next.tqe_next) {
-    if (EqualsIgnoreCase(header->key, "Authorization")) {
-      key = key ? std::string() : KeyOf(header->value);
+  for (const auto& [name, value] : headers) {
+    if (EqualsIgnoreCase(name, "Authorization")) {
+      key = key ? std::string() : KeyOf(value);
     }
   }
   return key;
