--- a/cluster/discovery.h
+++ b/cluster/discovery.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "cluster/rollout_message.h"
 #include "cluster/table_watch.h"
 #include "common/configuration.h"
 #include "common/ids.h"
@@ -49,6 +51,8 @@
 struct DiscoveryUpdate {
   std::optional<OperatorConfiguration> configuration;
   std::optional<std::set<ZoneId>> zones_out;
+  std::optional<std::map<ServiceId, RolloutOrder>> rollouts;  ///< All orders.
+  StoreEra rollouts_era = {};  ///< Era of the store that the orders were read in.
   std::vector<EndpointRecord> endpoints;  ///< New or changed.
   std::vector<EndpointId> removed;
   std::optional<VmList> gateways;
--- a/cluster/endpoint_directory.cc
+++ b/cluster/endpoint_directory.cc
@@ -19,6 +19,12 @@
   zones_out_ = std::move(zones);
 }
 
+bool EndpointDirectory::SetVersionRules(std::map<ServiceId, VersionRule> rules) {
+  const bool changed = rules != version_rules_;
+  version_rules_ = std::move(rules);
+  return changed;
+}
+
 bool EndpointDirectory::SetLeaving(const EndpointId& endpoint, bool leaving) {
   if (!entries_.contains(endpoint)) {
     return false;
@@ -44,6 +50,10 @@
     const bool usable = !zones_out_.contains(endpoint.zone) && !leaving_.contains(endpoint.id);
     view.endpoints.push_back({endpoint.id, endpoint.zone, endpoint.slots, usable});
   }
+  const auto rule = version_rules_.find(service.id);
+  if (rule != version_rules_.end()) {
+    ApplyVersionRule(service, rule->second, &view);
+  }
   return view;
 }
 
--- a/cluster/endpoint_directory.h
+++ b/cluster/endpoint_directory.h
@@ -5,6 +5,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "cluster/version_rule.h"
 #include "common/configuration.h"
 #include "policy/routing_policy.h"
 
@@ -23,6 +24,9 @@
   void SetConfiguration(ConfigurationPtr configuration);
   /// Sets the zones that are out of service, whose endpoints get no new calls.
   void SetZonesOut(std::set<ZoneId> zones);
+  /// Sets which software versions may get calls, for the services with a rule.
+  /// @return false if the rules are the ones that were set before.
+  bool SetVersionRules(std::map<ServiceId, VersionRule> rules);
   /// Marks an endpoint as leaving or as serving again.
   /// @return false if the endpoint was in that state already or is not configured.
   bool SetLeaving(const EndpointId& endpoint, bool leaving);
@@ -48,6 +52,7 @@
   std::unordered_map<EndpointId, Entry> entries_;  ///< The pointers refer to configuration_.
   std::set<ZoneId> zones_out_;
   std::set<EndpointId> leaving_;
+  std::map<ServiceId, VersionRule> version_rules_;
   std::map<ServiceId, ServiceView> reported_views_;  ///< As of the latest TakeChanges.
 };
 
--- a/cluster/node.cc
+++ b/cluster/node.cc
@@ -37,7 +37,8 @@
       slots_(settings, policy_.get_if<SlotHolder>()),
       claims_(settings.id, settings.incarnation),
       timeline_(settings.id, settings.event_capacity),
-      operator_({&settings_, &config_, &membership_, &slots_, &timeline_}) {
+      operator_({&settings_, &config_, &membership_, &slots_, &timeline_}),
+      rollouts_(RolloutMemberOf(settings)) {
   if (settings_.retry_limits) {
     dispatcher_.SetRetryLimits(*settings_.retry_limits);
   }
@@ -350,6 +351,9 @@
     SetOtherZoneGateways(*update.gateways, actions);
     UpdateProbeRate(now);
   }
+  if (update.rollouts) {
+    SetRolloutOrders(now, *update.rollouts, update.rollouts_era, actions);
+  }
   const bool was_complete = catalog_.complete();
   const bool changed = catalog_.Apply(update);
   if (!catalog_.complete() || (was_complete && !changed)) {
@@ -402,6 +406,7 @@
   for (const EndpointId& endpoint : probes_.TakeProbes(now.mono)) {
     actions->push_back(SendProbe{endpoint, kProbeTimeout});
   }
+  AdvanceRollouts(now, actions);
   if (config_.has_platform() && now.mono >= next_vm_list_) {
     next_vm_list_ = now.mono + kVmListInterval;
     actions->push_back(FetchVmList{});
@@ -426,6 +431,7 @@
   SetToEarlier(&next, slots_.next_timer());
   SetToEarlier(&next, probes_.next_timer());
   SetToEarlier(&next, claims_.next_timer());
+  SetToEarlier(&next, rollouts_.next_timer());
   if (config_.has_platform()) {
     SetToEarlier(&next, next_vm_list_);
   }
--- a/cluster/node.h
+++ b/cluster/node.h
@@ -19,6 +19,7 @@
 #include "cluster/permit_issuer.h"
 #include "cluster/probe_scheduler.h"
 #include "cluster/request_claims.h"
+#include "cluster/rollout_control.h"
 #include "cluster/zone_contacts.h"
 #include "common/configuration.h"
 #include "common/now.h"
@@ -73,6 +74,7 @@
   /// Sends a table, or a list that this gateway has read, to one peer.
   void SendTable(Now now, const GatewayId& peer, const TableUpdate& update, NodeActions* actions);
   void OnProbeResult(Now now, const ProbeResult& result, NodeActions* actions);
+  void OnRolloutWriteResult(Now now, const RolloutWriteResult& result, NodeActions* actions);
   void OnOperatorRequest(Now now, const OperatorRequest& request, NodeActions* actions);
   void OnTimer(Now now, NodeActions* actions);
   /// Sends the slot messages that are due. Called once after all events of one iteration of the
@@ -148,6 +150,22 @@
   void OnTableUpdate(Now now, const TableUpdate& update, NodeActions* actions);
   void SendTo(Now now, const GatewayId& to, PeerBody body, NodeActions* actions);
   void SendToAll(Now now, const PeerBody& body, NodeActions* actions);
+  void SendToAllZones(Now now, const PeerBody& body, NodeActions* actions);
+  static RolloutMember RolloutMemberOf(const NodeSettings& settings);
+  RolloutSituation SituationOf(const Rollout& rollout) const;
+  void SetRolloutOrders(Now now,
+                        const std::map<ServiceId, RolloutOrder>& orders,
+                        StoreEra era,
+                        NodeActions* actions);
+  void AdvanceRollouts(Now now, NodeActions* actions);
+  void OnVersionEvidence(Now now,
+                         const GatewayId& from,
+                         Incarnation incarnation,
+                         const VersionEvidence& evidence,
+                         NodeActions* actions);
+  void OnRolloutNotice(Now now, const RolloutNotice& notice, NodeActions* actions);
+  /// Sends the messages of roll-outs, and applies their shares and rules.
+  void ApplyRolloutOutput(Now now, RolloutOutput from, NodeActions* actions);
   /// Sets the addresses of the gateways in other zones. They are not peers, and receive only rare
   /// and urgent messages, such as a CrashNotice.
   void SetOtherZoneGateways(const VmList& gateways, NodeActions* actions);
@@ -188,6 +206,7 @@
   MonoTime next_vm_list_;
   ZoneContacts zone_contacts_;
   PermitIssuer permit_issuer_;
+  RolloutControl rollouts_;
   size_t gateway_count_ = 0;  ///< Number of gateways that discovery lists, in all zones.
   bool stopping_ = false;
 };
--- a/cluster/node_action.h
+++ b/cluster/node_action.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "cluster/peer_message.h"
+#include "cluster/rollout_message.h"
 #include "common/table.h"
 #include "policy/call_action.h"
 
@@ -57,6 +58,11 @@
   TableFetch fetch;
 };
 
+/// Writes the status row of a roll-out. The result is passed to Node::OnRolloutWriteResult.
+struct WriteRolloutStatus {
+  RolloutStatusWrite write;
+};
+
 /// Writes an event to the log.
 struct WriteLog {
   Event event;
@@ -81,6 +87,7 @@
                                 ReplayCall,
                                 ApplyTableUpdate,
                                 ServeTableFetch,
+                                WriteRolloutStatus,
                                 WriteLog,
                                 SendOperatorReply>;
 using NodeActions = std::vector<NodeAction>;
--- a/cluster/node_effects.cc
+++ b/cluster/node_effects.cc
@@ -102,6 +102,10 @@
     OnPermitRequest(now, *permit, actions);
   } else if (const auto* permit_reply = std::get_if<PermitReply>(&message.body)) {
     OnPermitReply(now, *permit_reply, actions);
+  } else if (const auto* evidence = std::get_if<VersionEvidence>(&message.body)) {
+    OnVersionEvidence(now, from, message.incarnation, *evidence, actions);
+  } else if (const auto* rollout = std::get_if<RolloutNotice>(&message.body)) {
+    OnRolloutNotice(now, *rollout, actions);
   } else if (const auto* zone = std::get_if<UnrecordedZone>(&message.body)) {
     config_.OnUnrecordedZone(now, *zone, &output);
   }
--- a/cluster/node_settings.h
+++ b/cluster/node_settings.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "cluster/rollout_plan.h"
 #include "common/ids.h"
 #include "policy/retry_budget.h"
 
@@ -44,6 +45,7 @@
   /// Limits on retries and hedges that keep all gateways together within the configured share; if
   /// absent, the limits of RetryBudget apply.
   std::optional<RetryBudget::Limits> retry_limits;
+  RolloutBounds rollout_bounds;
   /// Whether this gateway is reported as not ready while its local zone is out of service.
   bool unready_when_zone_out = true;
   size_t event_capacity = 4096;  ///< Number of events that the timeline keeps.
--- a/cluster/peer_message.h
+++ b/cluster/peer_message.h
@@ -5,6 +5,7 @@
 #include <variant>
 #include <vector>
 
+#include "cluster/rollout_message.h"
 #include "cluster/table_watch.h"
 #include "common/config_entry.h"
 #include "common/configuration.h"
@@ -107,7 +108,9 @@
                               TableUpdate,
                               TableFetch,
                               PermitRequest,
-                              PermitReply>;
+                              PermitReply,
+                              VersionEvidence,
+                              RolloutNotice>;
 
 /// A message between gateways. The shared key that authenticates it is added and checked by the
 /// transport.
--- a/cluster/zone_contacts.cc
+++ b/cluster/zone_contacts.cc
@@ -38,4 +38,12 @@
   return ids;
 }
 
+std::vector<ZoneId> ZoneContacts::zones() const {
+  std::vector<ZoneId> zones;
+  for (const auto& [zone, contact] : contacts_) {
+    zones.push_back(zone);
+  }
+  return zones;
+}
+
 }  // namespace jd
--- a/cluster/zone_contacts.h
+++ b/cluster/zone_contacts.h
@@ -26,6 +26,8 @@
   std::vector<GatewayId> contacts() const;
   /// Returns the contact of a zone, or nothing if the zone has no gateways.
   std::optional<GatewayId> contact(const ZoneId& zone) const;
+  /// Returns the other zones that have gateways.
+  std::vector<ZoneId> zones() const;
   /// Returns all gateways of other zones.
   const std::set<GatewayId>& gateways() const { return gateways_; }
 
--- a/control/gateway_daemon.cc
+++ b/control/gateway_daemon.cc
@@ -68,6 +68,10 @@
   discovery_->tables_wanted().connect(sigc::mem_fun(gateway_, &Gateway::RequestTables));
   discovery_->table_ready().connect(sigc::mem_fun(gateway_, &Gateway::SendTable));
   discovery_->table_read().connect(sigc::mem_fun(gateway_, &Gateway::OnTableRead));
+  discovery_->rollout_status_written().connect(
+      sigc::mem_fun(gateway_, &Gateway::OnRolloutWriteResult));
+  gateway_.rollout_status_write().connect(
+      sigc::mem_fun(*discovery_, &PlatformDiscovery::WriteRolloutStatus));
   discovery_->updated().connect(sigc::mem_fun(gateway_, &Gateway::OnDiscovery));
   gateway_.table_fetch_received().connect(
       sigc::mem_fun(*discovery_, &PlatformDiscovery::OnTableFetch));
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -44,6 +44,7 @@
     node.retry_limits = RetryBudget::SharedLimits(settings.retry_share, settings.retry_window);
   }
   node.probe_rate = settings.probe_rate;
+  node.rollout_bounds = settings.rollout_bounds;
   if (settings.policy == FreshLoad::kName) {
     // The fresh_load policy lends no slots, so peers only exchange what they have read.
     node.heartbeat = kHeartbeatWithoutLending;
@@ -214,6 +215,10 @@
   NotifyNode([&](Now now, NodeActions* out) { node_.OnDiscovery(now, update, out); });
 }
 
+void Gateway::OnRolloutWriteResult(const RolloutWriteResult& result) {
+  NotifyNode([&](Now now, NodeActions* out) { node_.OnRolloutWriteResult(now, result, out); });
+}
+
 void Gateway::OnTableRead(const TableUpdate& update) {
   NotifyNode([&](Now now, NodeActions* out) { node_.OnTableRead(now, update, out); });
 }
@@ -409,6 +414,10 @@
   table_fetch_received_.emit(action.from, action.fetch);
 }
 
+void Gateway::ExecuteAction(const WriteRolloutStatus& action) {
+  rollout_status_write_.emit(action.write);
+}
+
 void Gateway::ExecuteAction(const WriteLog& action) {
   LogEvent(action.event);
 }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -55,6 +55,12 @@
   sigc::signal<void(const OperatorReply&)>& operator_reply() { return operator_reply_; }
   /// Updates the node with what operators and upstreams have written to the platform's store.
   void OnDiscovery(const DiscoveryUpdate& update);
+  /// Emitted when the status row of a roll-out must be written.
+  sigc::signal<void(const RolloutStatusWrite&)>& rollout_status_write() {
+    return rollout_status_write_;
+  }
+  /// Passes the result of the write on to the node.
+  void OnRolloutWriteResult(const RolloutWriteResult& result);
   /// Sends the rows that this gateway read from a table to the peers.
   void OnTableRead(const TableUpdate& update);
   /// Asks a peer for the list of gateways and its tables, see Node::RequestTables.
@@ -142,6 +148,7 @@
   void ExecuteAction(const ReplayCall& action);
   void ExecuteAction(const ApplyTableUpdate& action);
   void ExecuteAction(const ServeTableFetch& action);
+  void ExecuteAction(const WriteRolloutStatus& action);
   void ExecuteAction(const WriteLog& action);
   void ExecuteAction(const SendOperatorReply& action);
 
@@ -172,6 +179,7 @@
   sigc::signal<void(const SetPeerAddress&)> set_peer_address_;
   sigc::signal<void(const OperatorReply&)> operator_reply_;
   sigc::signal<void(const TableUpdate&)> table_update_received_;
+  sigc::signal<void(const RolloutStatusWrite&)> rollout_status_write_;
   sigc::signal<void(const GatewayId&, const TableFetch&)> table_fetch_received_;
 };
 
--- a/gateway/setting_table.cc
+++ b/gateway/setting_table.cc
@@ -164,6 +164,27 @@
      [](Settings& object, const SettingValue& value) { object.probe_rate = value.number; }},
 };
 
+constexpr SettingField<Settings> kRolloutsFields[] = {
+    {{"exposure_share", SettingKind::kNumber, "", 0, 1, "", "0.1",
+      "Largest share of a service's calls that a software version may get from all gateways "
+      "together until a roll-out has proved it."},
+     [](Settings& object, const SettingValue& value) {
+       object.rollout_bounds.exposure_share = value.number;
+     }},
+    {{"exposure_slack", SettingKind::kNumber, "calls", 0, 1000000, "", "50",
+      "Calls beyond exposure_share that such a version may get. No part of it is planned for; the "
+      "division of the calls among the gateways may use it."},
+     [](Settings& object, const SettingValue& value) {
+       object.rollout_bounds.exposure_slack = value.number;
+     }},
+    {{"rollback_ms", SettingKind::kInteger, "ms", 1000, 600000, "", "5000",
+      "Time after which a version that has shown to be bad must get no calls. A gateway that hears "
+      "nothing of the others stops using a version that is not proved after 0.6 of it."},
+     [](Settings& object, const SettingValue& value) {
+       object.rollout_bounds.rollback = std::chrono::milliseconds(value.integer);
+     }},
+};
+
 constexpr SettingField<Limits> kLimitsFields[] = {
     {{"header_bytes", SettingKind::kInteger, "bytes", 1024, 1048576, "", "65536",
       "Largest header of a request or response."},
@@ -364,6 +385,10 @@
   return kProbesFields;
 }
 
+std::span<const SettingField<Settings>> RolloutsFields() {
+  return kRolloutsFields;
+}
+
 std::span<const SettingField<Limits>> LimitsFields() {
   return kLimitsFields;
 }
--- a/gateway/setting_table.h
+++ b/gateway/setting_table.h
@@ -22,6 +22,7 @@
 std::span<const SettingField<Settings>> PlatformFields();
 std::span<const SettingField<Settings>> RetriesFields();
 std::span<const SettingField<Settings>> ProbesFields();
+std::span<const SettingField<Settings>> RolloutsFields();
 std::span<const SettingField<Limits>> LimitsFields();
 std::span<const SettingField<WorkspaceSetting>> WorkspaceFields();
 std::span<const SettingField<Profile>> ProfileFields();
--- a/gateway/settings.cc
+++ b/gateway/settings.cc
@@ -98,6 +98,7 @@
   AppendSettingInfos("platform", PlatformFields(), &infos);
   AppendSettingInfos("retries", RetriesFields(), &infos);
   AppendSettingInfos("probes", ProbesFields(), &infos);
+  AppendSettingInfos("rollouts", RolloutsFields(), &infos);
   AppendSettingInfos("limits", LimitsFields(), &infos);
   AppendSettingInfos("zones[]", ZoneFields(), &infos);
   AppendSettingInfos("workspaces[]", WorkspaceFields(), &infos);
@@ -124,6 +125,7 @@
   ReadSection(root, "peers", PeersFields(), {"seeds"}, &settings, &errors);
   ReadSection(root, "retries", RetriesFields(), {}, &settings, &errors);
   ReadSection(root, "probes", ProbesFields(), {}, &settings, &errors);
+  ReadSection(root, "rollouts", RolloutsFields(), {}, &settings, &errors);
   ReadSection(root, "limits", LimitsFields(), {}, &settings.limits, &errors);
   ReadSeeds(root, &settings, &errors);
   ReportSharedPorts(root, settings, &errors);
@@ -139,7 +141,7 @@
   }
   ReportUnknownKeys(root, "",
                     {"gateway", "callers", "status", "peers", "platform", "retries", "probes",
-                     "limits", "zones", "workspaces", "profiles", "services"},
+                     "rollouts", "limits", "zones", "workspaces", "profiles", "services"},
                     &errors);
   if (!errors.empty()) {
     throw SettingsError(errors.SortedByLine());
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -62,6 +62,8 @@
   /// Largest number of probes per second that all gateways together send to an endpoint; 0: no
   /// limit.
   double probe_rate = 0;
+  /// What a software version that is not proved yet may get.
+  RolloutBounds rollout_bounds;
   Limits limits;
   /// The embedded configuration, at version 1, or null if there is a platform.
   ConfigurationPtr configuration;
--- a/policy/call.h
+++ b/policy/call.h
@@ -9,6 +9,7 @@
 #include "policy/call_queue.h"
 #include "policy/call_rank.h"
 #include "policy/call_request.h"
+#include "policy/version_side.h"
 
 namespace jd {
 
@@ -32,6 +33,8 @@
   MonoTime deadline;
   /// An answer after this time is worth little to the caller; at most the deadline.
   MonoTime target_time;
+  bool side_drawn = false;               ///< `side` was set.
+  VersionSide side = VersionSide::kAny;  ///< Side of the service's roll-out for the first attempt.
   int probe_stage = 0;  ///< Next stage of probing: 0 is the local zone, 1 the others.
   double weight = 1.0;  ///< The workspace's share of the service.
   bool idempotent = false;
--- a/policy/dispatcher.h
+++ b/policy/dispatcher.h
@@ -17,6 +17,7 @@
 #include "policy/permit.h"
 #include "policy/permit_waits.h"
 #include "policy/probe_rounds.h"
+#include "policy/rollout_gate.h"
 #include "policy/routing_policy.h"
 
 namespace jd {
@@ -29,7 +30,7 @@
 class Dispatcher {
  public:
   Dispatcher(ZoneId zone, Policy* policy, uint64_t seed)
-      : zone_(std::move(zone)), policy_(policy), random_(seed) {}
+      : zone_(std::move(zone)), policy_(policy), random_(seed), rollout_gate_(~seed) {}
 
   /// Sets the configuration for calls that arrive from now on; calls in progress keep the limits
   /// that they arrived with.
@@ -39,7 +40,10 @@
   /// Sets which endpoints of a configured service are usable. Until this is called for a service,
   /// its usable endpoints are all those of the configuration whose zone is not out. The routing
   /// policy must be updated separately.
-  void SetService(MonoTime now, const ServiceView& view) { call_manager_.SetService(now, view); }
+  void SetService(MonoTime now, const ServiceView& view) {
+    call_manager_.SetService(now, view);
+    rollout_gate_.SetService(view);
+  }
   /// While a service is degraded, its idempotent calls are queued behind all others.
   void SetDegraded(const ServiceId& service, bool degraded) {
     call_manager_.SetDegraded(service, degraded);
@@ -84,6 +88,9 @@
   /// Returns the number of attempts without a result yet, including those of calls that have ended.
   size_t attempts() const { return call_manager_.attempts(); }
   const PermitCounts& permit_counts() const { return permit_counts_; }
+  /// Divides the calls of services with a roll-out between versions.
+  RolloutGate& rollout_gate() { return rollout_gate_; }
+  const RolloutGate& rollout_gate() const { return rollout_gate_; }
 
  private:
   enum class SendOutcome : uint8_t { kSent, kProbing, kNoSlot, kCallEnded };
@@ -104,6 +111,10 @@
   /// Returns whether the policy has endpoints probed before each call.
   bool UsesProbes() const;
   AcquireRequest MakeAcquireRequest(const Call& call) const;
+  /// Assigns a call to a side of its service's roll-out before its first attempt.
+  void DrawSide(Call* call);
+  /// Counts the result of an attempt for the roll-out of its service.
+  void CountForRollout(const EndedAttempt& ended);
   /// Returns the load data that the choice of an endpoint is based on, for the timeline.
   std::string DescribeChoice(MonoTime now, const EndpointId& endpoint) const;
   /// Probes the candidate endpoints of the call's next stage. If no candidates are left, sends the
@@ -148,6 +159,7 @@
   ProbeRounds probe_rounds_;
   PermitWaits permit_waits_;
   PermitCounts permit_counts_;
+  RolloutGate rollout_gate_;
 };
 
 template <RoutingPolicy Policy>
@@ -184,6 +196,7 @@
   }
   const AttemptContext& context = ended->attempt.context();
   policy_->Release(now, context.endpoint, ended->result);
+  CountForRollout(*ended);
   if (result.report) {
     const std::optional<CallRate> limit = KnownLimit(context.endpoint);
     policy_->OnLoadReport(now, context.endpoint, *result.report);
@@ -223,6 +236,7 @@
   if (!call_manager_.CheckBeforeAttempt(now, call, actions)) {
     return SendOutcome::kCallEnded;
   }
+  DrawSide(call);
   if (UsesProbes()) {
     call->probe_stage = 0;
     ProbeCandidates(now, call, actions);
@@ -233,6 +247,7 @@
   if (!endpoint) {
     return SendOutcome::kNoSlot;
   }
+  rollout_gate_.OnSent(call->request.service, *endpoint);
   call_manager_.StartAttempt(now, call, *endpoint, DescribeChoice(now, *endpoint), actions);
   return SendOutcome::kSent;
 }
@@ -256,9 +271,28 @@
   request.priority = call.limits.priority;
   request.usual_service_time = call_manager_.UsualServiceTime(call);
   request.excluded = call_manager_.ExcludedEndpoints(call);
+  request.side = call.attempts == 0 && call.side != VersionSide::kAny
+                     ? call.side
+                     : rollout_gate_.DefaultSide(call.request.service);
   return request;
 }
 
+template <RoutingPolicy Policy>
+void Dispatcher<Policy>::DrawSide(Call* call) {
+  if (!call->side_drawn) {
+    call->side_drawn = true;
+    call->side = rollout_gate_.Draw(call->request.service);
+  }
+}
+
+template <RoutingPolicy Policy>
+void Dispatcher<Policy>::CountForRollout(const EndedAttempt& ended) {
+  const AttemptContext& context = ended.attempt.context();
+  const Call* call = call_manager_.Find(context.call);
+  rollout_gate_.OnAttemptEnded(context.service, context.endpoint,
+                               call == nullptr ? ProfileId() : call->request.profile, ended.result);
+}
+
 template <RoutingPolicy Policy>
 std::string Dispatcher<Policy>::DescribeChoice(MonoTime now, const EndpointId& endpoint) const {
   if constexpr (ProbingPolicy<Policy>) {
@@ -282,7 +316,16 @@
     }
     if (candidates.empty()) {
       // Every candidate has been probed, so decide with the results so far.
-      if (!SendToProbedEndpoint(now, call, true, actions)) {
+      if (SendToProbedEndpoint(now, call, true, actions)) {
+        return;
+      }
+      if (request.side == VersionSide::kNew) {
+        // The other versions serve the call if the ordered one has no room.
+        call->side = VersionSide::kOld;
+        call->probe_stage = 0;
+        rollout_gate_.OnNoRoom(call->request.service);
+        ProbeCandidates(now, call, actions);
+      } else {
         call_manager_.HandleNoProbedCapacity(now, call, random_, actions);
       }
       return;
@@ -316,6 +359,7 @@
   if (!endpoint) {
     return false;
   }
+  rollout_gate_.OnSent(call->request.service, *endpoint);
   if (NeedsPermit(*endpoint)) {
     permit_waits_.Start(now, call->request.id, *endpoint);
     actions->push_back(
--- a/policy/fresh_load.cc
+++ b/policy/fresh_load.cc
@@ -57,7 +57,8 @@
       continue;
     }
     const EndpointRecord* record = FindRecord(request.service, endpoint.id);
-    if (record == nullptr || !IsUsable(now, endpoint, *record) ||
+    if (record == nullptr || !Admits(request.side, endpoint.side) ||
+        !IsUsable(now, endpoint, *record) ||
         std::find(request.excluded.begin(), request.excluded.end(), endpoint.id) !=
             request.excluded.end()) {
       continue;
@@ -125,8 +126,9 @@
   int ties = 0;
   for (const EndpointView& endpoint : service->second.endpoints) {
     EndpointRecord* record = FindRecord(request.service, endpoint.id);
-    if (record == nullptr || !IsUsable(now, endpoint, *record) || !record->has_report ||
-        !record->healthy || now - record->report_time > kMaxReportAge || now < record->cold_until ||
+    if (record == nullptr || !Admits(request.side, endpoint.side) ||
+        !IsUsable(now, endpoint, *record) || !record->has_report || !record->healthy ||
+        now - record->report_time > kMaxReportAge || now < record->cold_until ||
         std::find(request.excluded.begin(), request.excluded.end(), endpoint.id) !=
             request.excluded.end()) {
       continue;
--- a/policy/local_view.cc
+++ b/policy/local_view.cc
@@ -13,8 +13,9 @@
   }
   candidates.reserve(service->second.endpoints.size());
   for (const EndpointView& endpoint : service->second.endpoints) {
-    if (endpoint.usable && std::find(request.excluded.begin(), request.excluded.end(),
-                                     endpoint.id) == request.excluded.end()) {
+    if (endpoint.usable && Admits(request.side, endpoint.side) &&
+        std::find(request.excluded.begin(), request.excluded.end(), endpoint.id) ==
+            request.excluded.end()) {
       candidates.push_back(&endpoint);
     }
   }
--- a/policy/routing_policy.h
+++ b/policy/routing_policy.h
@@ -13,6 +13,7 @@
 #include "common/units.h"
 #include "policy/attempt_result.h"
 #include "policy/probe_result.h"
+#include "policy/version_side.h"
 
 namespace jd {
 
@@ -24,6 +25,7 @@
   /// Whether new attempts may be sent to the endpoint; false while its zone is out of service or
   /// the endpoint is draining or ejected.
   bool usable = true;
+  VersionSide side = VersionSide::kAny;
   bool operator==(const EndpointView&) const = default;
 };
 
@@ -47,6 +49,8 @@
   Duration usual_service_time{0};
   /// Endpoints that this call has already tried.
   std::vector<EndpointId> excluded = {};
+  /// Side of the service's roll-out whose endpoints may get the call.
+  VersionSide side = VersionSide::kAny;
 };
 
 /// Requirements on a routing policy, which chooses endpoints for calls and counts the slots that
--- a/rpc/convert.cc
+++ b/rpc/convert.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "rpc/frame.h"
+#include "rpc/rollout_messages.h"
 #include "rpc/table_update.h"
 #include "rpc/wire_integers.h"
 
@@ -361,6 +362,10 @@
   void operator()(const TableFetch& in) { body->__set_table_fetch(ToWire(in)); }
   void operator()(const PermitRequest& in) { body->__set_permit_request(ToWire(in)); }
   void operator()(const PermitReply& in) { body->__set_permit_reply(ToWire(in)); }
+  void operator()(const VersionEvidence& in) {
+    body->__set_version_evidence(VersionEvidenceToWire(in));
+  }
+  void operator()(const RolloutNotice& in) { body->__set_rollout_notice(RolloutNoticeToWire(in)); }
   void operator()(const CrashNotice& in) { body->__set_crash_notice(ToWire(in)); }
   void operator()(const ConfigEntries& in) { body->__set_config_entries(ToWire(in)); }
   void operator()(const ConfigFetch& in) { body->__set_config_fetch(ToWire(in)); }
@@ -393,6 +398,12 @@
   if (set.permit_reply) {
     return FromWire(body.permit_reply);
   }
+  if (set.version_evidence) {
+    return VersionEvidenceFromWire(body.version_evidence);
+  }
+  if (set.rollout_notice) {
+    return RolloutNoticeFromWire(body.rollout_notice);
+  }
   if (set.crash_notice) {
     return FromWire(body.crash_notice);
   }
--- a/rpc/gen-cpp/jackdawdeck_types.cpp
+++ b/rpc/gen-cpp/jackdawdeck_types.cpp
@@ -3736,6 +3736,958 @@
 }
 
 
+RolloutId::~RolloutId() noexcept {
+}
+
+
+void RolloutId::__set_service_id(const std::string& val) {
+  this->service_id = val;
+}
+
+void RolloutId::__set_to(const std::string& val) {
+  this->to = val;
+}
+
+void RolloutId::__set_row(const int64_t val) {
+  this->row = val;
+}
+std::ostream& operator<<(std::ostream& out, const RolloutId& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RolloutId::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_id);
+          this->__isset.service_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->to);
+          this->__isset.to = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->row);
+          this->__isset.row = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RolloutId::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RolloutId");
+
+  xfer += oprot->writeFieldBegin("service_id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->service_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("to", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->to);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("row", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->row);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RolloutId &a, RolloutId &b) {
+  using ::std::swap;
+  swap(a.service_id, b.service_id);
+  swap(a.to, b.to);
+  swap(a.row, b.row);
+  swap(a.__isset, b.__isset);
+}
+
+RolloutId::RolloutId(const RolloutId& other82) {
+  service_id = other82.service_id;
+  to = other82.to;
+  row = other82.row;
+  __isset = other82.__isset;
+}
+RolloutId& RolloutId::operator=(const RolloutId& other83) {
+  service_id = other83.service_id;
+  to = other83.to;
+  row = other83.row;
+  __isset = other83.__isset;
+  return *this;
+}
+void RolloutId::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RolloutId(";
+  out << "service_id=" << to_string(service_id);
+  out << ", " << "to=" << to_string(to);
+  out << ", " << "row=" << to_string(row);
+  out << ")";
+}
+
+
+CallCounts::~CallCounts() noexcept {
+}
+
+
+void CallCounts::__set_calls(const int64_t val) {
+  this->calls = val;
+}
+
+void CallCounts::__set_failures(const int64_t val) {
+  this->failures = val;
+}
+
+void CallCounts::__set_slow(const int64_t val) {
+  this->slow = val;
+}
+std::ostream& operator<<(std::ostream& out, const CallCounts& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CallCounts::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->calls);
+          this->__isset.calls = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->failures);
+          this->__isset.failures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->slow);
+          this->__isset.slow = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CallCounts::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CallCounts");
+
+  xfer += oprot->writeFieldBegin("calls", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->calls);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->failures);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slow", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->slow);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CallCounts &a, CallCounts &b) {
+  using ::std::swap;
+  swap(a.calls, b.calls);
+  swap(a.failures, b.failures);
+  swap(a.slow, b.slow);
+  swap(a.__isset, b.__isset);
+}
+
+CallCounts::CallCounts(const CallCounts& other84) noexcept {
+  calls = other84.calls;
+  failures = other84.failures;
+  slow = other84.slow;
+  __isset = other84.__isset;
+}
+CallCounts& CallCounts::operator=(const CallCounts& other85) noexcept {
+  calls = other85.calls;
+  failures = other85.failures;
+  slow = other85.slow;
+  __isset = other85.__isset;
+  return *this;
+}
+void CallCounts::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CallCounts(";
+  out << "calls=" << to_string(calls);
+  out << ", " << "failures=" << to_string(failures);
+  out << ", " << "slow=" << to_string(slow);
+  out << ")";
+}
+
+
+RouteCounts::~RouteCounts() noexcept {
+}
+
+
+void RouteCounts::__set_route(const std::string& val) {
+  this->route = val;
+}
+
+void RouteCounts::__set_old_side(const CallCounts& val) {
+  this->old_side = val;
+}
+
+void RouteCounts::__set_new_side(const CallCounts& val) {
+  this->new_side = val;
+}
+std::ostream& operator<<(std::ostream& out, const RouteCounts& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RouteCounts::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->route);
+          this->__isset.route = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->old_side.read(iprot);
+          this->__isset.old_side = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->new_side.read(iprot);
+          this->__isset.new_side = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RouteCounts::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RouteCounts");
+
+  xfer += oprot->writeFieldBegin("route", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->route);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("old_side", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->old_side.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("new_side", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->new_side.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RouteCounts &a, RouteCounts &b) {
+  using ::std::swap;
+  swap(a.route, b.route);
+  swap(a.old_side, b.old_side);
+  swap(a.new_side, b.new_side);
+  swap(a.__isset, b.__isset);
+}
+
+RouteCounts::RouteCounts(const RouteCounts& other86) {
+  route = other86.route;
+  old_side = other86.old_side;
+  new_side = other86.new_side;
+  __isset = other86.__isset;
+}
+RouteCounts& RouteCounts::operator=(const RouteCounts& other87) {
+  route = other87.route;
+  old_side = other87.old_side;
+  new_side = other87.new_side;
+  __isset = other87.__isset;
+  return *this;
+}
+void RouteCounts::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RouteCounts(";
+  out << "route=" << to_string(route);
+  out << ", " << "old_side=" << to_string(old_side);
+  out << ", " << "new_side=" << to_string(new_side);
+  out << ")";
+}
+
+
+EndpointCounts::~EndpointCounts() noexcept {
+}
+
+
+void EndpointCounts::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
+}
+
+void EndpointCounts::__set_counts(const CallCounts& val) {
+  this->counts = val;
+}
+std::ostream& operator<<(std::ostream& out, const EndpointCounts& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EndpointCounts::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          this->__isset.endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->counts.read(iprot);
+          this->__isset.counts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EndpointCounts::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EndpointCounts");
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->counts.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EndpointCounts &a, EndpointCounts &b) {
+  using ::std::swap;
+  swap(a.endpoint, b.endpoint);
+  swap(a.counts, b.counts);
+  swap(a.__isset, b.__isset);
+}
+
+EndpointCounts::EndpointCounts(const EndpointCounts& other88) {
+  endpoint = other88.endpoint;
+  counts = other88.counts;
+  __isset = other88.__isset;
+}
+EndpointCounts& EndpointCounts::operator=(const EndpointCounts& other89) {
+  endpoint = other89.endpoint;
+  counts = other89.counts;
+  __isset = other89.__isset;
+  return *this;
+}
+void EndpointCounts::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EndpointCounts(";
+  out << "endpoint=" << to_string(endpoint);
+  out << ", " << "counts=" << to_string(counts);
+  out << ")";
+}
+
+
+VersionEvidence::~VersionEvidence() noexcept {
+}
+
+
+void VersionEvidence::__set_rollout(const RolloutId& val) {
+  this->rollout = val;
+}
+
+void VersionEvidence::__set_zone_sum(const bool val) {
+  this->zone_sum = val;
+}
+
+void VersionEvidence::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void VersionEvidence::__set_age(const int64_t val) {
+  this->age = val;
+}
+
+void VersionEvidence::__set_phase(const int8_t val) {
+  this->phase = val;
+}
+
+void VersionEvidence::__set_bad(const bool val) {
+  this->bad = val;
+}
+
+void VersionEvidence::__set_gateways_on_old(const int32_t val) {
+  this->gateways_on_old = val;
+}
+
+void VersionEvidence::__set_routes(const std::vector<RouteCounts> & val) {
+  this->routes = val;
+}
+
+void VersionEvidence::__set_endpoints(const std::vector<EndpointCounts> & val) {
+  this->endpoints = val;
+}
+
+void VersionEvidence::__set_endpoints_used(const int64_t val) {
+  this->endpoints_used = val;
+}
+std::ostream& operator<<(std::ostream& out, const VersionEvidence& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t VersionEvidence::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->rollout.read(iprot);
+          this->__isset.rollout = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->zone_sum);
+          this->__isset.zone_sum = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age);
+          this->__isset.age = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BYTE) {
+          xfer += iprot->readByte(this->phase);
+          this->__isset.phase = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->bad);
+          this->__isset.bad = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->gateways_on_old);
+          this->__isset.gateways_on_old = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->routes.clear();
+            uint32_t _size90;
+            ::apache::thrift::protocol::TType _etype93;
+            xfer += iprot->readListBegin(_etype93, _size90);
+            this->routes.resize(_size90);
+            uint32_t _i94;
+            for (_i94 = 0; _i94 < _size90; ++_i94)
+            {
+              xfer += this->routes[_i94].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.routes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->endpoints.clear();
+            uint32_t _size95;
+            ::apache::thrift::protocol::TType _etype98;
+            xfer += iprot->readListBegin(_etype98, _size95);
+            this->endpoints.resize(_size95);
+            uint32_t _i99;
+            for (_i99 = 0; _i99 < _size95; ++_i99)
+            {
+              xfer += this->endpoints[_i99].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.endpoints = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->endpoints_used);
+          this->__isset.endpoints_used = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t VersionEvidence::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("VersionEvidence");
+
+  xfer += oprot->writeFieldBegin("rollout", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->rollout.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone_sum", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->zone_sum);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->age);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("phase", ::apache::thrift::protocol::T_BYTE, 5);
+  xfer += oprot->writeByte(this->phase);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bad", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->bad);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("gateways_on_old", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->gateways_on_old);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
+    std::vector<RouteCounts> ::const_iterator _iter100;
+    for (_iter100 = this->routes.begin(); _iter100 != this->routes.end(); ++_iter100)
+    {
+      xfer += (*_iter100).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
+    std::vector<EndpointCounts> ::const_iterator _iter101;
+    for (_iter101 = this->endpoints.begin(); _iter101 != this->endpoints.end(); ++_iter101)
+    {
+      xfer += (*_iter101).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endpoints_used", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->endpoints_used);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(VersionEvidence &a, VersionEvidence &b) {
+  using ::std::swap;
+  swap(a.rollout, b.rollout);
+  swap(a.zone_sum, b.zone_sum);
+  swap(a.zone, b.zone);
+  swap(a.age, b.age);
+  swap(a.phase, b.phase);
+  swap(a.bad, b.bad);
+  swap(a.gateways_on_old, b.gateways_on_old);
+  swap(a.routes, b.routes);
+  swap(a.endpoints, b.endpoints);
+  swap(a.endpoints_used, b.endpoints_used);
+  swap(a.__isset, b.__isset);
+}
+
+VersionEvidence::VersionEvidence(const VersionEvidence& other102) {
+  rollout = other102.rollout;
+  zone_sum = other102.zone_sum;
+  zone = other102.zone;
+  age = other102.age;
+  phase = other102.phase;
+  bad = other102.bad;
+  gateways_on_old = other102.gateways_on_old;
+  routes = other102.routes;
+  endpoints = other102.endpoints;
+  endpoints_used = other102.endpoints_used;
+  __isset = other102.__isset;
+}
+VersionEvidence& VersionEvidence::operator=(const VersionEvidence& other103) {
+  rollout = other103.rollout;
+  zone_sum = other103.zone_sum;
+  zone = other103.zone;
+  age = other103.age;
+  phase = other103.phase;
+  bad = other103.bad;
+  gateways_on_old = other103.gateways_on_old;
+  routes = other103.routes;
+  endpoints = other103.endpoints;
+  endpoints_used = other103.endpoints_used;
+  __isset = other103.__isset;
+  return *this;
+}
+void VersionEvidence::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "VersionEvidence(";
+  out << "rollout=" << to_string(rollout);
+  out << ", " << "zone_sum=" << to_string(zone_sum);
+  out << ", " << "zone=" << to_string(zone);
+  out << ", " << "age=" << to_string(age);
+  out << ", " << "phase=" << to_string(phase);
+  out << ", " << "bad=" << to_string(bad);
+  out << ", " << "gateways_on_old=" << to_string(gateways_on_old);
+  out << ", " << "routes=" << to_string(routes);
+  out << ", " << "endpoints=" << to_string(endpoints);
+  out << ", " << "endpoints_used=" << to_string(endpoints_used);
+  out << ")";
+}
+
+
+RolloutNotice::~RolloutNotice() noexcept {
+}
+
+
+void RolloutNotice::__set_rollout(const RolloutId& val) {
+  this->rollout = val;
+}
+
+void RolloutNotice::__set_state(const int8_t val) {
+  this->state = val;
+}
+
+void RolloutNotice::__set_status_row(const int64_t val) {
+  this->status_row = val;
+}
+std::ostream& operator<<(std::ostream& out, const RolloutNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RolloutNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->rollout.read(iprot);
+          this->__isset.rollout = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BYTE) {
+          xfer += iprot->readByte(this->state);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->status_row);
+          this->__isset.status_row = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RolloutNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RolloutNotice");
+
+  xfer += oprot->writeFieldBegin("rollout", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->rollout.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_BYTE, 2);
+  xfer += oprot->writeByte(this->state);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("status_row", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->status_row);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RolloutNotice &a, RolloutNotice &b) {
+  using ::std::swap;
+  swap(a.rollout, b.rollout);
+  swap(a.state, b.state);
+  swap(a.status_row, b.status_row);
+  swap(a.__isset, b.__isset);
+}
+
+RolloutNotice::RolloutNotice(const RolloutNotice& other104) {
+  rollout = other104.rollout;
+  state = other104.state;
+  status_row = other104.status_row;
+  __isset = other104.__isset;
+}
+RolloutNotice& RolloutNotice::operator=(const RolloutNotice& other105) {
+  rollout = other105.rollout;
+  state = other105.state;
+  status_row = other105.status_row;
+  __isset = other105.__isset;
+  return *this;
+}
+void RolloutNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RolloutNotice(";
+  out << "rollout=" << to_string(rollout);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "status_row=" << to_string(status_row);
+  out << ")";
+}
+
+
 OperatorRequest::~OperatorRequest() noexcept {
 }
 
@@ -3862,19 +4814,19 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorRequest::OperatorRequest(const OperatorRequest& other82) {
-  id = other82.id;
-  command = other82.command;
-  body = other82.body;
-  timeout = other82.timeout;
-  __isset = other82.__isset;
+OperatorRequest::OperatorRequest(const OperatorRequest& other106) {
+  id = other106.id;
+  command = other106.command;
+  body = other106.body;
+  timeout = other106.timeout;
+  __isset = other106.__isset;
 }
-OperatorRequest& OperatorRequest::operator=(const OperatorRequest& other83) {
-  id = other83.id;
-  command = other83.command;
-  body = other83.body;
-  timeout = other83.timeout;
-  __isset = other83.__isset;
+OperatorRequest& OperatorRequest::operator=(const OperatorRequest& other107) {
+  id = other107.id;
+  command = other107.command;
+  body = other107.body;
+  timeout = other107.timeout;
+  __isset = other107.__isset;
   return *this;
 }
 void OperatorRequest::printTo(std::ostream& out) const {
@@ -3997,17 +4949,17 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorReply::OperatorReply(const OperatorReply& other84) {
-  id = other84.id;
-  status = other84.status;
-  body = other84.body;
-  __isset = other84.__isset;
+OperatorReply::OperatorReply(const OperatorReply& other108) {
+  id = other108.id;
+  status = other108.status;
+  body = other108.body;
+  __isset = other108.__isset;
 }
-OperatorReply& OperatorReply::operator=(const OperatorReply& other85) {
-  id = other85.id;
-  status = other85.status;
-  body = other85.body;
-  __isset = other85.__isset;
+OperatorReply& OperatorReply::operator=(const OperatorReply& other109) {
+  id = other109.id;
+  status = other109.status;
+  body = other109.body;
+  __isset = other109.__isset;
   return *this;
 }
 void OperatorReply::printTo(std::ostream& out) const {
@@ -4093,6 +5045,16 @@
   this->permit_reply = val;
 __isset.permit_reply = true;
 }
+
+void Body::__set_version_evidence(const VersionEvidence& val) {
+  this->version_evidence = val;
+__isset.version_evidence = true;
+}
+
+void Body::__set_rollout_notice(const RolloutNotice& val) {
+  this->rollout_notice = val;
+__isset.rollout_notice = true;
+}
 std::ostream& operator<<(std::ostream& out, const Body& obj)
 {
   obj.printTo(out);
@@ -4233,6 +5195,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->version_evidence.read(iprot);
+          this->__isset.version_evidence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->rollout_notice.read(iprot);
+          this->__isset.rollout_notice = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4320,6 +5298,16 @@
     xfer += this->permit_reply.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.version_evidence) {
+    xfer += oprot->writeFieldBegin("version_evidence", ::apache::thrift::protocol::T_STRUCT, 19);
+    xfer += this->version_evidence.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.rollout_notice) {
+    xfer += oprot->writeFieldBegin("rollout_notice", ::apache::thrift::protocol::T_STRUCT, 20);
+    xfer += this->rollout_notice.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4341,42 +5329,48 @@
   swap(a.table_fetch, b.table_fetch);
   swap(a.permit_request, b.permit_request);
   swap(a.permit_reply, b.permit_reply);
+  swap(a.version_evidence, b.version_evidence);
+  swap(a.rollout_notice, b.rollout_notice);
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other86) {
-  heartbeat = other86.heartbeat;
-  slot_request = other86.slot_request;
-  slot_grant = other86.slot_grant;
-  endpoint_notice = other86.endpoint_notice;
-  crash_notice = other86.crash_notice;
-  config_entries = other86.config_entries;
-  config_fetch = other86.config_fetch;
-  unrecorded_zone = other86.unrecorded_zone;
-  operator_request = other86.operator_request;
-  operator_reply = other86.operator_reply;
-  table_news = other86.table_news;
-  table_fetch = other86.table_fetch;
-  permit_request = other86.permit_request;
-  permit_reply = other86.permit_reply;
-  __isset = other86.__isset;
-}
-Body& Body::operator=(const Body& other87) {
-  heartbeat = other87.heartbeat;
-  slot_request = other87.slot_request;
-  slot_grant = other87.slot_grant;
-  endpoint_notice = other87.endpoint_notice;
-  crash_notice = other87.crash_notice;
-  config_entries = other87.config_entries;
-  config_fetch = other87.config_fetch;
-  unrecorded_zone = other87.unrecorded_zone;
-  operator_request = other87.operator_request;
-  operator_reply = other87.operator_reply;
-  table_news = other87.table_news;
-  table_fetch = other87.table_fetch;
-  permit_request = other87.permit_request;
-  permit_reply = other87.permit_reply;
-  __isset = other87.__isset;
+Body::Body(const Body& other110) {
+  heartbeat = other110.heartbeat;
+  slot_request = other110.slot_request;
+  slot_grant = other110.slot_grant;
+  endpoint_notice = other110.endpoint_notice;
+  crash_notice = other110.crash_notice;
+  config_entries = other110.config_entries;
+  config_fetch = other110.config_fetch;
+  unrecorded_zone = other110.unrecorded_zone;
+  operator_request = other110.operator_request;
+  operator_reply = other110.operator_reply;
+  table_news = other110.table_news;
+  table_fetch = other110.table_fetch;
+  permit_request = other110.permit_request;
+  permit_reply = other110.permit_reply;
+  version_evidence = other110.version_evidence;
+  rollout_notice = other110.rollout_notice;
+  __isset = other110.__isset;
+}
+Body& Body::operator=(const Body& other111) {
+  heartbeat = other111.heartbeat;
+  slot_request = other111.slot_request;
+  slot_grant = other111.slot_grant;
+  endpoint_notice = other111.endpoint_notice;
+  crash_notice = other111.crash_notice;
+  config_entries = other111.config_entries;
+  config_fetch = other111.config_fetch;
+  unrecorded_zone = other111.unrecorded_zone;
+  operator_request = other111.operator_request;
+  operator_reply = other111.operator_reply;
+  table_news = other111.table_news;
+  table_fetch = other111.table_fetch;
+  permit_request = other111.permit_request;
+  permit_reply = other111.permit_reply;
+  version_evidence = other111.version_evidence;
+  rollout_notice = other111.rollout_notice;
+  __isset = other111.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -4396,6 +5390,8 @@
   out << ", " << "table_fetch="; (__isset.table_fetch ? (out << to_string(table_fetch)) : (out << "<null>"));
   out << ", " << "permit_request="; (__isset.permit_request ? (out << to_string(permit_request)) : (out << "<null>"));
   out << ", " << "permit_reply="; (__isset.permit_reply ? (out << to_string(permit_reply)) : (out << "<null>"));
+  out << ", " << "version_evidence="; (__isset.version_evidence ? (out << to_string(version_evidence)) : (out << "<null>"));
+  out << ", " << "rollout_notice="; (__isset.rollout_notice ? (out << to_string(rollout_notice)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4543,21 +5539,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other88) {
-  key = other88.key;
-  sender = other88.sender;
-  incarnation = other88.incarnation;
-  stamp = other88.stamp;
-  body = other88.body;
-  __isset = other88.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other89) {
-  key = other89.key;
-  sender = other89.sender;
-  incarnation = other89.incarnation;
-  stamp = other89.stamp;
-  body = other89.body;
-  __isset = other89.__isset;
+Envelope::Envelope(const Envelope& other112) {
+  key = other112.key;
+  sender = other112.sender;
+  incarnation = other112.incarnation;
+  stamp = other112.stamp;
+  body = other112.body;
+  __isset = other112.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other113) {
+  key = other113.key;
+  sender = other113.sender;
+  incarnation = other113.incarnation;
+  stamp = other113.stamp;
+  body = other113.body;
+  __isset = other113.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/rpc/gen-cpp/jackdawdeck_types.h
+++ b/rpc/gen-cpp/jackdawdeck_types.h
@@ -61,6 +61,18 @@
 
 class PermitReply;
 
+class RolloutId;
+
+class CallCounts;
+
+class RouteCounts;
+
+class EndpointCounts;
+
+class VersionEvidence;
+
+class RolloutNotice;
+
 class OperatorRequest;
 
 class OperatorReply;
@@ -1540,6 +1552,383 @@
 
 std::ostream& operator<<(std::ostream& out, const PermitReply& obj);
 
+typedef struct _RolloutId__isset {
+  _RolloutId__isset() : service_id(false), to(false), row(false) {}
+  bool service_id :1;
+  bool to :1;
+  bool row :1;
+} _RolloutId__isset;
+
+class RolloutId : public virtual ::apache::thrift::TBase {
+ public:
+
+  RolloutId(const RolloutId&);
+  RolloutId& operator=(const RolloutId&);
+  RolloutId() noexcept
+            : service_id(),
+              to(),
+              row(0) {
+  }
+
+  virtual ~RolloutId() noexcept;
+  std::string service_id;
+  std::string to;
+  int64_t row;
+
+  _RolloutId__isset __isset;
+
+  void __set_service_id(const std::string& val);
+
+  void __set_to(const std::string& val);
+
+  void __set_row(const int64_t val);
+
+  bool operator == (const RolloutId & rhs) const
+  {
+    if (!(service_id == rhs.service_id))
+      return false;
+    if (!(to == rhs.to))
+      return false;
+    if (!(row == rhs.row))
+      return false;
+    return true;
+  }
+  bool operator != (const RolloutId &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RolloutId & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RolloutId &a, RolloutId &b);
+
+std::ostream& operator<<(std::ostream& out, const RolloutId& obj);
+
+typedef struct _CallCounts__isset {
+  _CallCounts__isset() : calls(false), failures(false), slow(false) {}
+  bool calls :1;
+  bool failures :1;
+  bool slow :1;
+} _CallCounts__isset;
+
+class CallCounts : public virtual ::apache::thrift::TBase {
+ public:
+
+  CallCounts(const CallCounts&) noexcept;
+  CallCounts& operator=(const CallCounts&) noexcept;
+  CallCounts() noexcept
+             : calls(0),
+               failures(0),
+               slow(0) {
+  }
+
+  virtual ~CallCounts() noexcept;
+  int64_t calls;
+  int64_t failures;
+  int64_t slow;
+
+  _CallCounts__isset __isset;
+
+  void __set_calls(const int64_t val);
+
+  void __set_failures(const int64_t val);
+
+  void __set_slow(const int64_t val);
+
+  bool operator == (const CallCounts & rhs) const
+  {
+    if (!(calls == rhs.calls))
+      return false;
+    if (!(failures == rhs.failures))
+      return false;
+    if (!(slow == rhs.slow))
+      return false;
+    return true;
+  }
+  bool operator != (const CallCounts &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CallCounts & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CallCounts &a, CallCounts &b);
+
+std::ostream& operator<<(std::ostream& out, const CallCounts& obj);
+
+typedef struct _RouteCounts__isset {
+  _RouteCounts__isset() : route(false), old_side(false), new_side(false) {}
+  bool route :1;
+  bool old_side :1;
+  bool new_side :1;
+} _RouteCounts__isset;
+
+class RouteCounts : public virtual ::apache::thrift::TBase {
+ public:
+
+  RouteCounts(const RouteCounts&);
+  RouteCounts& operator=(const RouteCounts&);
+  RouteCounts() noexcept
+              : route() {
+  }
+
+  virtual ~RouteCounts() noexcept;
+  std::string route;
+  CallCounts old_side;
+  CallCounts new_side;
+
+  _RouteCounts__isset __isset;
+
+  void __set_route(const std::string& val);
+
+  void __set_old_side(const CallCounts& val);
+
+  void __set_new_side(const CallCounts& val);
+
+  bool operator == (const RouteCounts & rhs) const
+  {
+    if (!(route == rhs.route))
+      return false;
+    if (!(old_side == rhs.old_side))
+      return false;
+    if (!(new_side == rhs.new_side))
+      return false;
+    return true;
+  }
+  bool operator != (const RouteCounts &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RouteCounts & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RouteCounts &a, RouteCounts &b);
+
+std::ostream& operator<<(std::ostream& out, const RouteCounts& obj);
+
+typedef struct _EndpointCounts__isset {
+  _EndpointCounts__isset() : endpoint(false), counts(false) {}
+  bool endpoint :1;
+  bool counts :1;
+} _EndpointCounts__isset;
+
+class EndpointCounts : public virtual ::apache::thrift::TBase {
+ public:
+
+  EndpointCounts(const EndpointCounts&);
+  EndpointCounts& operator=(const EndpointCounts&);
+  EndpointCounts() noexcept
+                 : endpoint() {
+  }
+
+  virtual ~EndpointCounts() noexcept;
+  std::string endpoint;
+  CallCounts counts;
+
+  _EndpointCounts__isset __isset;
+
+  void __set_endpoint(const std::string& val);
+
+  void __set_counts(const CallCounts& val);
+
+  bool operator == (const EndpointCounts & rhs) const
+  {
+    if (!(endpoint == rhs.endpoint))
+      return false;
+    if (!(counts == rhs.counts))
+      return false;
+    return true;
+  }
+  bool operator != (const EndpointCounts &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EndpointCounts & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EndpointCounts &a, EndpointCounts &b);
+
+std::ostream& operator<<(std::ostream& out, const EndpointCounts& obj);
+
+typedef struct _VersionEvidence__isset {
+  _VersionEvidence__isset() : rollout(false), zone_sum(false), zone(false), age(false), phase(false), bad(false), gateways_on_old(false), routes(false), endpoints(false), endpoints_used(false) {}
+  bool rollout :1;
+  bool zone_sum :1;
+  bool zone :1;
+  bool age :1;
+  bool phase :1;
+  bool bad :1;
+  bool gateways_on_old :1;
+  bool routes :1;
+  bool endpoints :1;
+  bool endpoints_used :1;
+} _VersionEvidence__isset;
+
+class VersionEvidence : public virtual ::apache::thrift::TBase {
+ public:
+
+  VersionEvidence(const VersionEvidence&);
+  VersionEvidence& operator=(const VersionEvidence&);
+  VersionEvidence() noexcept
+                  : zone_sum(0),
+                    zone(),
+                    age(0),
+                    phase(0),
+                    bad(0),
+                    gateways_on_old(0),
+                    endpoints_used(0) {
+  }
+
+  virtual ~VersionEvidence() noexcept;
+  RolloutId rollout;
+  bool zone_sum;
+  std::string zone;
+  int64_t age;
+  int8_t phase;
+  bool bad;
+  int32_t gateways_on_old;
+  std::vector<RouteCounts>  routes;
+  std::vector<EndpointCounts>  endpoints;
+  int64_t endpoints_used;
+
+  _VersionEvidence__isset __isset;
+
+  void __set_rollout(const RolloutId& val);
+
+  void __set_zone_sum(const bool val);
+
+  void __set_zone(const std::string& val);
+
+  void __set_age(const int64_t val);
+
+  void __set_phase(const int8_t val);
+
+  void __set_bad(const bool val);
+
+  void __set_gateways_on_old(const int32_t val);
+
+  void __set_routes(const std::vector<RouteCounts> & val);
+
+  void __set_endpoints(const std::vector<EndpointCounts> & val);
+
+  void __set_endpoints_used(const int64_t val);
+
+  bool operator == (const VersionEvidence & rhs) const
+  {
+    if (!(rollout == rhs.rollout))
+      return false;
+    if (!(zone_sum == rhs.zone_sum))
+      return false;
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(age == rhs.age))
+      return false;
+    if (!(phase == rhs.phase))
+      return false;
+    if (!(bad == rhs.bad))
+      return false;
+    if (!(gateways_on_old == rhs.gateways_on_old))
+      return false;
+    if (!(routes == rhs.routes))
+      return false;
+    if (!(endpoints == rhs.endpoints))
+      return false;
+    if (!(endpoints_used == rhs.endpoints_used))
+      return false;
+    return true;
+  }
+  bool operator != (const VersionEvidence &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const VersionEvidence & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(VersionEvidence &a, VersionEvidence &b);
+
+std::ostream& operator<<(std::ostream& out, const VersionEvidence& obj);
+
+typedef struct _RolloutNotice__isset {
+  _RolloutNotice__isset() : rollout(false), state(false), status_row(false) {}
+  bool rollout :1;
+  bool state :1;
+  bool status_row :1;
+} _RolloutNotice__isset;
+
+class RolloutNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  RolloutNotice(const RolloutNotice&);
+  RolloutNotice& operator=(const RolloutNotice&);
+  RolloutNotice() noexcept
+                : state(0),
+                  status_row(0) {
+  }
+
+  virtual ~RolloutNotice() noexcept;
+  RolloutId rollout;
+  int8_t state;
+  int64_t status_row;
+
+  _RolloutNotice__isset __isset;
+
+  void __set_rollout(const RolloutId& val);
+
+  void __set_state(const int8_t val);
+
+  void __set_status_row(const int64_t val);
+
+  bool operator == (const RolloutNotice & rhs) const
+  {
+    if (!(rollout == rhs.rollout))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    if (!(status_row == rhs.status_row))
+      return false;
+    return true;
+  }
+  bool operator != (const RolloutNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RolloutNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RolloutNotice &a, RolloutNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const RolloutNotice& obj);
+
 typedef struct _OperatorRequest__isset {
   _OperatorRequest__isset() : id(false), command(false), body(false), timeout(false) {}
   bool id :1;
@@ -1662,7 +2051,7 @@
 std::ostream& operator<<(std::ostream& out, const OperatorReply& obj);
 
 typedef struct _Body__isset {
-  _Body__isset() : heartbeat(false), slot_request(false), slot_grant(false), endpoint_notice(false), crash_notice(false), config_entries(false), config_fetch(false), unrecorded_zone(false), operator_request(false), operator_reply(false), table_news(false), table_fetch(false), permit_request(false), permit_reply(false) {}
+  _Body__isset() : heartbeat(false), slot_request(false), slot_grant(false), endpoint_notice(false), crash_notice(false), config_entries(false), config_fetch(false), unrecorded_zone(false), operator_request(false), operator_reply(false), table_news(false), table_fetch(false), permit_request(false), permit_reply(false), version_evidence(false), rollout_notice(false) {}
   bool heartbeat :1;
   bool slot_request :1;
   bool slot_grant :1;
@@ -1677,6 +2066,8 @@
   bool table_fetch :1;
   bool permit_request :1;
   bool permit_reply :1;
+  bool version_evidence :1;
+  bool rollout_notice :1;
 } _Body__isset;
 
 /**
@@ -1705,6 +2096,8 @@
   TableFetch table_fetch;
   PermitRequest permit_request;
   PermitReply permit_reply;
+  VersionEvidence version_evidence;
+  RolloutNotice rollout_notice;
 
   _Body__isset __isset;
 
@@ -1736,6 +2129,10 @@
 
   void __set_permit_reply(const PermitReply& val);
 
+  void __set_version_evidence(const VersionEvidence& val);
+
+  void __set_rollout_notice(const RolloutNotice& val);
+
   bool operator == (const Body & rhs) const
   {
     if (__isset.heartbeat != rhs.__isset.heartbeat)
@@ -1794,6 +2191,14 @@
       return false;
     else if (__isset.permit_reply && !(permit_reply == rhs.permit_reply))
       return false;
+    if (__isset.version_evidence != rhs.__isset.version_evidence)
+      return false;
+    else if (__isset.version_evidence && !(version_evidence == rhs.version_evidence))
+      return false;
+    if (__isset.rollout_notice != rhs.__isset.rollout_notice)
+      return false;
+    else if (__isset.rollout_notice && !(rollout_notice == rhs.rollout_notice))
+      return false;
     return true;
   }
   bool operator != (const Body &rhs) const {
--- a/rpc/jackdawdeck.thrift
+++ b/rpc/jackdawdeck.thrift
@@ -178,6 +178,48 @@
   4: i64 retry_after
 }
 
+struct RolloutId {
+  1: string service_id
+  2: string to
+  3: i64 row
+}
+
+struct CallCounts {
+  1: i64 calls
+  2: i64 failures
+  3: i64 slow
+}
+
+struct RouteCounts {
+  1: string route
+  2: CallCounts old_side
+  3: CallCounts new_side
+}
+
+struct EndpointCounts {
+  1: string endpoint
+  2: CallCounts counts
+}
+
+struct VersionEvidence {
+  1: RolloutId rollout
+  2: bool zone_sum
+  3: string zone
+  4: i64 age
+  5: i8 phase
+  6: bool bad
+  7: i32 gateways_on_old
+  8: list<RouteCounts> routes
+  9: list<EndpointCounts> endpoints
+  10: i64 endpoints_used
+}
+
+struct RolloutNotice {
+  1: RolloutId rollout
+  2: i8 state
+  3: i64 status_row
+}
+
 struct OperatorRequest {
   1: i64 id
   2: string command
@@ -207,6 +249,8 @@
   12: TableFetch table_fetch
   13: PermitRequest permit_request
   14: PermitReply permit_reply
+  19: VersionEvidence version_evidence
+  20: RolloutNotice rollout_notice
 }
 
 struct Envelope {
