--- a/cluster/rollout.h
+++ b/cluster/rollout.h
@@ -102,6 +102,8 @@
   /// The final state of the status row, if it is known to have one.
   std::optional<RolloutState> outcome() const { return outcome_; }
   bool bad() const { return bad_; }
+  /// What all gateways have seen lately.
+  RolloutCounts latest_counts() const { return evidence_.latest(); }
   /// Changes when the counts of the gate must start again.
   uint64_t generation() const { return generation_; }
 
--- a/cluster/rollout_control.cc
+++ b/cluster/rollout_control.cc
@@ -97,6 +97,7 @@
       gate->Start(service);
     }
     gate->SetShare(service, rollout.share(now));
+    gate->SetUsualLatencies(service, rollout.latest_counts());
   }
 }
 
--- a/cluster/rollout_plan.cc
+++ b/cluster/rollout_plan.cc
@@ -37,7 +37,7 @@
   double rate_factor;    // The rate must be this many times the expected one,
   double rate_distance;  // and this much above it.
 };
-constexpr Threshold kBadFailures = {3.5, 2.5, 2.0, 0.02};
+constexpr Threshold kBadFailures = {3.5, 2.0, 2.0, 0.02};
 constexpr Threshold kBadTrouble = {4.0, 3.0, 2.0, 0.10};
 constexpr Threshold kSuspicious = {2.0, 1.5, 1.5, 0.02};
 
--- a/cluster/version_evidence.cc
+++ b/cluster/version_evidence.cc
@@ -18,8 +18,7 @@
 
 void AddCounts(const RolloutCounts& from, RolloutCounts* to) {
   for (const auto& [route, counts] : from.routes) {
-    to->routes[route].old_side += counts.old_side;
-    to->routes[route].new_side += counts.new_side;
+    to->routes[route] += counts;
   }
   // The same endpoint counts once, as far as it is named.
   to->endpoints_used += from.endpoints_used;
@@ -37,8 +36,7 @@
   for (auto& [route, sides] : since.routes) {
     const auto before = earlier.routes.find(route);
     if (before != earlier.routes.end()) {
-      sides.old_side = sides.old_side.Since(before->second.old_side);
-      sides.new_side = sides.new_side.Since(before->second.new_side);
+      sides = sides.Since(before->second);
     }
   }
   for (auto& [endpoint, ended] : since.endpoints) {
--- a/policy/rollout_counts.h
+++ b/policy/rollout_counts.h
@@ -5,6 +5,7 @@
 #include <map>
 
 #include "common/ids.h"
+#include "common/units.h"
 
 namespace jd {
 
@@ -35,7 +36,21 @@
 struct RouteCounts {
   CallCounts old_side;
   CallCounts new_side;
+  /// Latencies of the answers on the old side without failure, added up.
+  Duration old_latency{0};
   bool operator==(const RouteCounts&) const = default;
+
+  RouteCounts& operator+=(const RouteCounts& other) {
+    old_side += other.old_side;
+    new_side += other.new_side;
+    old_latency += other.old_latency;
+    return *this;
+  }
+  /// Returns the calls counted since `earlier`.
+  RouteCounts Since(const RouteCounts& earlier) const {
+    return {old_side.Since(earlier.old_side), new_side.Since(earlier.new_side),
+            std::max(old_latency - earlier.old_latency, Duration(0))};
+  }
 };
 
 /// What one or more gateways have seen of both sides of a roll-out since the order.
@@ -50,8 +65,7 @@
   RouteCounts total() const {
     RouteCounts sum;
     for (const auto& [route, counts] : routes) {
-      sum.old_side += counts.old_side;
-      sum.new_side += counts.new_side;
+      sum += counts;
     }
     return sum;
   }
--- a/policy/rollout_gate.cc
+++ b/policy/rollout_gate.cc
@@ -7,8 +7,6 @@
 
 // Weight of the newest answer in the mean latency.
 constexpr double kLatencyWeight = 0.1;
-// Calls that could not be sent to the ordered version are not made up for beyond this number.
-constexpr double kMaxCredit = 1.5;
 
 bool IsFailure(const AttemptResult& result) {
   switch (result.outcome) {
@@ -63,6 +61,19 @@
   }
 }
 
+void RolloutGate::SetUsualLatencies(const ServiceId& service, const RolloutCounts& counts) {
+  const auto found = rollouts_.find(service);
+  if (found == rollouts_.end()) {
+    return;
+  }
+  for (const auto& [route, sides] : counts.routes) {
+    const int64_t answers = sides.old_side.calls - sides.old_side.failures;
+    if (answers >= kMinLatencySamples) {
+      found->second.latencies[route].usual = sides.old_latency / answers;
+    }
+  }
+}
+
 VersionSide RolloutGate::Draw(const ServiceId& service) {
   const auto found = rollouts_.find(service);
   if (found == rollouts_.end()) {
@@ -70,15 +81,16 @@
   }
   Rollout& rollout = found->second;
   ++rollout.calls;
-  rollout.credit = std::min(rollout.credit + rollout.share.share, kMaxCredit);
-  const bool limited =
-      rollout.share.lifetime_limit < 1 &&
-      static_cast<double>(rollout.assigned + 1) >
-          rollout.share.lifetime_limit * static_cast<double>(rollout.calls) + rollout.start;
-  if (rollout.credit < 1 || rollout.share.share <= 0 || limited) {
+  rollout.credit += rollout.share.share;
+  if (rollout.credit < 1 || rollout.share.share <= 0) {
     return VersionSide::kOld;
   }
   rollout.credit -= 1;
+  const double allowed =
+      rollout.share.lifetime_limit * static_cast<double>(rollout.calls) + rollout.start;
+  if (rollout.share.lifetime_limit < 1 && static_cast<double>(rollout.assigned + 1) > allowed) {
+    return VersionSide::kOld;
+  }
   ++rollout.assigned;
   return VersionSide::kNew;
 }
@@ -87,7 +99,6 @@
   const auto found = rollouts_.find(service);
   if (found != rollouts_.end() && found->second.assigned > 0) {
     --found->second.assigned;
-    found->second.credit = std::min(found->second.credit + 1, kMaxCredit);
   }
 }
 
@@ -124,9 +135,10 @@
   CallCounts ended{1, 0, 0};
   if (IsFailure(result)) {
     ended.failures = 1;
-  } else if (latency.samples >= kMinLatencySamples &&
-             result.latency > Scale(latency.mean, kSlowFactor)) {
-    ended.slow = 1;
+  } else {
+    const Duration own = latency.samples >= kMinLatencySamples ? latency.mean : Duration(0);
+    const Duration usual = std::max(own, latency.usual);
+    ended.slow = usual > Duration(0) && result.latency > Scale(usual, kSlowFactor) ? 1 : 0;
   }
   RouteCounts& counts = rollout.counts.routes[route];
   if (side == VersionSide::kNew) {
@@ -137,6 +149,7 @@
   }
   counts.old_side += ended;
   if (ended.failures == 0) {
+    counts.old_latency += result.latency;
     const double weight = std::max(kLatencyWeight, 1.0 / (latency.samples + 1));
     latency.mean += Scale(result.latency - latency.mean, weight);
     ++latency.samples;
--- a/policy/rollout_gate.h
+++ b/policy/rollout_gate.h
@@ -29,9 +29,10 @@
 /// from the first call on, however few calls each of them has.
 class RolloutGate {
  public:
-  /// An answer is slow if it takes more than this many times the mean latency of the old side.
+  /// An answer is slow if it takes more than this many times the mean latency of the old side, as
+  /// this gateway sees it or as all gateways do, whichever is higher.
   static constexpr double kSlowFactor = 2.5;
-  /// Answers of the old side on a route without which no answer counts as slow.
+  /// Answers of the old side on a route without which this gateway knows no mean of its own.
   static constexpr int kMinLatencySamples = 5;
 
   explicit RolloutGate(uint64_t seed) : random_(seed) {}
@@ -44,12 +45,16 @@
   /// Sets the sides of the endpoints of a service.
   void SetService(const ServiceView& view);
 
+  /// Sets the mean latencies of the old side at all gateways, from their counts.
+  void SetUsualLatencies(const ServiceId& service, const RolloutCounts& counts);
+
   /// Assigns a new call of a service to a side. Called once for each call.
   /// @return kAny if the service has no roll-out.
   VersionSide Draw(const ServiceId& service);
   /// Returns the side for an attempt of a call that was not drawn, or that has failed before.
   VersionSide DefaultSide(const ServiceId& service) const;
-  /// Takes back the assignment of a call to the ordered version, which has no room for it.
+  /// Takes back the assignment of a call to the ordered version, which has no room for it. The call
+  /// is not made up for: otherwise all gateways would do so once the version has room.
   void OnNoRoom(const ServiceId& service);
   /// Counts an attempt that is sent to an endpoint.
   void OnSent(const ServiceId& service, const EndpointId& endpoint);
@@ -69,6 +74,7 @@
   struct Latency {
     Duration mean{0};
     int samples = 0;
+    Duration usual{0};  ///< Mean of all gateways; 0 if unknown.
   };
   struct Rollout {
     RolloutShare share;
--- a/rpc/gen-cpp/jackdawdeck_types.cpp
+++ b/rpc/gen-cpp/jackdawdeck_types.cpp
@@ -4015,6 +4015,10 @@
 void RouteCounts::__set_new_side(const CallCounts& val) {
   this->new_side = val;
 }
+
+void RouteCounts::__set_old_latency(const int64_t val) {
+  this->old_latency = val;
+}
 std::ostream& operator<<(std::ostream& out, const RouteCounts& obj)
 {
   obj.printTo(out);
@@ -4067,6 +4071,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->old_latency);
+          this->__isset.old_latency = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4096,6 +4108,10 @@
   xfer += this->new_side.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("old_latency", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->old_latency);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4106,6 +4122,7 @@
   swap(a.route, b.route);
   swap(a.old_side, b.old_side);
   swap(a.new_side, b.new_side);
+  swap(a.old_latency, b.old_latency);
   swap(a.__isset, b.__isset);
 }
 
@@ -4113,12 +4130,14 @@
   route = other86.route;
   old_side = other86.old_side;
   new_side = other86.new_side;
+  old_latency = other86.old_latency;
   __isset = other86.__isset;
 }
 RouteCounts& RouteCounts::operator=(const RouteCounts& other87) {
   route = other87.route;
   old_side = other87.old_side;
   new_side = other87.new_side;
+  old_latency = other87.old_latency;
   __isset = other87.__isset;
   return *this;
 }
@@ -4128,6 +4147,7 @@
   out << "route=" << to_string(route);
   out << ", " << "old_side=" << to_string(old_side);
   out << ", " << "new_side=" << to_string(new_side);
+  out << ", " << "old_latency=" << to_string(old_latency);
   out << ")";
 }
 
--- a/rpc/gen-cpp/jackdawdeck_types.h
+++ b/rpc/gen-cpp/jackdawdeck_types.h
@@ -1667,10 +1667,11 @@
 std::ostream& operator<<(std::ostream& out, const CallCounts& obj);
 
 typedef struct _RouteCounts__isset {
-  _RouteCounts__isset() : route(false), old_side(false), new_side(false) {}
+  _RouteCounts__isset() : route(false), old_side(false), new_side(false), old_latency(false) {}
   bool route :1;
   bool old_side :1;
   bool new_side :1;
+  bool old_latency :1;
 } _RouteCounts__isset;
 
 class RouteCounts : public virtual ::apache::thrift::TBase {
@@ -1679,13 +1680,15 @@
   RouteCounts(const RouteCounts&);
   RouteCounts& operator=(const RouteCounts&);
   RouteCounts() noexcept
-              : route() {
+              : route(),
+                old_latency(0) {
   }
 
   virtual ~RouteCounts() noexcept;
   std::string route;
   CallCounts old_side;
   CallCounts new_side;
+  int64_t old_latency;
 
   _RouteCounts__isset __isset;
 
@@ -1695,6 +1698,8 @@
 
   void __set_new_side(const CallCounts& val);
 
+  void __set_old_latency(const int64_t val);
+
   bool operator == (const RouteCounts & rhs) const
   {
     if (!(route == rhs.route))
@@ -1703,6 +1708,8 @@
       return false;
     if (!(new_side == rhs.new_side))
       return false;
+    if (!(old_latency == rhs.old_latency))
+      return false;
     return true;
   }
   bool operator != (const RouteCounts &rhs) const {
--- a/rpc/jackdawdeck.thrift
+++ b/rpc/jackdawdeck.thrift
@@ -194,6 +194,7 @@
   1: string route
   2: CallCounts old_side
   3: CallCounts new_side
+  4: i64 old_latency
 }
 
 struct EndpointCounts {
--- a/rpc/rollout_messages.cc
+++ b/rpc/rollout_messages.cc
@@ -56,6 +56,7 @@
     sides.route = route.value;
     sides.old_side = ToWire(counts.old_side);
     sides.new_side = ToWire(counts.new_side);
+    sides.old_latency = counts.old_latency.count();
     out.routes.push_back(std::move(sides));
   }
   for (const auto& [endpoint, counts] : in.counts.endpoints) {
@@ -82,7 +83,8 @@
   out.gateways_on_old = in.gateways_on_old;
   for (const wire::RouteCounts& counts : in.routes) {
     out.counts.routes[ProfileId(counts.route)] = {FromWire(counts.old_side),
-                                                  FromWire(counts.new_side)};
+                                                  FromWire(counts.new_side),
+                                                  Duration(CheckedCount(counts.old_latency))};
   }
   for (const wire::EndpointCounts& counts : in.endpoints) {
     out.counts.endpoints[EndpointId(counts.endpoint)] = FromWire(counts.counts);
