--- a/cluster/node_rollouts.cc
+++ b/cluster/node_rollouts.cc
@@ -78,9 +78,14 @@
                             NodeActions* actions) {
   rollouts_.SetOrders(now.mono, orders, era, &dispatcher_.rollout_gate());
   AdvanceRollouts(now, actions);
+  ApplyRolloutOutput(now, {}, actions);
 }
 
 void Node::AdvanceRollouts(Now now, NodeActions* actions) {
+  const std::optional<MonoTime> due = rollouts_.next_timer();
+  if (!due || now.mono < *due) {
+    return;
+  }
   RolloutOutput output;
   rollouts_.OnTimer(
       now.mono, [this](const Rollout& rollout) { return SituationOf(rollout); }, &output);
