--- a/cluster/node_effects.cc
+++ b/cluster/node_effects.cc
@@ -109,6 +109,10 @@
     quotas_.OnRequest(now.mono, *quota_request);
   } else if (const auto* quota_grant = std::get_if<QuotaGrant>(&message.body)) {
     quotas_.OnGrant(now.mono, *quota_grant);
+  } else if (const auto* evidence = std::get_if<VersionEvidence>(&message.body)) {
+    OnVersionEvidence(now, from, message.incarnation, *evidence, actions);
+  } else if (const auto* rollout = std::get_if<RolloutNotice>(&message.body)) {
+    OnRolloutNotice(now, *rollout, actions);
   } else if (const auto* zone = std::get_if<UnrecordedZone>(&message.body)) {
     config_.OnUnrecordedZone(now, *zone, &output);
   }
--- a/cluster/zone_contacts.cc
+++ b/cluster/zone_contacts.cc
@@ -48,4 +48,12 @@
   return chosen;
 }
 
+std::vector<ZoneId> ZoneContacts::zones() const {
+  std::vector<ZoneId> zones;
+  for (const auto& [zone, contact] : contacts_) {
+    zones.push_back(zone);
+  }
+  return zones;
+}
+
 }  // namespace jd
--- a/cluster/zone_contacts.h
+++ b/cluster/zone_contacts.h
@@ -29,6 +29,8 @@
   /// Returns one gateway of each zone, another one for each `index`, so that requests of many
   /// gateways are spread and one that has failed is not asked for long.
   std::vector<GatewayId> OneOfEachZone(size_t index) const;
+  /// Returns the other zones that have gateways.
+  std::vector<ZoneId> zones() const;
   /// Returns all gateways of other zones.
   const std::set<GatewayId>& gateways() const { return gateways_; }
 
--- a/rpc/convert.cc
+++ b/rpc/convert.cc
@@ -7,6 +7,7 @@
 
 #include "rpc/frame.h"
 #include "rpc/quota_wire.h"
+#include "rpc/rollout_messages.h"
 #include "rpc/table_update.h"
 #include "rpc/wire_integers.h"
 
@@ -364,6 +365,10 @@
   void operator()(const PermitReply& in) { body->__set_permit_reply(ToWire(in)); }
   void operator()(const QuotaRequest& in) { body->__set_quota_request(QuotaRequestToWire(in)); }
   void operator()(const QuotaGrant& in) { body->__set_quota_grant(QuotaGrantToWire(in)); }
+  void operator()(const VersionEvidence& in) {
+    body->__set_version_evidence(VersionEvidenceToWire(in));
+  }
+  void operator()(const RolloutNotice& in) { body->__set_rollout_notice(RolloutNoticeToWire(in)); }
   void operator()(const CrashNotice& in) { body->__set_crash_notice(ToWire(in)); }
   void operator()(const ConfigEntries& in) { body->__set_config_entries(ToWire(in)); }
   void operator()(const ConfigFetch& in) { body->__set_config_fetch(ToWire(in)); }
@@ -402,6 +407,12 @@
   if (set.quota_grant) {
     return QuotaGrantFromWire(body.quota_grant);
   }
+  if (set.version_evidence) {
+    return VersionEvidenceFromWire(body.version_evidence);
+  }
+  if (set.rollout_notice) {
+    return RolloutNoticeFromWire(body.rollout_notice);
+  }
   if (set.crash_notice) {
     return FromWire(body.crash_notice);
   }
--- a/rpc/gen-cpp/jackdawdeck_types.cpp
+++ b/rpc/gen-cpp/jackdawdeck_types.cpp
@@ -4384,6 +4384,978 @@
 }
 
 
+RolloutId::~RolloutId() noexcept {
+}
+
+
+void RolloutId::__set_service_id(const std::string& val) {
+  this->service_id = val;
+}
+
+void RolloutId::__set_to(const std::string& val) {
+  this->to = val;
+}
+
+void RolloutId::__set_row(const int64_t val) {
+  this->row = val;
+}
+std::ostream& operator<<(std::ostream& out, const RolloutId& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RolloutId::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_id);
+          this->__isset.service_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->to);
+          this->__isset.to = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->row);
+          this->__isset.row = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RolloutId::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RolloutId");
+
+  xfer += oprot->writeFieldBegin("service_id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->service_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("to", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->to);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("row", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->row);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RolloutId &a, RolloutId &b) {
+  using ::std::swap;
+  swap(a.service_id, b.service_id);
+  swap(a.to, b.to);
+  swap(a.row, b.row);
+  swap(a.__isset, b.__isset);
+}
+
+RolloutId::RolloutId(const RolloutId& other102) {
+  service_id = other102.service_id;
+  to = other102.to;
+  row = other102.row;
+  __isset = other102.__isset;
+}
+RolloutId& RolloutId::operator=(const RolloutId& other103) {
+  service_id = other103.service_id;
+  to = other103.to;
+  row = other103.row;
+  __isset = other103.__isset;
+  return *this;
+}
+void RolloutId::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RolloutId(";
+  out << "service_id=" << to_string(service_id);
+  out << ", " << "to=" << to_string(to);
+  out << ", " << "row=" << to_string(row);
+  out << ")";
+}
+
+
+CallCounts::~CallCounts() noexcept {
+}
+
+
+void CallCounts::__set_calls(const int64_t val) {
+  this->calls = val;
+}
+
+void CallCounts::__set_failures(const int64_t val) {
+  this->failures = val;
+}
+
+void CallCounts::__set_slow(const int64_t val) {
+  this->slow = val;
+}
+std::ostream& operator<<(std::ostream& out, const CallCounts& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CallCounts::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->calls);
+          this->__isset.calls = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->failures);
+          this->__isset.failures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->slow);
+          this->__isset.slow = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CallCounts::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CallCounts");
+
+  xfer += oprot->writeFieldBegin("calls", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->calls);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->failures);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slow", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->slow);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CallCounts &a, CallCounts &b) {
+  using ::std::swap;
+  swap(a.calls, b.calls);
+  swap(a.failures, b.failures);
+  swap(a.slow, b.slow);
+  swap(a.__isset, b.__isset);
+}
+
+CallCounts::CallCounts(const CallCounts& other104) noexcept {
+  calls = other104.calls;
+  failures = other104.failures;
+  slow = other104.slow;
+  __isset = other104.__isset;
+}
+CallCounts& CallCounts::operator=(const CallCounts& other105) noexcept {
+  calls = other105.calls;
+  failures = other105.failures;
+  slow = other105.slow;
+  __isset = other105.__isset;
+  return *this;
+}
+void CallCounts::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CallCounts(";
+  out << "calls=" << to_string(calls);
+  out << ", " << "failures=" << to_string(failures);
+  out << ", " << "slow=" << to_string(slow);
+  out << ")";
+}
+
+
+RouteCounts::~RouteCounts() noexcept {
+}
+
+
+void RouteCounts::__set_route(const std::string& val) {
+  this->route = val;
+}
+
+void RouteCounts::__set_old_side(const CallCounts& val) {
+  this->old_side = val;
+}
+
+void RouteCounts::__set_new_side(const CallCounts& val) {
+  this->new_side = val;
+}
+
+void RouteCounts::__set_old_latency(const int64_t val) {
+  this->old_latency = val;
+}
+std::ostream& operator<<(std::ostream& out, const RouteCounts& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RouteCounts::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->route);
+          this->__isset.route = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->old_side.read(iprot);
+          this->__isset.old_side = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->new_side.read(iprot);
+          this->__isset.new_side = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->old_latency);
+          this->__isset.old_latency = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RouteCounts::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RouteCounts");
+
+  xfer += oprot->writeFieldBegin("route", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->route);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("old_side", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->old_side.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("new_side", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->new_side.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("old_latency", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->old_latency);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RouteCounts &a, RouteCounts &b) {
+  using ::std::swap;
+  swap(a.route, b.route);
+  swap(a.old_side, b.old_side);
+  swap(a.new_side, b.new_side);
+  swap(a.old_latency, b.old_latency);
+  swap(a.__isset, b.__isset);
+}
+
+RouteCounts::RouteCounts(const RouteCounts& other106) {
+  route = other106.route;
+  old_side = other106.old_side;
+  new_side = other106.new_side;
+  old_latency = other106.old_latency;
+  __isset = other106.__isset;
+}
+RouteCounts& RouteCounts::operator=(const RouteCounts& other107) {
+  route = other107.route;
+  old_side = other107.old_side;
+  new_side = other107.new_side;
+  old_latency = other107.old_latency;
+  __isset = other107.__isset;
+  return *this;
+}
+void RouteCounts::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RouteCounts(";
+  out << "route=" << to_string(route);
+  out << ", " << "old_side=" << to_string(old_side);
+  out << ", " << "new_side=" << to_string(new_side);
+  out << ", " << "old_latency=" << to_string(old_latency);
+  out << ")";
+}
+
+
+EndpointCounts::~EndpointCounts() noexcept {
+}
+
+
+void EndpointCounts::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
+}
+
+void EndpointCounts::__set_counts(const CallCounts& val) {
+  this->counts = val;
+}
+std::ostream& operator<<(std::ostream& out, const EndpointCounts& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EndpointCounts::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          this->__isset.endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->counts.read(iprot);
+          this->__isset.counts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EndpointCounts::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EndpointCounts");
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->counts.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EndpointCounts &a, EndpointCounts &b) {
+  using ::std::swap;
+  swap(a.endpoint, b.endpoint);
+  swap(a.counts, b.counts);
+  swap(a.__isset, b.__isset);
+}
+
+EndpointCounts::EndpointCounts(const EndpointCounts& other108) {
+  endpoint = other108.endpoint;
+  counts = other108.counts;
+  __isset = other108.__isset;
+}
+EndpointCounts& EndpointCounts::operator=(const EndpointCounts& other109) {
+  endpoint = other109.endpoint;
+  counts = other109.counts;
+  __isset = other109.__isset;
+  return *this;
+}
+void EndpointCounts::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EndpointCounts(";
+  out << "endpoint=" << to_string(endpoint);
+  out << ", " << "counts=" << to_string(counts);
+  out << ")";
+}
+
+
+VersionEvidence::~VersionEvidence() noexcept {
+}
+
+
+void VersionEvidence::__set_rollout(const RolloutId& val) {
+  this->rollout = val;
+}
+
+void VersionEvidence::__set_zone_sum(const bool val) {
+  this->zone_sum = val;
+}
+
+void VersionEvidence::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void VersionEvidence::__set_age(const int64_t val) {
+  this->age = val;
+}
+
+void VersionEvidence::__set_phase(const int8_t val) {
+  this->phase = val;
+}
+
+void VersionEvidence::__set_bad(const bool val) {
+  this->bad = val;
+}
+
+void VersionEvidence::__set_gateways_on_old(const int32_t val) {
+  this->gateways_on_old = val;
+}
+
+void VersionEvidence::__set_routes(const std::vector<RouteCounts> & val) {
+  this->routes = val;
+}
+
+void VersionEvidence::__set_endpoints(const std::vector<EndpointCounts> & val) {
+  this->endpoints = val;
+}
+
+void VersionEvidence::__set_endpoints_used(const int64_t val) {
+  this->endpoints_used = val;
+}
+std::ostream& operator<<(std::ostream& out, const VersionEvidence& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t VersionEvidence::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->rollout.read(iprot);
+          this->__isset.rollout = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->zone_sum);
+          this->__isset.zone_sum = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age);
+          this->__isset.age = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BYTE) {
+          xfer += iprot->readByte(this->phase);
+          this->__isset.phase = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->bad);
+          this->__isset.bad = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->gateways_on_old);
+          this->__isset.gateways_on_old = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->routes.clear();
+            uint32_t _size110;
+            ::apache::thrift::protocol::TType _etype113;
+            xfer += iprot->readListBegin(_etype113, _size110);
+            this->routes.resize(_size110);
+            uint32_t _i114;
+            for (_i114 = 0; _i114 < _size110; ++_i114)
+            {
+              xfer += this->routes[_i114].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.routes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->endpoints.clear();
+            uint32_t _size115;
+            ::apache::thrift::protocol::TType _etype118;
+            xfer += iprot->readListBegin(_etype118, _size115);
+            this->endpoints.resize(_size115);
+            uint32_t _i119;
+            for (_i119 = 0; _i119 < _size115; ++_i119)
+            {
+              xfer += this->endpoints[_i119].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.endpoints = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->endpoints_used);
+          this->__isset.endpoints_used = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t VersionEvidence::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("VersionEvidence");
+
+  xfer += oprot->writeFieldBegin("rollout", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->rollout.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone_sum", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->zone_sum);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->age);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("phase", ::apache::thrift::protocol::T_BYTE, 5);
+  xfer += oprot->writeByte(this->phase);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bad", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->bad);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("gateways_on_old", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->gateways_on_old);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
+    std::vector<RouteCounts> ::const_iterator _iter120;
+    for (_iter120 = this->routes.begin(); _iter120 != this->routes.end(); ++_iter120)
+    {
+      xfer += (*_iter120).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
+    std::vector<EndpointCounts> ::const_iterator _iter121;
+    for (_iter121 = this->endpoints.begin(); _iter121 != this->endpoints.end(); ++_iter121)
+    {
+      xfer += (*_iter121).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endpoints_used", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->endpoints_used);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(VersionEvidence &a, VersionEvidence &b) {
+  using ::std::swap;
+  swap(a.rollout, b.rollout);
+  swap(a.zone_sum, b.zone_sum);
+  swap(a.zone, b.zone);
+  swap(a.age, b.age);
+  swap(a.phase, b.phase);
+  swap(a.bad, b.bad);
+  swap(a.gateways_on_old, b.gateways_on_old);
+  swap(a.routes, b.routes);
+  swap(a.endpoints, b.endpoints);
+  swap(a.endpoints_used, b.endpoints_used);
+  swap(a.__isset, b.__isset);
+}
+
+VersionEvidence::VersionEvidence(const VersionEvidence& other122) {
+  rollout = other122.rollout;
+  zone_sum = other122.zone_sum;
+  zone = other122.zone;
+  age = other122.age;
+  phase = other122.phase;
+  bad = other122.bad;
+  gateways_on_old = other122.gateways_on_old;
+  routes = other122.routes;
+  endpoints = other122.endpoints;
+  endpoints_used = other122.endpoints_used;
+  __isset = other122.__isset;
+}
+VersionEvidence& VersionEvidence::operator=(const VersionEvidence& other123) {
+  rollout = other123.rollout;
+  zone_sum = other123.zone_sum;
+  zone = other123.zone;
+  age = other123.age;
+  phase = other123.phase;
+  bad = other123.bad;
+  gateways_on_old = other123.gateways_on_old;
+  routes = other123.routes;
+  endpoints = other123.endpoints;
+  endpoints_used = other123.endpoints_used;
+  __isset = other123.__isset;
+  return *this;
+}
+void VersionEvidence::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "VersionEvidence(";
+  out << "rollout=" << to_string(rollout);
+  out << ", " << "zone_sum=" << to_string(zone_sum);
+  out << ", " << "zone=" << to_string(zone);
+  out << ", " << "age=" << to_string(age);
+  out << ", " << "phase=" << to_string(phase);
+  out << ", " << "bad=" << to_string(bad);
+  out << ", " << "gateways_on_old=" << to_string(gateways_on_old);
+  out << ", " << "routes=" << to_string(routes);
+  out << ", " << "endpoints=" << to_string(endpoints);
+  out << ", " << "endpoints_used=" << to_string(endpoints_used);
+  out << ")";
+}
+
+
+RolloutNotice::~RolloutNotice() noexcept {
+}
+
+
+void RolloutNotice::__set_rollout(const RolloutId& val) {
+  this->rollout = val;
+}
+
+void RolloutNotice::__set_state(const int8_t val) {
+  this->state = val;
+}
+
+void RolloutNotice::__set_status_row(const int64_t val) {
+  this->status_row = val;
+}
+std::ostream& operator<<(std::ostream& out, const RolloutNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RolloutNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->rollout.read(iprot);
+          this->__isset.rollout = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BYTE) {
+          xfer += iprot->readByte(this->state);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->status_row);
+          this->__isset.status_row = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RolloutNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RolloutNotice");
+
+  xfer += oprot->writeFieldBegin("rollout", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->rollout.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_BYTE, 2);
+  xfer += oprot->writeByte(this->state);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("status_row", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->status_row);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RolloutNotice &a, RolloutNotice &b) {
+  using ::std::swap;
+  swap(a.rollout, b.rollout);
+  swap(a.state, b.state);
+  swap(a.status_row, b.status_row);
+  swap(a.__isset, b.__isset);
+}
+
+RolloutNotice::RolloutNotice(const RolloutNotice& other124) {
+  rollout = other124.rollout;
+  state = other124.state;
+  status_row = other124.status_row;
+  __isset = other124.__isset;
+}
+RolloutNotice& RolloutNotice::operator=(const RolloutNotice& other125) {
+  rollout = other125.rollout;
+  state = other125.state;
+  status_row = other125.status_row;
+  __isset = other125.__isset;
+  return *this;
+}
+void RolloutNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RolloutNotice(";
+  out << "rollout=" << to_string(rollout);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "status_row=" << to_string(status_row);
+  out << ")";
+}
+
+
 OperatorRequest::~OperatorRequest() noexcept {
 }
 
@@ -4510,19 +5482,19 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorRequest::OperatorRequest(const OperatorRequest& other102) {
-  id = other102.id;
-  command = other102.command;
-  body = other102.body;
-  timeout = other102.timeout;
-  __isset = other102.__isset;
+OperatorRequest::OperatorRequest(const OperatorRequest& other126) {
+  id = other126.id;
+  command = other126.command;
+  body = other126.body;
+  timeout = other126.timeout;
+  __isset = other126.__isset;
 }
-OperatorRequest& OperatorRequest::operator=(const OperatorRequest& other103) {
-  id = other103.id;
-  command = other103.command;
-  body = other103.body;
-  timeout = other103.timeout;
-  __isset = other103.__isset;
+OperatorRequest& OperatorRequest::operator=(const OperatorRequest& other127) {
+  id = other127.id;
+  command = other127.command;
+  body = other127.body;
+  timeout = other127.timeout;
+  __isset = other127.__isset;
   return *this;
 }
 void OperatorRequest::printTo(std::ostream& out) const {
@@ -4645,17 +5617,17 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorReply::OperatorReply(const OperatorReply& other104) {
-  id = other104.id;
-  status = other104.status;
-  body = other104.body;
-  __isset = other104.__isset;
+OperatorReply::OperatorReply(const OperatorReply& other128) {
+  id = other128.id;
+  status = other128.status;
+  body = other128.body;
+  __isset = other128.__isset;
 }
-OperatorReply& OperatorReply::operator=(const OperatorReply& other105) {
-  id = other105.id;
-  status = other105.status;
-  body = other105.body;
-  __isset = other105.__isset;
+OperatorReply& OperatorReply::operator=(const OperatorReply& other129) {
+  id = other129.id;
+  status = other129.status;
+  body = other129.body;
+  __isset = other129.__isset;
   return *this;
 }
 void OperatorReply::printTo(std::ostream& out) const {
@@ -4751,6 +5723,16 @@
   this->quota_grant = val;
 __isset.quota_grant = true;
 }
+
+void Body::__set_version_evidence(const VersionEvidence& val) {
+  this->version_evidence = val;
+__isset.version_evidence = true;
+}
+
+void Body::__set_rollout_notice(const RolloutNotice& val) {
+  this->rollout_notice = val;
+__isset.rollout_notice = true;
+}
 std::ostream& operator<<(std::ostream& out, const Body& obj)
 {
   obj.printTo(out);
@@ -4907,6 +5889,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->version_evidence.read(iprot);
+          this->__isset.version_evidence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->rollout_notice.read(iprot);
+          this->__isset.rollout_notice = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5004,6 +6002,16 @@
     xfer += this->quota_grant.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.version_evidence) {
+    xfer += oprot->writeFieldBegin("version_evidence", ::apache::thrift::protocol::T_STRUCT, 19);
+    xfer += this->version_evidence.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.rollout_notice) {
+    xfer += oprot->writeFieldBegin("rollout_notice", ::apache::thrift::protocol::T_STRUCT, 20);
+    xfer += this->rollout_notice.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5027,46 +6035,52 @@
   swap(a.permit_reply, b.permit_reply);
   swap(a.quota_request, b.quota_request);
   swap(a.quota_grant, b.quota_grant);
+  swap(a.version_evidence, b.version_evidence);
+  swap(a.rollout_notice, b.rollout_notice);
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other106) {
-  heartbeat = other106.heartbeat;
-  slot_request = other106.slot_request;
-  slot_grant = other106.slot_grant;
-  endpoint_notice = other106.endpoint_notice;
-  crash_notice = other106.crash_notice;
-  config_entries = other106.config_entries;
-  config_fetch = other106.config_fetch;
-  unrecorded_zone = other106.unrecorded_zone;
-  operator_request = other106.operator_request;
-  operator_reply = other106.operator_reply;
-  table_news = other106.table_news;
-  table_fetch = other106.table_fetch;
-  permit_request = other106.permit_request;
-  permit_reply = other106.permit_reply;
-  quota_request = other106.quota_request;
-  quota_grant = other106.quota_grant;
-  __isset = other106.__isset;
-}
-Body& Body::operator=(const Body& other107) {
-  heartbeat = other107.heartbeat;
-  slot_request = other107.slot_request;
-  slot_grant = other107.slot_grant;
-  endpoint_notice = other107.endpoint_notice;
-  crash_notice = other107.crash_notice;
-  config_entries = other107.config_entries;
-  config_fetch = other107.config_fetch;
-  unrecorded_zone = other107.unrecorded_zone;
-  operator_request = other107.operator_request;
-  operator_reply = other107.operator_reply;
-  table_news = other107.table_news;
-  table_fetch = other107.table_fetch;
-  permit_request = other107.permit_request;
-  permit_reply = other107.permit_reply;
-  quota_request = other107.quota_request;
-  quota_grant = other107.quota_grant;
-  __isset = other107.__isset;
+Body::Body(const Body& other130) {
+  heartbeat = other130.heartbeat;
+  slot_request = other130.slot_request;
+  slot_grant = other130.slot_grant;
+  endpoint_notice = other130.endpoint_notice;
+  crash_notice = other130.crash_notice;
+  config_entries = other130.config_entries;
+  config_fetch = other130.config_fetch;
+  unrecorded_zone = other130.unrecorded_zone;
+  operator_request = other130.operator_request;
+  operator_reply = other130.operator_reply;
+  table_news = other130.table_news;
+  table_fetch = other130.table_fetch;
+  permit_request = other130.permit_request;
+  permit_reply = other130.permit_reply;
+  quota_request = other130.quota_request;
+  quota_grant = other130.quota_grant;
+  version_evidence = other130.version_evidence;
+  rollout_notice = other130.rollout_notice;
+  __isset = other130.__isset;
+}
+Body& Body::operator=(const Body& other131) {
+  heartbeat = other131.heartbeat;
+  slot_request = other131.slot_request;
+  slot_grant = other131.slot_grant;
+  endpoint_notice = other131.endpoint_notice;
+  crash_notice = other131.crash_notice;
+  config_entries = other131.config_entries;
+  config_fetch = other131.config_fetch;
+  unrecorded_zone = other131.unrecorded_zone;
+  operator_request = other131.operator_request;
+  operator_reply = other131.operator_reply;
+  table_news = other131.table_news;
+  table_fetch = other131.table_fetch;
+  permit_request = other131.permit_request;
+  permit_reply = other131.permit_reply;
+  quota_request = other131.quota_request;
+  quota_grant = other131.quota_grant;
+  version_evidence = other131.version_evidence;
+  rollout_notice = other131.rollout_notice;
+  __isset = other131.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -5088,6 +6102,8 @@
   out << ", " << "permit_reply="; (__isset.permit_reply ? (out << to_string(permit_reply)) : (out << "<null>"));
   out << ", " << "quota_request="; (__isset.quota_request ? (out << to_string(quota_request)) : (out << "<null>"));
   out << ", " << "quota_grant="; (__isset.quota_grant ? (out << to_string(quota_grant)) : (out << "<null>"));
+  out << ", " << "version_evidence="; (__isset.version_evidence ? (out << to_string(version_evidence)) : (out << "<null>"));
+  out << ", " << "rollout_notice="; (__isset.rollout_notice ? (out << to_string(rollout_notice)) : (out << "<null>"));
   out << ")";
 }
 
@@ -5235,21 +6251,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other108) {
-  key = other108.key;
-  sender = other108.sender;
-  incarnation = other108.incarnation;
-  stamp = other108.stamp;
-  body = other108.body;
-  __isset = other108.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other109) {
-  key = other109.key;
-  sender = other109.sender;
-  incarnation = other109.incarnation;
-  stamp = other109.stamp;
-  body = other109.body;
-  __isset = other109.__isset;
+Envelope::Envelope(const Envelope& other132) {
+  key = other132.key;
+  sender = other132.sender;
+  incarnation = other132.incarnation;
+  stamp = other132.stamp;
+  body = other132.body;
+  __isset = other132.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other133) {
+  key = other133.key;
+  sender = other133.sender;
+  incarnation = other133.incarnation;
+  stamp = other133.stamp;
+  body = other133.body;
+  __isset = other133.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
