--- a/cluster/catalog.cc
+++ b/cluster/catalog.cc
@@ -79,6 +79,7 @@
       continue;
     }
     Endpoint endpoint = record.endpoint;
+    endpoint.run = record.incarnation;
     endpoint.max_connections = service->second.max_connections_per_endpoint;
     service->second.endpoints.push_back(std::move(endpoint));
     // Zone control handles only the zones that are listed in the configuration.
--- a/cluster/endpoint_directory.cc
+++ b/cluster/endpoint_directory.cc
@@ -26,6 +26,11 @@
   return leaving ? leaving_.insert(endpoint).second : leaving_.erase(endpoint) > 0;
 }
 
+bool EndpointDirectory::WantsNothing(const EndpointId& endpoint) const {
+  const auto held = held_.find(endpoint);
+  return held != held_.end() && held->second.reason == EndpointHold::kWantsNothing;
+}
+
 const Service* EndpointDirectory::ServiceOf(const EndpointId& endpoint) const {
   const auto entry = entries_.find(endpoint);
   return entry == entries_.end() ? nullptr : entry->second.service;
@@ -41,12 +46,25 @@
   view.id = service.id;
   view.endpoints.reserve(service.endpoints.size());
   for (const Endpoint& endpoint : service.endpoints) {
-    const bool usable = !zones_out_.contains(endpoint.zone) && !leaving_.contains(endpoint.id);
-    view.endpoints.push_back({endpoint.id, endpoint.zone, endpoint.slots, usable});
+    view.endpoints.push_back(MakeView(endpoint));
   }
   return view;
 }
 
+EndpointView EndpointDirectory::MakeView(const Endpoint& endpoint) const {
+  const auto held = held_.find(endpoint.id);
+  const HeldEndpoint said = held == held_.end() ? HeldEndpoint() : held->second;
+  EndpointFacts facts;
+  facts.leaving = leaving_.contains(endpoint.id) || said.reason == EndpointHold::kLeaving;
+  facts.wants_nothing = said.reason == EndpointHold::kWantsNothing;
+  facts.zone_out = zones_out_.contains(endpoint.zone);
+  EndpointView view{endpoint.id, endpoint.zone, endpoint.slots};
+  view.hold = HoldOnProbes(MonoTime(), facts);
+  view.usable = view.hold == EndpointHold::kNone;
+  view.held_until = view.hold == EndpointHold::kWantsNothing ? said.until : MonoTime();
+  return view;
+}
+
 EndpointDirectory::Changes EndpointDirectory::TakeChanges() {
   Changes changes;
   if (configuration_ == nullptr) {
--- a/cluster/endpoint_directory.h
+++ b/cluster/endpoint_directory.h
@@ -3,9 +3,11 @@
 #include <map>
 #include <set>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "common/configuration.h"
+#include "policy/endpoint_statements.h"
 #include "policy/routing_policy.h"
 
 namespace jd {
@@ -27,6 +29,12 @@
   /// @return false if the endpoint was in that state already or is not configured.
   bool SetLeaving(const EndpointId& endpoint, bool leaving);
 
+  /// Sets the endpoints that are held back because of what they said in responses.
+  void SetHeld(std::map<EndpointId, HeldEndpoint> held) { held_ = std::move(held); }
+  const std::map<EndpointId, HeldEndpoint>& held() const { return held_; }
+  /// Returns whether the endpoint has asked this gateway to send nothing for a time.
+  bool WantsNothing(const EndpointId& endpoint) const;
+
   bool is_leaving(const EndpointId& endpoint) const { return leaving_.contains(endpoint); }
   const std::set<EndpointId>& leaving() const { return leaving_; }
   /// Returns null if the configuration has no such endpoint.
@@ -43,11 +51,13 @@
   };
 
   ServiceView MakeView(const Service& service) const;
+  EndpointView MakeView(const Endpoint& endpoint) const;
 
   ConfigurationPtr configuration_;
   std::unordered_map<EndpointId, Entry> entries_;  ///< The pointers refer to configuration_.
   std::set<ZoneId> zones_out_;
   std::set<EndpointId> leaving_;
+  std::map<EndpointId, HeldEndpoint> held_;
   std::map<ServiceId, ServiceView> reported_views_;  ///< As of the latest TakeChanges.
 };
 
--- a/cluster/node.cc
+++ b/cluster/node.cc
@@ -37,7 +37,8 @@
       slots_(settings, policy_.get_if<SlotHolder>()),
       claims_(settings.id, settings.incarnation),
       timeline_(settings.id, settings.event_capacity),
-      operator_({&settings_, &config_, &membership_, &slots_, &timeline_}) {
+      operator_({&settings_, &config_, &membership_, &slots_, &timeline_}),
+      statements_(settings.id) {
   if (settings_.retry_limits) {
     dispatcher_.SetRetryLimits(*settings_.retry_limits);
   }
@@ -175,6 +176,9 @@
 
 void Node::OnAttemptResult(Now now, const AttemptResult& result, NodeActions* actions) {
   const auto attempt = endpoint_by_attempt_.extract(result.attempt);
+  if (!attempt.empty()) {
+    OnUpstreamStatement(now, attempt.mapped(), result.statement, result.latency, actions);
+  }
   CallActions out;
   dispatcher_.OnAttemptResult(now.mono, result, &out);
   ApplyCallActions(now, out, actions);
@@ -205,6 +209,7 @@
                         const EndpointId& endpoint,
                         const LoadReport& report,
                         NodeActions* actions) {
+  statements_.OnInstance(endpoint, report.instance);
   if (report.state == EndpointState::kDraining) {
     OnEndpointNotice(now, {endpoint, report.instance, EndpointNoticeKind::kDraining}, true,
                      actions);
@@ -242,6 +247,7 @@
 }
 
 void Node::OnProbeResult(Now now, const ProbeResult& result, NodeActions* actions) {
+  OnUpstreamStatement(now, result.endpoint, result.statement, result.latency, actions);
   CallActions out;
   dispatcher_.OnProbeResult(now.mono, result, &out);
   ApplyCallActions(now, out, actions);
@@ -386,6 +392,7 @@
 }
 
 void Node::OnTimer(Now now, NodeActions* actions) {
+  UpdateHeldEndpoints(now, actions);
   CallActions out;
   dispatcher_.OnTimer(now.mono, &out);
   ApplyCallActions(now, out, actions);
@@ -425,6 +432,7 @@
   SetToEarlier(&next, config_.next_timer());
   SetToEarlier(&next, slots_.next_timer());
   SetToEarlier(&next, probes_.next_timer());
+  SetToEarlier(&next, statements_.next_end());
   SetToEarlier(&next, claims_.next_timer());
   if (config_.has_platform()) {
     SetToEarlier(&next, next_vm_list_);
--- a/cluster/node.h
+++ b/cluster/node.h
@@ -24,6 +24,7 @@
 #include "common/now.h"
 #include "common/vm_list.h"
 #include "policy/dispatcher.h"
+#include "policy/endpoint_statements.h"
 #include "policy/policy_variant.h"
 #include "policy/probe_result.h"
 
@@ -95,10 +96,18 @@
   const NodeSettings& settings() const { return settings_; }
   /// Returns how this gateway's requests for permits have ended.
   const PermitCounts& permit_counts() const { return dispatcher_.permit_counts(); }
+  /// Returns how often an endpoint was passed over, by reason.
+  EndpointHoldCounts hold_counts() const { return policy_.hold_counts(); }
   /// Returns the number of unfinished calls, including those whose request key is being claimed.
   size_t calls() const { return dispatcher_.calls() + calls_awaiting_claim_.size(); }
 
  private:
+  /// A run of an endpoint, and when the configuration first listed it.
+  struct ListedRun {
+    Incarnation run;
+    MonoTime since;
+  };
+
   /// Carries out the dispatcher's actions: appends those of the event loop to `to`, records events,
   /// sends crash notices to peers and finishes the claims of request keys.
   void ApplyCallActions(Now now, const CallActions& from, NodeActions* to);
@@ -126,6 +135,34 @@
                         const EndpointNotice& notice,
                         bool tell_peers,
                         NodeActions* actions);
+  /// Applies what an endpoint said of itself in a response, before its load or the result of its
+  /// attempt is used.
+  /// @param latency time from the request to the response.
+  void OnUpstreamStatement(Now now,
+                           const EndpointId& endpoint,
+                           const UpstreamStatement& statement,
+                           Duration latency,
+                           NodeActions* actions);
+  /// Records since when the configuration lists each endpoint in its run.
+  void RecordListedRuns(Now now);
+  /// Applies what a peer has learned from the responses of endpoints.
+  void OnEndpointStatement(Now now, const EndpointStatement& message, NodeActions* actions);
+  /// Applies the statements of endpoints that are in force to the services.
+  void UpdateHeldEndpoints(Now now, NodeActions* actions);
+  /// Passes the statements in force on to the directory and the slots, and records the changes.
+  /// @return whether an endpoint was held back or released.
+  bool ApplyHeldEndpoints(Now now, NodeActions* actions);
+  /// Records that an endpoint is held back or released.
+  void RecordHold(Now now,
+                  EventKind kind,
+                  const EndpointId& endpoint,
+                  const HeldEndpoint& held,
+                  NodeActions* actions);
+  /// Tells a gateway that has just started what this one knows of endpoints that leave and of
+  /// requests that crash upstreams.
+  void SendStateTo(Now now, const GatewayId& peer, NodeActions* actions);
+  /// Fills in this gateway as the one that has seen the losses.
+  CrashEvidence NameGateway(CrashEvidence evidence) const;
   /// Returns the gateway that issues the permits for an endpoint of this zone, or, for another
   /// zone, a gateway there that knows it.
   /// @return nothing if no such gateway is known.
@@ -148,6 +185,8 @@
   void OnTableUpdate(Now now, const TableUpdate& update, NodeActions* actions);
   void SendTo(Now now, const GatewayId& to, PeerBody body, NodeActions* actions);
   void SendToAll(Now now, const PeerBody& body, NodeActions* actions);
+  /// Sends to all peers and to the gateways of the other zones.
+  void SendToAllZones(Now now, const PeerBody& body, NodeActions* actions);
   /// Sets the addresses of the gateways in other zones. They are not peers, and receive only rare
   /// and urgent messages, such as a CrashNotice.
   void SetOtherZoneGateways(const VmList& gateways, NodeActions* actions);
@@ -188,6 +227,8 @@
   MonoTime next_vm_list_;
   ZoneContacts zone_contacts_;
   PermitIssuer permit_issuer_;
+  EndpointStatements statements_;
+  std::map<EndpointId, ListedRun> listed_runs_;
   size_t gateway_count_ = 0;  ///< Number of gateways that discovery lists, in all zones.
   bool stopping_ = false;
 };
--- a/cluster/node_effects.cc
+++ b/cluster/node_effects.cc
@@ -22,6 +22,13 @@
   }
 }
 
+void Node::SendToAllZones(Now now, const PeerBody& body, NodeActions* actions) {
+  SendToAll(now, body, actions);
+  for (const GatewayId& id : zone_contacts_.gateways()) {
+    SendTo(now, id, body, actions);
+  }
+}
+
 void Node::RecordTimelineEvent(Now now, EventKind kind, const std::string& detail) {
   Event event;
   event.kind = kind;
@@ -35,10 +42,9 @@
       timeline_.Add(now, record->event);
       to->push_back(WriteLog{record->event});
     } else if (const auto* crash = std::get_if<AnnounceCrash>(&action)) {
-      SendToAll(now, CrashNotice{crash->fingerprint}, to);
-      for (const GatewayId& id : zone_contacts_.gateways()) {
-        SendTo(now, id, CrashNotice{crash->fingerprint}, to);
-      }
+      SendToAllZones(now, CrashNotice{crash->fingerprint}, to);
+    } else if (const auto* told = std::get_if<TellCrashEvidence>(&action)) {
+      SendToAllZones(now, NameGateway(told->evidence), to);
     } else if (const auto* send = std::get_if<SendAttempt>(&action)) {
       endpoint_by_attempt_[send->attempt] = send->endpoint;
       if (keyed_call_starts_.contains(send->call)) {
@@ -98,6 +104,11 @@
     OnTableUpdate(now, *update, actions);
   } else if (const auto* table_fetch = std::get_if<TableFetch>(&message.body)) {
     actions->push_back(ServeTableFetch{from, *table_fetch});
+    SendStateTo(now, from, actions);
+  } else if (const auto* statement = std::get_if<EndpointStatement>(&message.body)) {
+    OnEndpointStatement(now, *statement, actions);
+  } else if (const auto* evidence = std::get_if<CrashEvidence>(&message.body)) {
+    dispatcher_.OnCrashEvidence(now.mono, *evidence);
   } else if (const auto* permit = std::get_if<PermitRequest>(&message.body)) {
     OnPermitRequest(now, *permit, actions);
   } else if (const auto* permit_reply = std::get_if<PermitReply>(&message.body)) {
@@ -131,6 +142,8 @@
     }
   }
   UpdateSlotMembers(now);
+  dispatcher_.SetHasPeers(!membership_.members().empty() || !zone_contacts_.gateways().empty());
+  statements_.SetGatewayCount(std::max(membership_.members().size() + 1, gateway_count_));
 }
 
 void Node::UpdateSlotMembers(Now now) {
@@ -153,6 +166,7 @@
   }
   if (from->configuration_changed) {
     directory_.SetConfiguration(config_.configuration());
+    RecordListedRuns(now);
     dispatcher_.SetConfiguration(now.mono, config_.configuration());
     RecordTimelineEvent(now, EventKind::kConfigApplied, std::to_string(config_.version().value));
     // The next heartbeat tells the peers the version, whichever way the configuration changed.
@@ -189,6 +203,7 @@
     zones_out_ = zones_out;
   }
   directory_.SetZonesOut(std::move(zones_out));
+  ApplyHeldEndpoints(now, actions);
   const EndpointDirectory::Changes changes = directory_.TakeChanges();
   for (const ServiceId& service : changes.removed) {
     policy_.RemoveService(now.mono, service);
@@ -214,7 +229,7 @@
   for (const PoolId& pool : slots_.owned_pools()) {
     for (const EndpointView& endpoint : slots_.pools().at(pool).endpoints) {
       const Service* service = directory_.ServiceOf(endpoint.id);
-      if (service != nullptr) {
+      if (service != nullptr && !directory_.WantsNothing(endpoint.id)) {
         wanted.insert(endpoint.id);
         probes_.SetEndpoint(
             now.mono, endpoint.id,
--- a/cluster/peer_message.h
+++ b/cluster/peer_message.h
@@ -12,6 +12,8 @@
 #include "common/hybrid_clock.h"
 #include "common/ids.h"
 #include "common/units.h"
+#include "policy/crash_evidence.h"
+#include "policy/endpoint_statements.h"
 #include "policy/permit.h"
 #include "policy/slot_message.h"
 
@@ -49,6 +51,11 @@
   Fingerprint fingerprint;
 };
 
+/// Tells peers which endpoints have said in a response that they leave.
+struct EndpointStatement {
+  std::vector<LeavingEndpoint> leaving;
+};
+
 /// Configuration entries in order of version, sent as the reply to a ConfigFetch or pushed without
 /// a request.
 struct ConfigEntries {
@@ -107,7 +114,9 @@
                               TableUpdate,
                               TableFetch,
                               PermitRequest,
-                              PermitReply>;
+                              PermitReply,
+                              EndpointStatement,
+                              CrashEvidence>;
 
 /// A message between gateways. The shared key that authenticates it is added and checked by the
 /// transport.
--- a/common/configuration.h
+++ b/common/configuration.h
@@ -24,6 +24,8 @@
   /// because the address may be reassigned to another upstream process.
   InstanceId instance = {};
   SoftwareVersion version = {};  ///< Empty if it is not known.
+  /// The run of the upstream process: its start time in milliseconds of wall time; 0: not known.
+  Incarnation run = {};
   bool operator==(const Endpoint&) const = default;
 };
 
--- a/common/event_ring.cc
+++ b/common/event_ring.cc
@@ -26,6 +26,10 @@
       return "endpoint-ejected";
     case EventKind::kEndpointLimit:
       return "endpoint-limit";
+    case EventKind::kEndpointHeld:
+      return "endpoint-held";
+    case EventKind::kEndpointReleased:
+      return "endpoint-released";
     case EventKind::kPermitRefused:
       return "permit-refused";
     case EventKind::kSlotsLent:
--- a/common/event_ring.h
+++ b/common/event_ring.h
@@ -23,6 +23,8 @@
   kEndpointDraining,
   kEndpointEjected,
   kEndpointLimit,
+  kEndpointHeld,
+  kEndpointReleased,
   kPermitRefused,
   kSlotsLent,
   kSlotsExpired,
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -325,6 +325,7 @@
   values.config_version = configuration_ == nullptr ? 0 : configuration_->version.value;
   values.ready = ready();
   values.permits = node_.permit_counts();
+  values.holds = node_.hold_counts();
   if (peer_traffic_source_) {
     values.peer_traffic = peer_traffic_source_();
   }
--- a/gateway/http_dialect.h
+++ b/gateway/http_dialect.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "common/upstream_statement.h"
 #include "net/http_connection.h"
 #include "policy/attempt_result.h"
 #include "policy/call_request.h"
@@ -21,7 +22,8 @@
   InstanceId instance;
 };
 
-/// The outcome, load report and idle timeout that an upstream's response carries.
+/// What an upstream's response carries: the outcome, a load report, the idle timeout and what the
+/// upstream says of itself.
 struct UpstreamReply {
   AttemptOutcome outcome = AttemptOutcome::kAnswered;
   std::optional<LoadReport> report;
@@ -33,6 +35,10 @@
   std::string unreadable_limit = {};
   /// Whether the connection may carry another request.
   bool reusable = true;
+  UpstreamStatement statement = {};
+  /// The header, as name=value, of a statement that is malformed and ignored, for the log; empty if
+  /// there is none.
+  std::string unreadable_statement = {};
 };
 
 /// The HTTP headers and status codes that callers, the gateway and upstreams exchange. A deployment
--- a/gateway/metrics.cc
+++ b/gateway/metrics.cc
@@ -161,6 +161,14 @@
       add("jackdawdeck_permits_refused", "Refused permits for calls to endpoints with a limit.");
   permits_unanswered_ =
       add("jackdawdeck_permits_unanswered", "Requests for permits that got no reply in time.");
+  auto& holds = prometheus::BuildGauge()
+                    .Name("jackdawdeck_endpoint_holds")
+                    .Help("Times that a call passed over an endpoint, by reason.")
+                    .Register(registry_);
+  for (size_t i = 1; i < kEndpointHoldCount; ++i) {
+    const std::string reason(EndpointHoldName(static_cast<EndpointHold>(i)));
+    endpoint_holds_.push_back(&holds.Add({{"reason", reason}}));
+  }
   ready_ = add("jackdawdeck_ready", "1 if the balancer may send calls.");
 }
 
@@ -209,6 +217,9 @@
   permits_granted_->Set(static_cast<double>(values.permits.granted));
   permits_refused_->Set(static_cast<double>(values.permits.refused));
   permits_unanswered_->Set(static_cast<double>(values.permits.unanswered));
+  for (size_t i = 1; i < kEndpointHoldCount; ++i) {
+    endpoint_holds_.at(i - 1)->Set(static_cast<double>(values.holds.at(i)));
+  }
   ready_->Set(values.ready ? 1 : 0);
   return prometheus::TextSerializer().Serialize(registry_.Collect());
 }
--- a/gateway/metrics.h
+++ b/gateway/metrics.h
@@ -39,6 +39,7 @@
   uint64_t config_version = 0;  ///< 0: none.
   bool ready = false;
   PermitCounts permits;
+  EndpointHoldCounts holds{};  ///< Of endpoints that were passed over.
 };
 
 /// The metrics of a gateway. Their names are a stable interface.
@@ -96,6 +97,7 @@
   Gauge* peer_messages_sent_ = nullptr;
   Gauge* upstream_connections_ = nullptr;
   Gauge* config_version_ = nullptr;
+  std::vector<Gauge*> endpoint_holds_;  ///< By EndpointHold, without kNone.
   Gauge* permits_granted_ = nullptr;
   Gauge* permits_refused_ = nullptr;
   Gauge* permits_unanswered_ = nullptr;
--- a/gateway/native_dialect.cc
+++ b/gateway/native_dialect.cc
@@ -2,6 +2,7 @@
 
 #include "gateway/header_rules.h"
 #include "gateway/http_dialect.h"
+#include "gateway/retry_after.h"
 
 namespace jd {
 namespace {
@@ -57,6 +58,10 @@
   reply.reusable = FindHeader(headers, "x-request-id") != nullptr;
   if (response.status == 503 && HeaderValue(headers, "x-refused") == "not-run") {
     reply.outcome = AttemptOutcome::kRefused;
+    const RetryAfterHeader retry_after = ParseRetryAfter(headers);
+    reply.statement.wants_nothing_for = retry_after.time;
+    reply.statement.instance = InstanceId(HeaderValue(headers, "x-instance-id"));
+    reply.unreadable_statement = retry_after.unreadable;
   }
   reply.report = ParseLoadReport(HeaderValue(headers, "x-load"),
                                  InstanceId(HeaderValue(headers, "x-instance-id")));
--- a/gateway/upstream_pool.cc
+++ b/gateway/upstream_pool.cc
@@ -209,6 +209,12 @@
                      " request=" + exchange.request_id.value + " value='" + reply.unreadable_limit +
                      "'");
     }
+    if (!reply.unreadable_statement.empty()) {
+      LogWarning(LogPart::kCalls,
+                 "event=statement-unreadable endpoint=" + exchange.connection->endpoint.value +
+                     " request=" + exchange.request_id.value + " header='" +
+                     reply.unreadable_statement + "'");
+    }
   } else {
     reply.outcome =
         result.request_written ? AttemptOutcome::kConnectionLost : AttemptOutcome::kConnectFailed;
@@ -332,8 +338,8 @@
   const Duration latency = loop_->ReadClocks().mono - exchange.sent;
   const int status = result.response == nullptr ? 0 : result.response->status;
   if (exchange.is_probe) {
-    probe_ended_.emit(
-        {exchange.connection->endpoint, result.response != nullptr, status, latency, reply.report});
+    probe_ended_.emit({exchange.connection->endpoint, result.response != nullptr, status, latency,
+                       reply.report, reply.statement});
     return;
   }
   AttemptResult attempt_result;
@@ -346,6 +352,7 @@
   attempt_result.new_connection = exchange.new_connection;
   attempt_result.connection_opened = exchange.connection->opened;
   attempt_result.report = reply.report;
+  attempt_result.statement = reply.statement;
   attempt_ended_.emit(attempt_result, result.response);
 }
 
--- a/policy/attempt_result.h
+++ b/policy/attempt_result.h
@@ -6,6 +6,7 @@
 #include "common/ids.h"
 #include "common/load_report.h"
 #include "common/units.h"
+#include "common/upstream_statement.h"
 #include "common/verdict.h"
 
 namespace jd {
@@ -32,6 +33,7 @@
   bool new_connection = false;    ///< The connection was opened for this attempt.
   MonoTime connection_opened;
   std::optional<LoadReport> report;
+  UpstreamStatement statement = {};
 };
 
 /// Returns whether the request may have run in an attempt with this result.
--- a/policy/attempt_tracker.cc
+++ b/policy/attempt_tracker.cc
@@ -37,7 +37,7 @@
                                      CallActions* actions) {
   const AttemptContext& context = attempt.context();
   if (observed.outcome == AttemptOutcome::kAnswered) {
-    crash_guard_.OnAnswered(context.fingerprint);
+    crash_guard_.OnAnswered(now, context.fingerprint);
     silent_connections_.OnAnswered(now, context.endpoint, observed.connection_opened,
                                    observed.latency);
     return;
@@ -73,6 +73,10 @@
     event.detail = std::to_string(fingerprint.value);
     actions->push_back(RecordEvent{std::move(event)});
   }
+  CrashEvidence evidence = crash_guard_.TakeEvidence(now);
+  if (!evidence.empty()) {
+    actions->push_back(TellCrashEvidence{std::move(evidence)});
+  }
 }
 
 }  // namespace jd
--- a/policy/attempt_tracker.h
+++ b/policy/attempt_tracker.h
@@ -34,7 +34,7 @@
   /// @return the ended attempt, or nothing if the attempt is unknown.
   std::optional<EndedAttempt> End(MonoTime now, const AttemptResult& result, CallActions* actions);
   /// Announces the requests that were newly found to crash upstreams to the peers, and records an
-  /// event for each of them.
+  /// event for each of them. Tells the peers the losses that they must know.
   void AnnounceCrashes(MonoTime now, CallActions* actions);
 
   /// Discards the state of an endpoint that was removed from the configuration.
--- a/policy/call_action.h
+++ b/policy/call_action.h
@@ -7,6 +7,7 @@
 #include "common/event_ring.h"
 #include "common/ids.h"
 #include "common/units.h"
+#include "policy/crash_evidence.h"
 #include "policy/refusal.h"
 
 namespace jd {
@@ -77,6 +78,11 @@
   Fingerprint fingerprint;
 };
 
+/// Tells the peer gateways what this one has seen of requests that may crash upstreams.
+struct TellCrashEvidence {
+  CrashEvidence evidence;
+};
+
 /// An effect that the event loop must carry out for a call.
 using CallAction = std::variant<SendAttempt,
                                 CancelAttempt,
@@ -86,7 +92,8 @@
                                 SendProbe,
                                 RequestPermit,
                                 RecordEvent,
-                                AnnounceCrash>;
+                                AnnounceCrash,
+                                TellCrashEvidence>;
 using CallActions = std::vector<CallAction>;
 
 }  // namespace jd
--- a/policy/call_manager.cc
+++ b/policy/call_manager.cc
@@ -10,9 +10,6 @@
 namespace jd {
 namespace {
 
-/// Retry-after time for callers of a service without a usable endpoint, and for callers whose
-/// attempts failed.
-constexpr Duration kRetryAfterFailure = 1s;
 /// Until an upstream has answered, the service time of a call is assumed to be this share of its
 /// target latency.
 constexpr double kDefaultServiceTimeShare = 0.35;
@@ -25,8 +22,6 @@
 /// time.
 constexpr Duration kMinSlack = 40ms;
 constexpr int kFirstServerError = 500;
-/// An upstream that refused a call although it had room may accept the call shortly afterwards.
-constexpr Duration kRetryAfterUpstreamRefusal = 10ms;
 
 uint64_t HashRequestId(const RequestId& request) {
   return XXH3_64bits(request.value.data(), request.value.size());
@@ -155,7 +150,7 @@
     return;
   }
   if (call->attempts > 0) {
-    Refuse(call, RefusalReason::kUpstreamFailed, kRetryAfterUpstreamRefusal,
+    Refuse(call, RefusalReason::kUpstreamFailed, RetryAfterFailedAttempt(now, *call, true),
            "The attempt failed and no other endpoint has room.", actions);
     return;
   }
@@ -257,6 +252,9 @@
            "The same request has crashed upstreams and is not sent to another one.", actions);
     return false;
   }
+  if (RefuseIfNothingWanted(now, call, actions)) {
+    return false;
+  }
   const auto fast_latency = StateOf(*call).load.TenthPercentileLatency(now);
   if (fast_latency && *fast_latency > call->deadline - now) {
     Refuse(call, RefusalReason::kDeadline, Duration(0),
@@ -356,8 +354,8 @@
   }
   if (text != nullptr) {
     const bool refused = ended.result.outcome == AttemptOutcome::kRefused;
-    Refuse(call, RefusalReason::kUpstreamFailed,
-           refused ? kRetryAfterUpstreamRefusal : kRetryAfterFailure, text, actions);
+    Refuse(call, RefusalReason::kUpstreamFailed, RetryAfterFailedAttempt(now, *call, refused), text,
+           actions);
     return nullptr;
   }
   return call;
--- a/policy/call_manager.h
+++ b/policy/call_manager.h
@@ -58,6 +58,8 @@
   /// deadline has passed or is too near, or the same request has crashed upstreams.
   /// @return false if the call was refused.
   bool CheckBeforeAttempt(MonoTime now, Call* call, CallActions* actions);
+  /// Returns whether attempts of the call may be sent to the endpoint.
+  bool IsUsable(const Call& call, const EndpointId& endpoint) const;
   /// Returns the endpoints that the call's next attempt must avoid.
   std::vector<EndpointId> ExcludedEndpoints(const Call& call) const;
   /// Starts an attempt at an endpoint whose slot was acquired.
@@ -92,6 +94,7 @@
   /// new length.
   std::vector<std::pair<ServiceId, int32_t>> TakeQueueLengthChanges();
   CrashGuard& crash_guard() { return attempts_.crash_guard(); }
+  const CrashGuard& crash_guard() const { return attempts_.crash_guard(); }
   size_t calls() const { return calls_.size(); }
   size_t attempts() const { return attempts_.size(); }
 
@@ -109,6 +112,13 @@
   const ServiceState& StateOf(const Call& call) const { return services_.at(call.request.service); }
   /// Returns after how long a caller refused because of overload should retry.
   Duration RetryAfterOverload(MonoTime now, const Call& call, RandomEngine& random) const;
+  /// Refuses a call at once if every endpoint of its service is held back and at least one of them
+  /// returns at a known time. A call with a running attempt continues.
+  /// @return whether the call was refused.
+  bool RefuseIfNothingWanted(MonoTime now, Call* call, CallActions* actions);
+  /// Returns after how long the caller of a call whose last attempt failed should retry.
+  /// @param refused whether the upstream refused the attempt without running it.
+  Duration RetryAfterFailedAttempt(MonoTime now, const Call& call, bool refused) const;
   /// Applies `latest_deadline_` to the deadline and the target time of a call.
   void LimitDeadline(Call* call) const;
   void InsertIntoQueue(Call* call);
--- a/policy/call_manager_configuration.cc
+++ b/policy/call_manager_configuration.cc
@@ -18,6 +18,17 @@
   return usable;
 }
 
+// Returns when the first endpoint that wants nothing may get calls again, or nothing.
+std::optional<MonoTime> EarliestReturn(const ServiceView& view) {
+  std::optional<MonoTime> earliest;
+  for (const EndpointView& endpoint : view.endpoints) {
+    if (endpoint.hold == EndpointHold::kWantsNothing) {
+      earliest = std::min(earliest.value_or(endpoint.held_until), endpoint.held_until);
+    }
+  }
+  return earliest;
+}
+
 }  // namespace
 
 void CallManager::SetConfiguration(MonoTime now, ConfigurationPtr configuration) {
@@ -36,6 +47,7 @@
       state = services_.erase(state);
     } else {
       state->second.SetUsable(now, {});
+      state->second.returns_at.reset();
       state->second.has_service_view = false;
       ++state;
     }
@@ -81,6 +93,7 @@
     }
   }
   state->second.has_service_view = true;
+  state->second.returns_at = usable.empty() ? EarliestReturn(view) : std::nullopt;
   state->second.SetUsable(now, std::move(usable));
 }
 
--- a/policy/crash_guard.cc
+++ b/policy/crash_guard.cc
@@ -22,16 +22,17 @@
 
 }  // namespace
 
-bool CrashGuard::Confirms(const Suspect& suspect, const ConnectionLoss& loss) {
-  const bool same_call = suspect.call == loss.call;
-  const bool other_endpoint = suspect.endpoint != loss.endpoint;
+bool CrashGuard::Confirms(const ObservedLoss& first, const ConnectionLoss& loss) {
+  const bool same_call = first.loss.call == loss.call && first.loss.gateway == loss.gateway;
+  const bool other_endpoint = first.loss.endpoint != loss.endpoint;
   const bool resent = !loss.idempotent && !same_call;
-  return (other_endpoint || resent) && (same_call || loss.sent >= suspect.lost);
+  return (other_endpoint || resent) && (same_call || loss.sent >= first.lost);
 }
 
-bool CrashGuard::AddRecentLoss(MonoTime now, const ConnectionLoss& loss, bool repeated) {
+bool CrashGuard::AddRecentLoss(const ObservedLoss& observed, bool repeated) {
+  const ConnectionLoss& loss = observed.loss;
   while (!recent_.empty() &&
-         (now - recent_.front().lost > kLossWindow || recent_.size() >= kMaxEntries)) {
+         (observed.lost - recent_.front().lost > kLossWindow || recent_.size() >= kMaxEntries)) {
     recent_.pop_front();
   }
   bool only_loss = true;
@@ -39,36 +40,88 @@
     if (other.service == loss.service && other.fingerprint != loss.fingerprint) {
       only_loss = false;
       const auto suspect = suspects_.find(other.fingerprint);
-      if (suspect != suspects_.end() && now - suspect->second.lost <= kLossWindow) {
+      if (suspect != suspects_.end() && observed.lost - suspect->second.first.lost <= kLossWindow) {
         suspect->second.only_loss = false;
       }
     }
   }
-  recent_.push_back({now, loss.fingerprint, loss.service, repeated});
+  recent_.push_back({observed.lost, loss.fingerprint, loss.service, loss.endpoint, repeated});
   return only_loss;
 }
 
 void CrashGuard::OnConnectionLost(MonoTime now, const ConnectionLoss& loss) {
+  const ObservedLoss observed{loss, now};
+  RecordLoss(now, observed, false);
+  if (has_peers_ && untold_.losses.size() < kMaxToldAtOnce) {
+    Untold(now).losses.push_back(observed);
+  }
+}
+
+CrashEvidence& CrashGuard::Untold(MonoTime now) {
+  if (untold_.empty()) {
+    next_tell_ = std::max(next_tell_, now + kTellDelay);
+  }
+  return untold_;
+}
+
+void CrashGuard::RecordLoss(MonoTime now, const ObservedLoss& observed, bool from_peer) {
+  const ConnectionLoss& loss = observed.loss;
   auto suspect = suspects_.find(loss.fingerprint);
-  if (suspect != suspects_.end() && now - suspect->second.lost >= kEntryLifetime) {
+  if (suspect != suspects_.end() && now - suspect->second.first.lost >= kEntryLifetime) {
     suspects_.erase(suspect);
     suspect = suspects_.end();
   }
-  const bool repeated = suspect != suspects_.end() && Confirms(suspect->second, loss);
-  const bool only_loss = AddRecentLoss(now, loss, repeated);
+  const bool repeated = suspect != suspects_.end() && Confirms(suspect->second.first, loss);
+  const bool is_old = now - observed.lost > kLossWindow;
+  const bool only_loss = is_old || AddRecentLoss(observed, repeated);
   if (suspect == suspects_.end()) {
     MakeRoom(
-        now, kEntryLifetime, kMaxEntries, [](const auto& entry) { return entry.second.lost; },
+        now, kEntryLifetime, kMaxEntries, [](const auto& entry) { return entry.second.first.lost; },
         &suspects_);
-    suspects_[loss.fingerprint] = {now, loss.call, loss.service, loss.endpoint, only_loss};
-  } else if (repeated && only_loss && suspect->second.only_loss) {
-    Block(now, loss.fingerprint);
+    suspects_[loss.fingerprint] = {observed, only_loss};
+  } else if (repeated && !has_peers_ && only_loss && suspect->second.only_loss) {
+    Block(now, loss.fingerprint, true);
   } else if (repeated && candidates_.size() < kMaxEntries) {
-    candidates_.push_back({now + kDecisionDelay, loss.fingerprint, loss.service});
+    const bool separate = observed.lost - suspect->second.first.lost > kLossWindow;
+    candidates_.push_back({now + kDecisionDelay, loss.fingerprint, loss.service, loss.endpoint,
+                           separate, !from_peer});
+  }
+}
+
+void CrashGuard::OnAnswered(MonoTime now, Fingerprint fingerprint) {
+  if (suspects_.erase(fingerprint) > 0 && has_peers_ && untold_.answered.size() < kMaxToldAtOnce) {
+    Untold(now).answered.push_back(fingerprint);
+  }
+}
+
+void CrashGuard::OnPeerEvidence(MonoTime now, const CrashEvidence& evidence) {
+  const Duration offset = now - evidence.told;  // Between the clocks of two gateways.
+  for (ObservedLoss observed : evidence.losses) {
+    if (observed.lost > evidence.told) {
+      continue;
+    }
+    observed.lost += offset;
+    observed.loss.sent += offset;
+    if (now - observed.lost < kEntryLifetime && !Blocks(now, observed.loss.fingerprint)) {
+      RecordLoss(now, observed, true);
+    }
+  }
+  for (const Fingerprint fingerprint : evidence.answered) {
+    suspects_.erase(fingerprint);
+  }
+  for (const BlockedRequest& blocked : evidence.blocked) {
+    if (evidence.told - blocked.since < kEntryLifetime) {
+      BlockFromPeer(blocked.since + offset, blocked.fingerprint);
+    }
   }
 }
 
 void CrashGuard::BlockFromPeer(MonoTime now, Fingerprint fingerprint) {
+  Block(now, fingerprint, false);
+}
+
+void CrashGuard::Block(MonoTime now, Fingerprint fingerprint, bool announce) {
+  suspects_.erase(fingerprint);
   // A repeated notice from a peer must not extend the time for which the request is blocked.
   if (Blocks(now, fingerprint)) {
     return;
@@ -76,29 +129,34 @@
   MakeRoom(
       now, kEntryLifetime, kMaxEntries, [](const auto& entry) { return entry.second; }, &blocked_);
   blocked_[fingerprint] = now;
+  if (announce) {
+    newly_blocked_.push_back(fingerprint);
+  }
 }
 
-void CrashGuard::Block(MonoTime now, Fingerprint fingerprint) {
-  suspects_.erase(fingerprint);
-  if (Blocks(now, fingerprint)) {
-    return;
+bool CrashGuard::HasOtherCause(const Candidate& candidate) const {
+  std::set<Fingerprint> others;
+  bool together = false;
+  for (const RecentLoss& loss : recent_) {
+    if (!loss.repeated || loss.service != candidate.service ||
+        loss.fingerprint == candidate.fingerprint || candidate.due - loss.lost > kLossWindow) {
+      continue;
+    }
+    others.insert(loss.fingerprint);
+    together = together || loss.endpoint == candidate.endpoint;
   }
-  MakeRoom(
-      now, kEntryLifetime, kMaxEntries, [](const auto& entry) { return entry.second; }, &blocked_);
-  blocked_[fingerprint] = now;
-  newly_blocked_.push_back(fingerprint);
+  if (others.empty()) {
+    return false;
+  }
+  return !candidate.separate || together || others.size() >= kMaxCrashingTogether;
 }
 
 void CrashGuard::DecideCandidate(MonoTime now, const Candidate& candidate) {
   if (!suspects_.contains(candidate.fingerprint)) {
     return;  // The request was answered or blocked in the meantime.
   }
-  const bool ambiguous = std::any_of(recent_.begin(), recent_.end(), [&](const RecentLoss& loss) {
-    return loss.repeated && loss.service == candidate.service &&
-           loss.fingerprint != candidate.fingerprint && candidate.due - loss.lost <= kLossWindow;
-  });
-  if (!ambiguous) {
-    Block(now, candidate.fingerprint);
+  if (!HasOtherCause(candidate)) {
+    Block(now, candidate.fingerprint, candidate.announce);
   }
 }
 
@@ -111,13 +169,46 @@
   return std::exchange(newly_blocked_, {});
 }
 
+CrashEvidence CrashGuard::TakeEvidence(MonoTime now) {
+  if (untold_.empty() || now < next_tell_) {
+    return {};
+  }
+  const bool full = untold_.losses.size() >= kMaxToldAtOnce;
+  next_tell_ = now + (full ? kTellIntervalAfterFull : kTellInterval);
+  untold_.told = now;
+  return std::exchange(untold_, {});
+}
+
+CrashEvidence CrashGuard::Snapshot(MonoTime now) const {
+  CrashEvidence snapshot;
+  snapshot.told = now;
+  for (const auto& [fingerprint, suspect] : suspects_) {
+    if (snapshot.losses.size() < kMaxToldAtStart && now - suspect.first.lost < kEntryLifetime) {
+      snapshot.losses.push_back(suspect.first);
+    }
+  }
+  for (const auto& [fingerprint, since] : blocked_) {
+    if (snapshot.blocked.size() < kMaxToldAtStart && now - since < kEntryLifetime) {
+      snapshot.blocked.push_back({fingerprint, since});
+    }
+  }
+  return snapshot;
+}
+
 bool CrashGuard::Blocks(MonoTime now, Fingerprint fingerprint) const {
   const auto blocked = blocked_.find(fingerprint);
   return blocked != blocked_.end() && now - blocked->second < kEntryLifetime;
 }
 
 std::optional<MonoTime> CrashGuard::next_timer() const {
-  return candidates_.empty() ? std::nullopt : std::optional(candidates_.front().due);
+  std::optional<MonoTime> next;
+  if (!candidates_.empty()) {
+    next = candidates_.front().due;
+  }
+  if (!untold_.empty()) {
+    next = std::min(next.value_or(next_tell_), next_tell_);
+  }
+  return next;
 }
 
 }  // namespace jd
--- a/policy/dispatcher.h
+++ b/policy/dispatcher.h
@@ -49,6 +49,18 @@
     call_manager_.crash_guard().BlockFromPeer(now, fingerprint);
   }
 
+  /// Sets whether other gateways tell this one what they see of crashing requests.
+  void SetHasPeers(bool has_peers) { call_manager_.crash_guard().SetHasPeers(has_peers); }
+  /// Records what a peer gateway has seen of requests that may crash upstreams. next_timer() may
+  /// be earlier afterwards.
+  void OnCrashEvidence(MonoTime now, const CrashEvidence& evidence) {
+    call_manager_.crash_guard().OnPeerEvidence(now, evidence);
+  }
+  /// Returns the requests that are blocked or suspected, for a gateway that starts.
+  CrashEvidence CrashSnapshot(MonoTime now) const {
+    return call_manager_.crash_guard().Snapshot(now);
+  }
+
   /// Handles a new call. The call ends with exactly one AnswerCall or RefuseCall, unless the caller
   /// disconnects first.
   void OnCall(MonoTime now, const CallRequest& request, CallActions* actions);
--- a/policy/dispatcher_permits.h
+++ b/policy/dispatcher_permits.h
@@ -37,6 +37,10 @@
     ReleaseUnused(now, *wait);
     return;
   }
+  if (!call_manager_.IsUsable(*call, endpoint)) {
+    HandleRefusedPermit(now, *wait, Duration(0), "endpoint-held", actions);
+    return;
+  }
   call_manager_.StartAttempt(now, call, endpoint, DescribeChoice(now, endpoint), actions);
 }
 
--- a/policy/fresh_load.cc
+++ b/policy/fresh_load.cc
@@ -57,7 +57,7 @@
       continue;
     }
     const EndpointRecord* record = FindRecord(request.service, endpoint.id);
-    if (record == nullptr || !IsUsable(now, endpoint, *record) ||
+    if (record == nullptr || IsHeld(HoldOnProbes(now, FactsOf(endpoint, *record))) ||
         std::find(request.excluded.begin(), request.excluded.end(), endpoint.id) !=
             request.excluded.end()) {
       continue;
@@ -125,8 +125,9 @@
   int ties = 0;
   for (const EndpointView& endpoint : service->second.endpoints) {
     EndpointRecord* record = FindRecord(request.service, endpoint.id);
-    if (record == nullptr || !IsUsable(now, endpoint, *record) || !record->has_report ||
-        !record->healthy || now - record->report_time > kMaxReportAge || now < record->cold_until ||
+    if (record == nullptr || !record->has_report ||
+        IsHeld(HoldOnCalls(now, FactsOf(endpoint, *record))) ||
+        now - record->report_time > kMaxReportAge ||
         std::find(request.excluded.begin(), request.excluded.end(), endpoint.id) !=
             request.excluded.end()) {
       continue;
@@ -286,8 +287,21 @@
   record.cold_until = now + report.cold_remaining;
 }
 
-bool FreshLoad::IsUsable(MonoTime now, const EndpointView& endpoint, const EndpointRecord& record) {
-  return endpoint.usable && now >= record.retry_at && now >= record.permit_retry_at;
+EndpointFacts FreshLoad::FactsOf(const EndpointView& endpoint, const EndpointRecord& record) {
+  EndpointFacts facts;
+  facts.leaving = endpoint.hold == EndpointHold::kLeaving;
+  facts.wants_nothing = endpoint.hold == EndpointHold::kWantsNothing;
+  facts.zone_out = !endpoint.usable && !facts.leaving && !facts.wants_nothing;
+  facts.healthy = record.healthy;
+  facts.failure_retry_at = record.retry_at;
+  facts.permit_retry_at = record.permit_retry_at;
+  facts.cold_until = record.cold_until;
+  return facts;
+}
+
+bool FreshLoad::IsHeld(EndpointHold hold) {
+  ++hold_counts_.at(static_cast<size_t>(hold));
+  return hold != EndpointHold::kNone;
 }
 
 double FreshLoad::ProbeRank(MonoTime now, const EndpointRecord& record) const {
--- a/policy/fresh_load.h
+++ b/policy/fresh_load.h
@@ -52,6 +52,8 @@
   std::string DescribeLoad(MonoTime now, const EndpointId& endpoint) const;
   /// Returns the limit in the latest load report of an endpoint, or nothing.
   std::optional<CallRate> KnownLimit(const EndpointId& endpoint) const;
+  /// Returns how often an endpoint was passed over, by reason.
+  const EndpointHoldCounts& hold_counts() const { return hold_counts_; }
   /// Sends neither probes nor calls to an endpoint before `retry_at`, because no permit is free.
   void OnPermitRefused(const EndpointId& endpoint, MonoTime retry_at);
 
@@ -89,8 +91,10 @@
     MonoTime cold_until;       ///< The endpoint warms up until this time and gets no calls.
   };
 
-  /// Returns whether the endpoint may get probes and calls: it is usable and in no backoff.
-  static bool IsUsable(MonoTime now, const EndpointView& endpoint, const EndpointRecord& record);
+  /// Returns what is known of the endpoint that can forbid sending to it.
+  static EndpointFacts FactsOf(const EndpointView& endpoint, const EndpointRecord& record);
+  /// Counts an endpoint that is passed over, and returns whether it is.
+  bool IsHeld(EndpointHold hold);
   /// Returns the record of an endpoint of a service, or null if the endpoint is in another service
   /// by now. While an endpoint moves, it may be listed in two services.
   EndpointRecord* FindRecord(const ServiceId& service, const EndpointId& endpoint);
@@ -130,6 +134,7 @@
   std::map<ServiceId, SaturationSlowdown> saturation_slowdowns_;
   std::map<ServiceId, ProbeBudget> probe_budgets_;
   double probe_rate_ = 0;  ///< Probes per second and endpoint; 0: no limit.
+  EndpointHoldCounts hold_counts_{};
 };
 
 static_assert(ProbingPolicy<FreshLoad>);
--- a/policy/policy_variant.cc
+++ b/policy/policy_variant.cc
@@ -133,6 +133,11 @@
       policy_);
 }
 
+EndpointHoldCounts PolicyVariant::hold_counts() const {
+  const auto* policy = std::get_if<FreshLoad>(&policy_);
+  return policy == nullptr ? EndpointHoldCounts{} : policy->hold_counts();
+}
+
 std::string_view PolicyVariant::name() const {
   return std::visit([](const auto& policy) { return std::decay_t<decltype(policy)>::kName; },
                     policy_);
--- a/policy/policy_variant.h
+++ b/policy/policy_variant.h
@@ -49,6 +49,8 @@
   std::string DescribeLoad(MonoTime now, const EndpointId& endpoint) const;
   std::optional<CallRate> KnownLimit(const EndpointId& endpoint) const;
   void OnPermitRefused(const EndpointId& endpoint, MonoTime retry_at);
+  /// Returns how often the policy passed over an endpoint, by reason; zeros if it does not count.
+  EndpointHoldCounts hold_counts() const;
 
   /// Returns the name of the policy.
   std::string_view name() const;
--- a/policy/probe_result.h
+++ b/policy/probe_result.h
@@ -5,6 +5,7 @@
 #include "common/ids.h"
 #include "common/load_report.h"
 #include "common/units.h"
+#include "common/upstream_statement.h"
 
 namespace jd {
 
@@ -15,6 +16,7 @@
   int status = 0;         ///< HTTP status code.
   Duration latency{0};
   std::optional<LoadReport> report;
+  UpstreamStatement statement = {};
 };
 
 }  // namespace jd
--- a/policy/refusal.h
+++ b/policy/refusal.h
@@ -26,6 +26,10 @@
   kOverQuota,         ///< The workspace has used up its quota.
 };
 
+/// Retry-after time for callers of a service without a usable endpoint, and for callers whose
+/// attempts failed.
+inline constexpr Duration kRetryAfterFailure = 1s;
+
 /// Returns the text of the `x-refusal` header.
 std::string_view RefusalReasonName(RefusalReason reason);
 
--- a/policy/routing_policy.h
+++ b/policy/routing_policy.h
@@ -12,6 +12,7 @@
 #include "common/random.h"
 #include "common/units.h"
 #include "policy/attempt_result.h"
+#include "policy/endpoint_gate.h"
 #include "policy/probe_result.h"
 
 namespace jd {
@@ -24,6 +25,8 @@
   /// Whether new attempts may be sent to the endpoint; false while its zone is out of service or
   /// the endpoint is draining or ejected.
   bool usable = true;
+  EndpointHold hold = EndpointHold::kNone;  ///< Why it is not usable, if that is known.
+  MonoTime held_until = {};                 ///< When kWantsNothing ends.
   bool operator==(const EndpointView&) const = default;
 };
 
--- a/policy/service_state.h
+++ b/policy/service_state.h
@@ -18,8 +18,11 @@
   std::vector<EndpointId> usable;        ///< Endpoints to which new attempts may be sent.
   std::optional<MonoTime> usable_until;  ///< When `usable` last became empty.
   bool has_service_view = false;         ///< `usable` was set from a ServiceView.
-  int32_t calls = 0;                     ///< Calls in progress, waiting or in flight.
-  int32_t reported_queue_length = 0;     ///< Queue length last reported to the policy.
+  /// Earliest time at which an endpoint that wants nothing may get calls again; nothing if an
+  /// endpoint is usable or none wants nothing.
+  std::optional<MonoTime> returns_at;
+  int32_t calls = 0;                  ///< Calls in progress, waiting or in flight.
+  int32_t reported_queue_length = 0;  ///< Queue length last reported to the policy.
 
   /// Sets the usable endpoints, and records the time if none is left.
   void SetUsable(MonoTime now, std::vector<EndpointId> endpoints);
--- a/rpc/convert.cc
+++ b/rpc/convert.cc
@@ -7,6 +7,7 @@
 
 #include "rpc/frame.h"
 #include "rpc/table_update.h"
+#include "rpc/upstream_evidence.h"
 #include "rpc/wire_integers.h"
 
 namespace jd {
@@ -361,6 +362,10 @@
   void operator()(const TableFetch& in) { body->__set_table_fetch(ToWire(in)); }
   void operator()(const PermitRequest& in) { body->__set_permit_request(ToWire(in)); }
   void operator()(const PermitReply& in) { body->__set_permit_reply(ToWire(in)); }
+  void operator()(const EndpointStatement& in) {
+    body->__set_endpoint_statement(StatementToWire(in));
+  }
+  void operator()(const CrashEvidence& in) { body->__set_crash_evidence(EvidenceToWire(in)); }
   void operator()(const CrashNotice& in) { body->__set_crash_notice(ToWire(in)); }
   void operator()(const ConfigEntries& in) { body->__set_config_entries(ToWire(in)); }
   void operator()(const ConfigFetch& in) { body->__set_config_fetch(ToWire(in)); }
@@ -393,6 +398,12 @@
   if (set.permit_reply) {
     return FromWire(body.permit_reply);
   }
+  if (set.endpoint_statement) {
+    return StatementFromWire(body.endpoint_statement);
+  }
+  if (set.crash_evidence) {
+    return EvidenceFromWire(body.crash_evidence);
+  }
   if (set.crash_notice) {
     return FromWire(body.crash_notice);
   }
--- a/rpc/gen-cpp/jackdawdeck_types.cpp
+++ b/rpc/gen-cpp/jackdawdeck_types.cpp
@@ -3736,6 +3736,786 @@
 }
 
 
+LeavingEndpoint::~LeavingEndpoint() noexcept {
+}
+
+
+void LeavingEndpoint::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
+}
+
+void LeavingEndpoint::__set_run(const int64_t val) {
+  this->run = val;
+}
+std::ostream& operator<<(std::ostream& out, const LeavingEndpoint& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LeavingEndpoint::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          this->__isset.endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->run);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LeavingEndpoint::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LeavingEndpoint");
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->run);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LeavingEndpoint &a, LeavingEndpoint &b) {
+  using ::std::swap;
+  swap(a.endpoint, b.endpoint);
+  swap(a.run, b.run);
+  swap(a.__isset, b.__isset);
+}
+
+LeavingEndpoint::LeavingEndpoint(const LeavingEndpoint& other82) {
+  endpoint = other82.endpoint;
+  run = other82.run;
+  __isset = other82.__isset;
+}
+LeavingEndpoint& LeavingEndpoint::operator=(const LeavingEndpoint& other83) {
+  endpoint = other83.endpoint;
+  run = other83.run;
+  __isset = other83.__isset;
+  return *this;
+}
+void LeavingEndpoint::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LeavingEndpoint(";
+  out << "endpoint=" << to_string(endpoint);
+  out << ", " << "run=" << to_string(run);
+  out << ")";
+}
+
+
+EndpointStatement::~EndpointStatement() noexcept {
+}
+
+
+void EndpointStatement::__set_leaving(const std::vector<LeavingEndpoint> & val) {
+  this->leaving = val;
+}
+std::ostream& operator<<(std::ostream& out, const EndpointStatement& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EndpointStatement::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->leaving.clear();
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->leaving.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
+            {
+              xfer += this->leaving[_i88].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EndpointStatement::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EndpointStatement");
+
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
+    std::vector<LeavingEndpoint> ::const_iterator _iter89;
+    for (_iter89 = this->leaving.begin(); _iter89 != this->leaving.end(); ++_iter89)
+    {
+      xfer += (*_iter89).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EndpointStatement &a, EndpointStatement &b) {
+  using ::std::swap;
+  swap(a.leaving, b.leaving);
+  swap(a.__isset, b.__isset);
+}
+
+EndpointStatement::EndpointStatement(const EndpointStatement& other90) {
+  leaving = other90.leaving;
+  __isset = other90.__isset;
+}
+EndpointStatement& EndpointStatement::operator=(const EndpointStatement& other91) {
+  leaving = other91.leaving;
+  __isset = other91.__isset;
+  return *this;
+}
+void EndpointStatement::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EndpointStatement(";
+  out << "leaving=" << to_string(leaving);
+  out << ")";
+}
+
+
+LossReport::~LossReport() noexcept {
+}
+
+
+void LossReport::__set_fingerprint(const int64_t val) {
+  this->fingerprint = val;
+}
+
+void LossReport::__set_gateway(const std::string& val) {
+  this->gateway = val;
+}
+
+void LossReport::__set_call(const int64_t val) {
+  this->call = val;
+}
+
+void LossReport::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void LossReport::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
+}
+
+void LossReport::__set_sent(const int64_t val) {
+  this->sent = val;
+}
+
+void LossReport::__set_lost(const int64_t val) {
+  this->lost = val;
+}
+
+void LossReport::__set_idempotent(const bool val) {
+  this->idempotent = val;
+}
+std::ostream& operator<<(std::ostream& out, const LossReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LossReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fingerprint);
+          this->__isset.fingerprint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->gateway);
+          this->__isset.gateway = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->call);
+          this->__isset.call = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          this->__isset.service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          this->__isset.endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sent);
+          this->__isset.sent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lost);
+          this->__isset.lost = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->idempotent);
+          this->__isset.idempotent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LossReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LossReport");
+
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->fingerprint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("gateway", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->gateway);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("call", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->call);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sent", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->sent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lost", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->lost);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("idempotent", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->idempotent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LossReport &a, LossReport &b) {
+  using ::std::swap;
+  swap(a.fingerprint, b.fingerprint);
+  swap(a.gateway, b.gateway);
+  swap(a.call, b.call);
+  swap(a.service_name, b.service_name);
+  swap(a.endpoint, b.endpoint);
+  swap(a.sent, b.sent);
+  swap(a.lost, b.lost);
+  swap(a.idempotent, b.idempotent);
+  swap(a.__isset, b.__isset);
+}
+
+LossReport::LossReport(const LossReport& other92) {
+  fingerprint = other92.fingerprint;
+  gateway = other92.gateway;
+  call = other92.call;
+  service_name = other92.service_name;
+  endpoint = other92.endpoint;
+  sent = other92.sent;
+  lost = other92.lost;
+  idempotent = other92.idempotent;
+  __isset = other92.__isset;
+}
+LossReport& LossReport::operator=(const LossReport& other93) {
+  fingerprint = other93.fingerprint;
+  gateway = other93.gateway;
+  call = other93.call;
+  service_name = other93.service_name;
+  endpoint = other93.endpoint;
+  sent = other93.sent;
+  lost = other93.lost;
+  idempotent = other93.idempotent;
+  __isset = other93.__isset;
+  return *this;
+}
+void LossReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LossReport(";
+  out << "fingerprint=" << to_string(fingerprint);
+  out << ", " << "gateway=" << to_string(gateway);
+  out << ", " << "call=" << to_string(call);
+  out << ", " << "service_name=" << to_string(service_name);
+  out << ", " << "endpoint=" << to_string(endpoint);
+  out << ", " << "sent=" << to_string(sent);
+  out << ", " << "lost=" << to_string(lost);
+  out << ", " << "idempotent=" << to_string(idempotent);
+  out << ")";
+}
+
+
+BlockReport::~BlockReport() noexcept {
+}
+
+
+void BlockReport::__set_fingerprint(const int64_t val) {
+  this->fingerprint = val;
+}
+
+void BlockReport::__set_since(const int64_t val) {
+  this->since = val;
+}
+std::ostream& operator<<(std::ostream& out, const BlockReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t BlockReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fingerprint);
+          this->__isset.fingerprint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->since);
+          this->__isset.since = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t BlockReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("BlockReport");
+
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->fingerprint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("since", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->since);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(BlockReport &a, BlockReport &b) {
+  using ::std::swap;
+  swap(a.fingerprint, b.fingerprint);
+  swap(a.since, b.since);
+  swap(a.__isset, b.__isset);
+}
+
+BlockReport::BlockReport(const BlockReport& other94) noexcept {
+  fingerprint = other94.fingerprint;
+  since = other94.since;
+  __isset = other94.__isset;
+}
+BlockReport& BlockReport::operator=(const BlockReport& other95) noexcept {
+  fingerprint = other95.fingerprint;
+  since = other95.since;
+  __isset = other95.__isset;
+  return *this;
+}
+void BlockReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "BlockReport(";
+  out << "fingerprint=" << to_string(fingerprint);
+  out << ", " << "since=" << to_string(since);
+  out << ")";
+}
+
+
+CrashEvidence::~CrashEvidence() noexcept {
+}
+
+
+void CrashEvidence::__set_losses(const std::vector<LossReport> & val) {
+  this->losses = val;
+}
+
+void CrashEvidence::__set_answered(const std::vector<int64_t> & val) {
+  this->answered = val;
+}
+
+void CrashEvidence::__set_blocked(const std::vector<BlockReport> & val) {
+  this->blocked = val;
+}
+
+void CrashEvidence::__set_told(const int64_t val) {
+  this->told = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashEvidence& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashEvidence::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->losses.clear();
+            uint32_t _size96;
+            ::apache::thrift::protocol::TType _etype99;
+            xfer += iprot->readListBegin(_etype99, _size96);
+            this->losses.resize(_size96);
+            uint32_t _i100;
+            for (_i100 = 0; _i100 < _size96; ++_i100)
+            {
+              xfer += this->losses[_i100].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.losses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->answered.clear();
+            uint32_t _size101;
+            ::apache::thrift::protocol::TType _etype104;
+            xfer += iprot->readListBegin(_etype104, _size101);
+            this->answered.resize(_size101);
+            uint32_t _i105;
+            for (_i105 = 0; _i105 < _size101; ++_i105)
+            {
+              xfer += iprot->readI64(this->answered[_i105]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.answered = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->blocked.clear();
+            uint32_t _size106;
+            ::apache::thrift::protocol::TType _etype109;
+            xfer += iprot->readListBegin(_etype109, _size106);
+            this->blocked.resize(_size106);
+            uint32_t _i110;
+            for (_i110 = 0; _i110 < _size106; ++_i110)
+            {
+              xfer += this->blocked[_i110].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.blocked = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->told);
+          this->__isset.told = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashEvidence::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashEvidence");
+
+  xfer += oprot->writeFieldBegin("losses", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->losses.size()));
+    std::vector<LossReport> ::const_iterator _iter111;
+    for (_iter111 = this->losses.begin(); _iter111 != this->losses.end(); ++_iter111)
+    {
+      xfer += (*_iter111).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answered", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->answered.size()));
+    std::vector<int64_t> ::const_iterator _iter112;
+    for (_iter112 = this->answered.begin(); _iter112 != this->answered.end(); ++_iter112)
+    {
+      xfer += oprot->writeI64((*_iter112));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("blocked", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->blocked.size()));
+    std::vector<BlockReport> ::const_iterator _iter113;
+    for (_iter113 = this->blocked.begin(); _iter113 != this->blocked.end(); ++_iter113)
+    {
+      xfer += (*_iter113).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("told", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->told);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashEvidence &a, CrashEvidence &b) {
+  using ::std::swap;
+  swap(a.losses, b.losses);
+  swap(a.answered, b.answered);
+  swap(a.blocked, b.blocked);
+  swap(a.told, b.told);
+  swap(a.__isset, b.__isset);
+}
+
+CrashEvidence::CrashEvidence(const CrashEvidence& other114) {
+  losses = other114.losses;
+  answered = other114.answered;
+  blocked = other114.blocked;
+  told = other114.told;
+  __isset = other114.__isset;
+}
+CrashEvidence& CrashEvidence::operator=(const CrashEvidence& other115) {
+  losses = other115.losses;
+  answered = other115.answered;
+  blocked = other115.blocked;
+  told = other115.told;
+  __isset = other115.__isset;
+  return *this;
+}
+void CrashEvidence::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashEvidence(";
+  out << "losses=" << to_string(losses);
+  out << ", " << "answered=" << to_string(answered);
+  out << ", " << "blocked=" << to_string(blocked);
+  out << ", " << "told=" << to_string(told);
+  out << ")";
+}
+
+
 OperatorRequest::~OperatorRequest() noexcept {
 }
 
@@ -3862,19 +4642,19 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorRequest::OperatorRequest(const OperatorRequest& other82) {
-  id = other82.id;
-  command = other82.command;
-  body = other82.body;
-  timeout = other82.timeout;
-  __isset = other82.__isset;
+OperatorRequest::OperatorRequest(const OperatorRequest& other116) {
+  id = other116.id;
+  command = other116.command;
+  body = other116.body;
+  timeout = other116.timeout;
+  __isset = other116.__isset;
 }
-OperatorRequest& OperatorRequest::operator=(const OperatorRequest& other83) {
-  id = other83.id;
-  command = other83.command;
-  body = other83.body;
-  timeout = other83.timeout;
-  __isset = other83.__isset;
+OperatorRequest& OperatorRequest::operator=(const OperatorRequest& other117) {
+  id = other117.id;
+  command = other117.command;
+  body = other117.body;
+  timeout = other117.timeout;
+  __isset = other117.__isset;
   return *this;
 }
 void OperatorRequest::printTo(std::ostream& out) const {
@@ -3997,17 +4777,17 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorReply::OperatorReply(const OperatorReply& other84) {
-  id = other84.id;
-  status = other84.status;
-  body = other84.body;
-  __isset = other84.__isset;
+OperatorReply::OperatorReply(const OperatorReply& other118) {
+  id = other118.id;
+  status = other118.status;
+  body = other118.body;
+  __isset = other118.__isset;
 }
-OperatorReply& OperatorReply::operator=(const OperatorReply& other85) {
-  id = other85.id;
-  status = other85.status;
-  body = other85.body;
-  __isset = other85.__isset;
+OperatorReply& OperatorReply::operator=(const OperatorReply& other119) {
+  id = other119.id;
+  status = other119.status;
+  body = other119.body;
+  __isset = other119.__isset;
   return *this;
 }
 void OperatorReply::printTo(std::ostream& out) const {
@@ -4093,6 +4873,16 @@
   this->permit_reply = val;
 __isset.permit_reply = true;
 }
+
+void Body::__set_endpoint_statement(const EndpointStatement& val) {
+  this->endpoint_statement = val;
+__isset.endpoint_statement = true;
+}
+
+void Body::__set_crash_evidence(const CrashEvidence& val) {
+  this->crash_evidence = val;
+__isset.crash_evidence = true;
+}
 std::ostream& operator<<(std::ostream& out, const Body& obj)
 {
   obj.printTo(out);
@@ -4233,6 +5023,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->endpoint_statement.read(iprot);
+          this->__isset.endpoint_statement = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->crash_evidence.read(iprot);
+          this->__isset.crash_evidence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4320,6 +5126,16 @@
     xfer += this->permit_reply.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.endpoint_statement) {
+    xfer += oprot->writeFieldBegin("endpoint_statement", ::apache::thrift::protocol::T_STRUCT, 15);
+    xfer += this->endpoint_statement.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.crash_evidence) {
+    xfer += oprot->writeFieldBegin("crash_evidence", ::apache::thrift::protocol::T_STRUCT, 16);
+    xfer += this->crash_evidence.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4341,42 +5157,48 @@
   swap(a.table_fetch, b.table_fetch);
   swap(a.permit_request, b.permit_request);
   swap(a.permit_reply, b.permit_reply);
+  swap(a.endpoint_statement, b.endpoint_statement);
+  swap(a.crash_evidence, b.crash_evidence);
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other86) {
-  heartbeat = other86.heartbeat;
-  slot_request = other86.slot_request;
-  slot_grant = other86.slot_grant;
-  endpoint_notice = other86.endpoint_notice;
-  crash_notice = other86.crash_notice;
-  config_entries = other86.config_entries;
-  config_fetch = other86.config_fetch;
-  unrecorded_zone = other86.unrecorded_zone;
-  operator_request = other86.operator_request;
-  operator_reply = other86.operator_reply;
-  table_news = other86.table_news;
-  table_fetch = other86.table_fetch;
-  permit_request = other86.permit_request;
-  permit_reply = other86.permit_reply;
-  __isset = other86.__isset;
-}
-Body& Body::operator=(const Body& other87) {
-  heartbeat = other87.heartbeat;
-  slot_request = other87.slot_request;
-  slot_grant = other87.slot_grant;
-  endpoint_notice = other87.endpoint_notice;
-  crash_notice = other87.crash_notice;
-  config_entries = other87.config_entries;
-  config_fetch = other87.config_fetch;
-  unrecorded_zone = other87.unrecorded_zone;
-  operator_request = other87.operator_request;
-  operator_reply = other87.operator_reply;
-  table_news = other87.table_news;
-  table_fetch = other87.table_fetch;
-  permit_request = other87.permit_request;
-  permit_reply = other87.permit_reply;
-  __isset = other87.__isset;
+Body::Body(const Body& other120) {
+  heartbeat = other120.heartbeat;
+  slot_request = other120.slot_request;
+  slot_grant = other120.slot_grant;
+  endpoint_notice = other120.endpoint_notice;
+  crash_notice = other120.crash_notice;
+  config_entries = other120.config_entries;
+  config_fetch = other120.config_fetch;
+  unrecorded_zone = other120.unrecorded_zone;
+  operator_request = other120.operator_request;
+  operator_reply = other120.operator_reply;
+  table_news = other120.table_news;
+  table_fetch = other120.table_fetch;
+  permit_request = other120.permit_request;
+  permit_reply = other120.permit_reply;
+  endpoint_statement = other120.endpoint_statement;
+  crash_evidence = other120.crash_evidence;
+  __isset = other120.__isset;
+}
+Body& Body::operator=(const Body& other121) {
+  heartbeat = other121.heartbeat;
+  slot_request = other121.slot_request;
+  slot_grant = other121.slot_grant;
+  endpoint_notice = other121.endpoint_notice;
+  crash_notice = other121.crash_notice;
+  config_entries = other121.config_entries;
+  config_fetch = other121.config_fetch;
+  unrecorded_zone = other121.unrecorded_zone;
+  operator_request = other121.operator_request;
+  operator_reply = other121.operator_reply;
+  table_news = other121.table_news;
+  table_fetch = other121.table_fetch;
+  permit_request = other121.permit_request;
+  permit_reply = other121.permit_reply;
+  endpoint_statement = other121.endpoint_statement;
+  crash_evidence = other121.crash_evidence;
+  __isset = other121.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -4396,6 +5218,8 @@
   out << ", " << "table_fetch="; (__isset.table_fetch ? (out << to_string(table_fetch)) : (out << "<null>"));
   out << ", " << "permit_request="; (__isset.permit_request ? (out << to_string(permit_request)) : (out << "<null>"));
   out << ", " << "permit_reply="; (__isset.permit_reply ? (out << to_string(permit_reply)) : (out << "<null>"));
+  out << ", " << "endpoint_statement="; (__isset.endpoint_statement ? (out << to_string(endpoint_statement)) : (out << "<null>"));
+  out << ", " << "crash_evidence="; (__isset.crash_evidence ? (out << to_string(crash_evidence)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4543,21 +5367,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other88) {
-  key = other88.key;
-  sender = other88.sender;
-  incarnation = other88.incarnation;
-  stamp = other88.stamp;
-  body = other88.body;
-  __isset = other88.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other89) {
-  key = other89.key;
-  sender = other89.sender;
-  incarnation = other89.incarnation;
-  stamp = other89.stamp;
-  body = other89.body;
-  __isset = other89.__isset;
+Envelope::Envelope(const Envelope& other122) {
+  key = other122.key;
+  sender = other122.sender;
+  incarnation = other122.incarnation;
+  stamp = other122.stamp;
+  body = other122.body;
+  __isset = other122.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other123) {
+  key = other123.key;
+  sender = other123.sender;
+  incarnation = other123.incarnation;
+  stamp = other123.stamp;
+  body = other123.body;
+  __isset = other123.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/rpc/gen-cpp/jackdawdeck_types.h
+++ b/rpc/gen-cpp/jackdawdeck_types.h
@@ -61,6 +61,16 @@
 
 class PermitReply;
 
+class LeavingEndpoint;
+
+class EndpointStatement;
+
+class LossReport;
+
+class BlockReport;
+
+class CrashEvidence;
+
 class OperatorRequest;
 
 class OperatorReply;
@@ -1540,6 +1550,304 @@
 
 std::ostream& operator<<(std::ostream& out, const PermitReply& obj);
 
+typedef struct _LeavingEndpoint__isset {
+  _LeavingEndpoint__isset() : endpoint(false), run(false) {}
+  bool endpoint :1;
+  bool run :1;
+} _LeavingEndpoint__isset;
+
+class LeavingEndpoint : public virtual ::apache::thrift::TBase {
+ public:
+
+  LeavingEndpoint(const LeavingEndpoint&);
+  LeavingEndpoint& operator=(const LeavingEndpoint&);
+  LeavingEndpoint() noexcept
+                  : endpoint(),
+                    run(0) {
+  }
+
+  virtual ~LeavingEndpoint() noexcept;
+  std::string endpoint;
+  int64_t run;
+
+  _LeavingEndpoint__isset __isset;
+
+  void __set_endpoint(const std::string& val);
+
+  void __set_run(const int64_t val);
+
+  bool operator == (const LeavingEndpoint & rhs) const
+  {
+    if (!(endpoint == rhs.endpoint))
+      return false;
+    if (!(run == rhs.run))
+      return false;
+    return true;
+  }
+  bool operator != (const LeavingEndpoint &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LeavingEndpoint & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LeavingEndpoint &a, LeavingEndpoint &b);
+
+std::ostream& operator<<(std::ostream& out, const LeavingEndpoint& obj);
+
+typedef struct _EndpointStatement__isset {
+  _EndpointStatement__isset() : leaving(false) {}
+  bool leaving :1;
+} _EndpointStatement__isset;
+
+class EndpointStatement : public virtual ::apache::thrift::TBase {
+ public:
+
+  EndpointStatement(const EndpointStatement&);
+  EndpointStatement& operator=(const EndpointStatement&);
+  EndpointStatement() noexcept {
+  }
+
+  virtual ~EndpointStatement() noexcept;
+  std::vector<LeavingEndpoint>  leaving;
+
+  _EndpointStatement__isset __isset;
+
+  void __set_leaving(const std::vector<LeavingEndpoint> & val);
+
+  bool operator == (const EndpointStatement & rhs) const
+  {
+    if (!(leaving == rhs.leaving))
+      return false;
+    return true;
+  }
+  bool operator != (const EndpointStatement &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EndpointStatement & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EndpointStatement &a, EndpointStatement &b);
+
+std::ostream& operator<<(std::ostream& out, const EndpointStatement& obj);
+
+typedef struct _LossReport__isset {
+  _LossReport__isset() : fingerprint(false), gateway(false), call(false), service_name(false), endpoint(false), sent(false), lost(false), idempotent(false) {}
+  bool fingerprint :1;
+  bool gateway :1;
+  bool call :1;
+  bool service_name :1;
+  bool endpoint :1;
+  bool sent :1;
+  bool lost :1;
+  bool idempotent :1;
+} _LossReport__isset;
+
+class LossReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  LossReport(const LossReport&);
+  LossReport& operator=(const LossReport&);
+  LossReport() noexcept
+             : fingerprint(0),
+               gateway(),
+               call(0),
+               service_name(),
+               endpoint(),
+               sent(0),
+               lost(0),
+               idempotent(0) {
+  }
+
+  virtual ~LossReport() noexcept;
+  int64_t fingerprint;
+  std::string gateway;
+  int64_t call;
+  std::string service_name;
+  std::string endpoint;
+  int64_t sent;
+  int64_t lost;
+  bool idempotent;
+
+  _LossReport__isset __isset;
+
+  void __set_fingerprint(const int64_t val);
+
+  void __set_gateway(const std::string& val);
+
+  void __set_call(const int64_t val);
+
+  void __set_service_name(const std::string& val);
+
+  void __set_endpoint(const std::string& val);
+
+  void __set_sent(const int64_t val);
+
+  void __set_lost(const int64_t val);
+
+  void __set_idempotent(const bool val);
+
+  bool operator == (const LossReport & rhs) const
+  {
+    if (!(fingerprint == rhs.fingerprint))
+      return false;
+    if (!(gateway == rhs.gateway))
+      return false;
+    if (!(call == rhs.call))
+      return false;
+    if (!(service_name == rhs.service_name))
+      return false;
+    if (!(endpoint == rhs.endpoint))
+      return false;
+    if (!(sent == rhs.sent))
+      return false;
+    if (!(lost == rhs.lost))
+      return false;
+    if (!(idempotent == rhs.idempotent))
+      return false;
+    return true;
+  }
+  bool operator != (const LossReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LossReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LossReport &a, LossReport &b);
+
+std::ostream& operator<<(std::ostream& out, const LossReport& obj);
+
+typedef struct _BlockReport__isset {
+  _BlockReport__isset() : fingerprint(false), since(false) {}
+  bool fingerprint :1;
+  bool since :1;
+} _BlockReport__isset;
+
+class BlockReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  BlockReport(const BlockReport&) noexcept;
+  BlockReport& operator=(const BlockReport&) noexcept;
+  BlockReport() noexcept
+              : fingerprint(0),
+                since(0) {
+  }
+
+  virtual ~BlockReport() noexcept;
+  int64_t fingerprint;
+  int64_t since;
+
+  _BlockReport__isset __isset;
+
+  void __set_fingerprint(const int64_t val);
+
+  void __set_since(const int64_t val);
+
+  bool operator == (const BlockReport & rhs) const
+  {
+    if (!(fingerprint == rhs.fingerprint))
+      return false;
+    if (!(since == rhs.since))
+      return false;
+    return true;
+  }
+  bool operator != (const BlockReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const BlockReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(BlockReport &a, BlockReport &b);
+
+std::ostream& operator<<(std::ostream& out, const BlockReport& obj);
+
+typedef struct _CrashEvidence__isset {
+  _CrashEvidence__isset() : losses(false), answered(false), blocked(false), told(false) {}
+  bool losses :1;
+  bool answered :1;
+  bool blocked :1;
+  bool told :1;
+} _CrashEvidence__isset;
+
+/**
+ * All times are on the clock of the sender, whose present time is `told`.
+ */
+class CrashEvidence : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashEvidence(const CrashEvidence&);
+  CrashEvidence& operator=(const CrashEvidence&);
+  CrashEvidence() noexcept
+                : told(0) {
+  }
+
+  virtual ~CrashEvidence() noexcept;
+  std::vector<LossReport>  losses;
+  std::vector<int64_t>  answered;
+  std::vector<BlockReport>  blocked;
+  int64_t told;
+
+  _CrashEvidence__isset __isset;
+
+  void __set_losses(const std::vector<LossReport> & val);
+
+  void __set_answered(const std::vector<int64_t> & val);
+
+  void __set_blocked(const std::vector<BlockReport> & val);
+
+  void __set_told(const int64_t val);
+
+  bool operator == (const CrashEvidence & rhs) const
+  {
+    if (!(losses == rhs.losses))
+      return false;
+    if (!(answered == rhs.answered))
+      return false;
+    if (!(blocked == rhs.blocked))
+      return false;
+    if (!(told == rhs.told))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashEvidence &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashEvidence & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashEvidence &a, CrashEvidence &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashEvidence& obj);
+
 typedef struct _OperatorRequest__isset {
   _OperatorRequest__isset() : id(false), command(false), body(false), timeout(false) {}
   bool id :1;
@@ -1662,7 +1970,7 @@
 std::ostream& operator<<(std::ostream& out, const OperatorReply& obj);
 
 typedef struct _Body__isset {
-  _Body__isset() : heartbeat(false), slot_request(false), slot_grant(false), endpoint_notice(false), crash_notice(false), config_entries(false), config_fetch(false), unrecorded_zone(false), operator_request(false), operator_reply(false), table_news(false), table_fetch(false), permit_request(false), permit_reply(false) {}
+  _Body__isset() : heartbeat(false), slot_request(false), slot_grant(false), endpoint_notice(false), crash_notice(false), config_entries(false), config_fetch(false), unrecorded_zone(false), operator_request(false), operator_reply(false), table_news(false), table_fetch(false), permit_request(false), permit_reply(false), endpoint_statement(false), crash_evidence(false) {}
   bool heartbeat :1;
   bool slot_request :1;
   bool slot_grant :1;
@@ -1677,6 +1985,8 @@
   bool table_fetch :1;
   bool permit_request :1;
   bool permit_reply :1;
+  bool endpoint_statement :1;
+  bool crash_evidence :1;
 } _Body__isset;
 
 /**
@@ -1705,6 +2015,8 @@
   TableFetch table_fetch;
   PermitRequest permit_request;
   PermitReply permit_reply;
+  EndpointStatement endpoint_statement;
+  CrashEvidence crash_evidence;
 
   _Body__isset __isset;
 
@@ -1736,6 +2048,10 @@
 
   void __set_permit_reply(const PermitReply& val);
 
+  void __set_endpoint_statement(const EndpointStatement& val);
+
+  void __set_crash_evidence(const CrashEvidence& val);
+
   bool operator == (const Body & rhs) const
   {
     if (__isset.heartbeat != rhs.__isset.heartbeat)
@@ -1794,6 +2110,14 @@
       return false;
     else if (__isset.permit_reply && !(permit_reply == rhs.permit_reply))
       return false;
+    if (__isset.endpoint_statement != rhs.__isset.endpoint_statement)
+      return false;
+    else if (__isset.endpoint_statement && !(endpoint_statement == rhs.endpoint_statement))
+      return false;
+    if (__isset.crash_evidence != rhs.__isset.crash_evidence)
+      return false;
+    else if (__isset.crash_evidence && !(crash_evidence == rhs.crash_evidence))
+      return false;
     return true;
   }
   bool operator != (const Body &rhs) const {
--- a/rpc/jackdawdeck.thrift
+++ b/rpc/jackdawdeck.thrift
@@ -178,6 +178,39 @@
   4: i64 retry_after
 }
 
+struct LeavingEndpoint {
+  1: string endpoint
+  2: i64 run
+}
+
+struct EndpointStatement {
+  1: list<LeavingEndpoint> leaving
+}
+
+struct LossReport {
+  1: i64 fingerprint
+  2: string gateway
+  3: i64 call
+  4: string service_name
+  5: string endpoint
+  6: i64 sent
+  7: i64 lost
+  8: bool idempotent
+}
+
+struct BlockReport {
+  1: i64 fingerprint
+  2: i64 since
+}
+
+/** All times are on the clock of the sender, whose present time is `told`. */
+struct CrashEvidence {
+  1: list<LossReport> losses
+  2: list<i64> answered
+  3: list<BlockReport> blocked
+  4: i64 told
+}
+
 struct OperatorRequest {
   1: i64 id
   2: string command
@@ -207,6 +240,8 @@
   12: TableFetch table_fetch
   13: PermitRequest permit_request
   14: PermitReply permit_reply
+  15: EndpointStatement endpoint_statement
+  16: CrashEvidence crash_evidence
 }
 
 struct Envelope {
--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -23,6 +23,7 @@
 constexpr int64_t kMaxLimitMs = 15'000;
 constexpr int64_t kMaxOddRows = 6;
 constexpr int64_t kMaxBusyPorts = 2;
+constexpr int64_t kMaxStatements = 5;
 
 int64_t DrawInteger(RandomEngine* random, int64_t min, int64_t max) {
   return std::uniform_int_distribution<int64_t>(min, max)(*random);
@@ -81,6 +82,10 @@
             &later_kinds, &faults);
   AddFaults(FaultKind::kPortBusy, kMaxBusyPorts, kMinFaultDurationMs, kMaxFaultDurationMs, duration,
             &later_kinds, &faults);
+  AddFaults(FaultKind::kEndpointSaysLeaving, kMaxStatements, kMinFaultDurationMs,
+            kMaxFaultDurationMs, duration, &later_kinds, &faults);
+  AddFaults(FaultKind::kEndpointWantsNothing, kMaxStatements, kMinFaultDurationMs,
+            kMaxFaultDurationMs, duration, &later_kinds, &faults);
   std::stable_sort(faults.begin(), faults.end(),
                    [](const Fault& a, const Fault& b) { return a.start < b.start; });
   return faults;
@@ -88,13 +93,34 @@
 
 const char* FaultKindName(FaultKind kind) {
   static constexpr std::array<const char*, static_cast<size_t>(kLastFaultKind) + 1> names = {
-      "store-reset",      "store-refuse",   "store-slow",      "store-loses-answers",
-      "store-silent",     "store-forgets",  "rows-lapse",      "store-link-silent",
-      "store-link-reset", "endpoint-delay", "endpoint-reset",  "endpoint-silent",
-      "endpoint-one-way", "endpoint-crash", "endpoint-leaves", "zone-out",
-      "configuration",    "gateway-term",   "gateway-kill",    "gateway-pause",
-      "gateway-hang-up",  "all-kill",       "store-restored",  "endpoint-limit",
-      "odd-row",          "port-busy"};
+      "store-reset",
+      "store-refuse",
+      "store-slow",
+      "store-loses-answers",
+      "store-silent",
+      "store-forgets",
+      "rows-lapse",
+      "store-link-silent",
+      "store-link-reset",
+      "endpoint-delay",
+      "endpoint-reset",
+      "endpoint-silent",
+      "endpoint-one-way",
+      "endpoint-crash",
+      "endpoint-leaves",
+      "zone-out",
+      "configuration",
+      "gateway-term",
+      "gateway-kill",
+      "gateway-pause",
+      "gateway-hang-up",
+      "all-kill",
+      "store-restored",
+      "endpoint-limit",
+      "odd-row",
+      "port-busy",
+      "endpoint-says-leaving",
+      "endpoint-wants-nothing"};
   return names.at(static_cast<size_t>(kind));
 }
 
--- a/soak/guarantee_checker.cc
+++ b/soak/guarantee_checker.cc
@@ -75,6 +75,7 @@
     CheckLeaving(now, request, endpoint);
     CheckZone(now, request, zone);
     CheckLimit(now, request, endpoint);
+    CheckStatement(now, request, endpoint);
   }
   if (!runs) {
     return;
@@ -191,6 +192,50 @@
   }
 }
 
+void GuaranteeChecker::OnLeavingStated(const std::string& endpoint) {
+  Statement& statement = statements_[endpoint];
+  statement.leaving = true;
+  statement.told.clear();
+}
+
+void GuaranteeChecker::OnWantsNothing(const std::string& endpoint, MonoTime until) {
+  Statement& statement = statements_[endpoint];
+  statement.wants_nothing_until = until;
+  statement.told.clear();
+  statement.late.clear();
+}
+
+void GuaranteeChecker::CheckStatement(MonoTime now,
+                                      const Request& request,
+                                      const std::string& endpoint) {
+  const auto found = statements_.find(endpoint);
+  if (found == statements_.end()) {
+    return;
+  }
+  Statement& statement = found->second;
+  const std::string& gateway = request.sent.gateway;
+  const bool wants_nothing = now < statement.wants_nothing_until;
+  if (!statement.leaving && !wants_nothing) {
+    return;
+  }
+  const auto state = gateways_.find(gateway);
+  if (state != gateways_.end() && !IsSettled(state->second, now)) {
+    statement.told.erase(gateway);
+    return;
+  }
+  const auto [told, first] = statement.told.try_emplace(gateway, now);
+  if (first) {
+    return;
+  }
+  if (statement.leaving && now > told->second + kMaxLeavingDelay) {
+    AddViolation(now, "sent to an endpoint that said that it leaves", request, endpoint);
+  }
+  if (wants_nothing && now > told->second + kMaxWantsNothingDelay &&
+      ++statement.late[gateway] > kMaxRequestsWhileUnwanted) {
+    AddViolation(now, "sent to an endpoint that wants nothing", request, endpoint);
+  }
+}
+
 void GuaranteeChecker::CheckZone(MonoTime now, const Request& request, const std::string& zone) {
   const auto out = zones_out_.find(zone);
   if (out != zones_out_.end() && now > out->second + kMaxZoneOutDelay &&
--- a/soak/guarantee_checker.h
+++ b/soak/guarantee_checker.h
@@ -45,6 +45,10 @@
   /// A limit that an endpoint names holds after this time, in every window of kLimitWindow.
   static constexpr Duration kMaxLimitDelay = 3s;
   static constexpr Duration kLimitWindow = 4s;
+  /// An endpoint that wants nothing gets at most kMaxRequestsWhileUnwanted from each gateway after
+  /// this time from its first answer to that gateway.
+  static constexpr Duration kMaxWantsNothingDelay = 500ms;
+  static constexpr int kMaxRequestsWhileUnwanted = 2;
   /// Tolerated delay of an answer beyond the timeout of its request.
   static constexpr Duration kAnswerTolerance = 500ms;
   /// Time after the last fault after which requests must be served again.
@@ -66,6 +70,10 @@
   /// An endpoint names a limit, in requests per second from all gateways together, or no longer
   /// names one.
   void OnLimitNamed(MonoTime now, const std::string& endpoint, std::optional<double> limit);
+  /// An endpoint says in each answer from now on that it leaves.
+  void OnLeavingStated(const std::string& endpoint);
+  /// An endpoint answers each request with the time until it wants requests again.
+  void OnWantsNothing(const std::string& endpoint, MonoTime until);
   /// An operator took a zone out of service or brought it back in.
   void OnZoneChanged(MonoTime now, const std::string& zone, bool out);
   /// The link to an endpoint may delay or lose bytes until `until`.
@@ -118,11 +126,21 @@
     std::deque<MonoTime> arrivals;  ///< In the latest window.
   };
 
+  /// What an endpoint says in its answers, and when each gateway first got one.
+  struct Statement {
+    bool leaving = false;
+    MonoTime wants_nothing_until;
+    std::map<std::string, MonoTime> told;
+    std::map<std::string, int> late;  ///< Requests of each gateway that it must not have sent.
+  };
+
   static bool IsSettled(const FaultState& state, MonoTime now);
   bool GatewayAndStoreSettled(const std::string& gateway, MonoTime now) const;
   void CheckLeaving(MonoTime now, const Request& request, const std::string& endpoint);
   void CheckZone(MonoTime now, const Request& request, const std::string& zone);
   void CheckLimit(MonoTime now, const Request& request, const std::string& endpoint);
+  /// Checks the request against what the endpoint has said in answers to the same gateway.
+  void CheckStatement(MonoTime now, const Request& request, const std::string& endpoint);
   void CheckConfiguration(MonoTime now, const Request& request, const SoakAnswer& answer);
   void CheckConnectionLoss(MonoTime now, const Request& request);
   void AddViolation(MonoTime now,
@@ -134,6 +152,7 @@
   std::map<std::string, MonoTime> leaving_since_;
   std::map<std::string, MonoTime> zones_out_;
   std::map<std::string, NamedLimit> limits_;
+  std::map<std::string, Statement> statements_;
   std::map<std::string, MonoTime> link_faults_until_;
   std::map<std::string, FaultState> gateways_;
   FaultState store_;
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -240,6 +240,10 @@
       return RestoreStore(fault.duration);
     case FaultKind::kEndpointLimit:
       return LimitEndpoint(upstream, fault.target_index, fault.duration);
+    case FaultKind::kEndpointSaysLeaving:
+      return SayLeaving(upstream);
+    case FaultKind::kEndpointWantsNothing:
+      return WantNothing(upstream, fault.duration);
     case FaultKind::kOddRow:
       return WriteOddRow(fault.target_index, fault.duration);
     default:
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -104,6 +104,11 @@
   void CrashEndpoint(Upstream* upstream, Duration duration);
   /// Drains an endpoint and restarts it after a while.
   void DrainEndpoint(Upstream* upstream);
+  /// Lets an endpoint say in its answers that it leaves, while its row does not, and restarts it
+  /// after a while.
+  void SayLeaving(Upstream* upstream);
+  /// Lets an endpoint want nothing for `duration`.
+  void WantNothing(Upstream* upstream, Duration duration);
   void TakeZoneOut(const std::string& zone, Duration duration);
   /// Writes the next configuration version to the store.
   void WriteNextConfiguration();
--- a/soak/soak_upstream.cc
+++ b/soak/soak_upstream.cc
@@ -35,6 +35,8 @@
   running_ = true;
   draining_ = false;
   limit_.reset();
+  says_leaving_ = false;
+  wants_nothing_until_ = MonoTime();
   http_ = std::make_unique<StandinHttp>(base_, port_,
                                         [this](evhttp_request* request) { ServeRequest(request); });
 }
@@ -64,8 +66,12 @@
     ReplyText(request, 421, "another instance");
     return;
   }
-  const bool runs = running_requests_.size() < kSlots;
+  const bool wants_nothing = ReadStandinClocks().mono < wants_nothing_until_;
+  const bool runs = running_requests_.size() < kSlots && !wants_nothing;
   on_arrival_(id, runs);
+  if (TurnAway(request)) {
+    return;
+  }
   if (!runs) {
     AddLoadHeader(request);
     AddHeader(request, "Not-Executed", "1");
@@ -80,13 +86,31 @@
 
 void SoakUpstream::ServeHealth(evhttp_request* request) {
   AddHeader(request, "Instance-Id", instance_);
+  if (TurnAway(request)) {
+    return;
+  }
   AddLoadHeader(request);
   ReplyText(request, draining_ ? 503 : 200, "");
 }
 
+bool SoakUpstream::TurnAway(evhttp_request* request) {
+  const Duration left = wants_nothing_until_ - ReadStandinClocks().mono;
+  if (left <= Duration(0)) {
+    return false;
+  }
+  AddLoadHeader(request);
+  AddHeader(request, "Not-Executed", "1");
+  AddHeader(request, "Retry-After", std::to_string(std::chrono::duration<double>(left).count()));
+  ReplyText(request, 503, "wants nothing");
+  return true;
+}
+
 void SoakUpstream::AddLoadHeader(evhttp_request* request) const {
   AddHeader(request, "Server-Load",
             std::to_string(running_requests_.size()) + ",0," + std::to_string(kSlots) + ",100");
+  if (says_leaving_) {
+    AddHeader(request, "Server-Leaving", "1");
+  }
   if (limit_) {
     AddHeader(request, "Server-Limit", std::to_string(*limit_));
   }
--- a/soak/soak_upstream.h
+++ b/soak/soak_upstream.h
@@ -39,6 +39,10 @@
   /// From now on names this limit, in requests per second from all gateways together, in each
   /// answer; nothing: names none. A restart ends the limit.
   void SetLimit(std::optional<double> limit) { limit_ = limit; }
+  /// From now on says in each answer that it leaves, while it serves on.
+  void SayLeaving() { says_leaving_ = true; }
+  /// Until this time answers 503 with the time that is left. A restart ends it.
+  void WantNothing(MonoTime until) { wants_nothing_until_ = until; }
   const std::string& instance() const { return instance_; }
   TcpProxy& proxy() { return *proxy_; }
 
@@ -53,6 +57,9 @@
   void ServeRequest(evhttp_request* request);
   void ServeHealth(evhttp_request* request);
   void AddLoadHeader(evhttp_request* request) const;
+  /// Answers a request with the time for which the server wants nothing.
+  /// @return false if it wants requests.
+  bool TurnAway(evhttp_request* request);
   /// Timer callback: answers the requests whose service time is over.
   void AnswerDueRequests();
 
@@ -64,6 +71,8 @@
   bool running_ = false;
   bool draining_ = false;
   std::optional<double> limit_;
+  bool says_leaving_ = false;
+  MonoTime wants_nothing_until_;
   std::list<RunningRequest> running_requests_;
   std::unique_ptr<StandinHttp> http_;
   std::unique_ptr<TcpProxy> proxy_;
--- a/tests/crash_guard_test.cc
+++ b/tests/crash_guard_test.cc
@@ -51,7 +51,7 @@
   guard.OnConnectionLost(At(5), MakeLoss(1, 1, "a", 0));
   guard.OnConnectionLost(At(6), MakeLoss(1, 2, "b", 1));
   CHECK_FALSE(Blocks(guard, 6, 1));
-  guard.OnAnswered(Fingerprint(1));
+  guard.OnAnswered(At(7), Fingerprint(1));
   guard.OnConnectionLost(At(3000), MakeLoss(1, 3, "b", 2000));
   CHECK_FALSE(Blocks(guard, 3000, 1));
 }
--- a/tests/dispatcher_harness.h
+++ b/tests/dispatcher_harness.h
@@ -83,6 +83,7 @@
   std::set<AttemptId> cancelled;
   std::vector<Refusal> refusals;
   std::vector<Fingerprint> announced;
+  std::vector<CrashEvidence> evidence;
   std::vector<CloseConnections> closed_connections;
   int sends = 0;
   /// When the connection of the next result was opened.
@@ -102,6 +103,7 @@
   void HandleAction(const SendProbe&) {}
   void HandleAction(const RequestPermit&) {}
   void HandleAction(const AnnounceCrash& crash) { announced.push_back(crash.fingerprint); }
+  void HandleAction(const TellCrashEvidence& told) { evidence.push_back(told.evidence); }
 
   int endpoints_;
   int slots_ = 1;
--- a/tests/rpc_test.cc
+++ b/tests/rpc_test.cc
@@ -301,5 +301,22 @@
   CHECK(CallOperator(target, {}, 500ms).status == OperatorStatus::kRefused);
 }
 
+TEST_CASE("what gateways say of upstreams is unchanged after encoding and decoding", "[rpc_test]") {
+  CrashEvidence evidence;
+  evidence.losses = {{{Fingerprint(~uint64_t{0}), CallId(7), ServiceId("s"), EndpointId("e"),
+                       MonoFromMicros(5), true, GatewayId("g")},
+                      MonoFromMicros(9)}};
+  evidence.answered = {Fingerprint(3)};
+  evidence.blocked = {{Fingerprint(4), MonoFromMicros(8)}};
+  evidence.told = MonoFromMicros(11);
+  const EndpointStatement statement{{{EndpointId("e"), Incarnation(1'700'000'000'000)}}};
+  const auto repeat = [](PeerBody body) {
+    const PeerMessage sent{GatewayId("g1"), Incarnation(9), {1000, 3}, std::move(body)};
+    return std::get<PeerMessage>(FromEnvelope(ToEnvelope(sent, "key"))).body;
+  };
+  CHECK(std::get<CrashEvidence>(repeat(evidence)) == evidence);
+  CHECK(std::get<EndpointStatement>(repeat(statement)).leaving == statement.leaving);
+}
+
 }  // namespace
 }  // namespace jd
