--- a/policy/call_manager.cc
+++ b/policy/call_manager.cc
@@ -236,21 +236,6 @@
   return next ? Find(*next) : nullptr;
 }
 
-bool CallManager::HasWaitingCalls(const ServiceId& service) const {
-  const auto state = services_.find(service);
-  return state != services_.end() && !state->second.queue.empty();
-}
-
-std::vector<ServiceId> CallManager::ServicesWithWaitingCalls() const {
-  std::vector<ServiceId> waiting;
-  for (const auto& [id, state] : services_) {
-    if (!state.queue.empty()) {
-      waiting.push_back(id);
-    }
-  }
-  return waiting;
-}
-
 bool CallManager::CheckBeforeAttempt(MonoTime now, Call* call, CallActions* actions) {
   if (call->deadline <= now) {
     Expire(call, actions);
@@ -430,19 +415,6 @@
   return next;
 }
 
-std::vector<std::pair<ServiceId, int32_t>> CallManager::TakeQueueLengthChanges() {
-  std::vector<std::pair<ServiceId, int32_t>> changes;
-  for (const ServiceId& id : services_with_changed_queue_) {
-    ServiceState& state = services_.at(id);
-    const auto waiting = static_cast<int32_t>(state.queue.size());
-    if (waiting != std::exchange(state.reported_queue_length, waiting)) {
-      changes.emplace_back(id, waiting);
-    }
-  }
-  services_with_changed_queue_.clear();
-  return changes;
-}
-
 Call* CallManager::Find(CallId id) {
   const auto call = calls_.find(id);
   return call == calls_.end() ? nullptr : &call->second;
--- a/policy/call_manager_holds.cc
+++ b/policy/call_manager_holds.cc
@@ -16,18 +16,14 @@
 constexpr Duration kMinReturnSpread = 200ms;
 constexpr Duration kMaxReturnSpread = 2s;
 
-// Returns the part of the spread within which callers of this priority return: the more urgent a
-// call is, the earlier its caller may come back.
-double SpreadPart(Priority priority) {
-  switch (priority) {
-    case Priority::kHigh:
-      return 1.0 / 3;
-    case Priority::kNormal:
-      return 2.0 / 3;
-    case Priority::kLow:
-      break;
-  }
-  return 1.0;
+// Returns the part of the spread within which callers of this rank return: the more urgent a call
+// is, the earlier its caller may come back.
+double SpreadPart(const CallRank& rank) {
+  constexpr int kPriorities = static_cast<int>(Priority::kHigh) + 1;
+  constexpr int kRanks = kPriorities * kPriorities;
+  const int urgency =
+      static_cast<int>(rank.workspace) * kPriorities + static_cast<int>(rank.profile);
+  return static_cast<double>(kRanks - urgency) / kRanks;
 }
 
 // Returns the time after which the caller may retry, if an endpoint returns at `returns_at`.
@@ -37,7 +33,7 @@
       std::clamp(Scale(wait, kReturnSpreadShare), kMinReturnSpread, kMaxReturnSpread);
   const std::string& id = call.request.request_id.value;
   const double position = static_cast<double>(XXH3_64bits(id.data(), id.size())) / 0x1p64;
-  return wait + Scale(spread, position * SpreadPart(call.limits.priority));
+  return wait + Scale(spread, position * SpreadPart(call.limits.rank));
 }
 
 }  // namespace
