--- a/cluster/node.cc
+++ b/cluster/node.cc
@@ -45,7 +45,8 @@
       operator_({&settings_, &config_, &membership_, &slots_, &timeline_}),
       quotas_(settings.id, settings.seed),
       next_quota_contact_(settings.seed),
-      rollouts_(RolloutMemberOf(settings)) {
+      rollouts_(RolloutMemberOf(settings)),
+      statements_(settings.id) {
   if (settings_.retry_limits) {
     dispatcher_.SetRetryLimits(*settings_.retry_limits);
   }
@@ -190,6 +191,9 @@
 void Node::OnAttemptResult(Now now, const AttemptResult& result, NodeActions* actions) {
   const auto attempt = endpoint_by_attempt_.extract(result.attempt);
   quotas_.OnAttemptEnded(now.mono, result.attempt, MayHaveRun(result.outcome));
+  if (!attempt.empty()) {
+    OnUpstreamStatement(now, attempt.mapped(), result.statement, result.latency, actions);
+  }
   CallActions out;
   dispatcher_.OnAttemptResult(now.mono, result, &out);
   ApplyCallActions(now, out, actions);
@@ -220,6 +224,7 @@
                         const EndpointId& endpoint,
                         const LoadReport& report,
                         NodeActions* actions) {
+  statements_.OnInstance(endpoint, report.instance);
   if (report.state == EndpointState::kDraining) {
     OnEndpointNotice(now, {endpoint, report.instance, EndpointNoticeKind::kDraining}, true,
                      actions);
@@ -257,6 +262,7 @@
 }
 
 void Node::OnProbeResult(Now now, const ProbeResult& result, NodeActions* actions) {
+  OnUpstreamStatement(now, result.endpoint, result.statement, result.latency, actions);
   CallActions out;
   dispatcher_.OnProbeResult(now.mono, result, &out);
   ApplyCallActions(now, out, actions);
@@ -404,6 +410,7 @@
 }
 
 void Node::OnTimer(Now now, NodeActions* actions) {
+  UpdateHeldEndpoints(now, actions);
   CallActions out;
   dispatcher_.OnTimer(now.mono, &out);
   ApplyCallActions(now, out, actions);
@@ -445,6 +452,7 @@
   SetToEarlier(&next, config_.next_timer());
   SetToEarlier(&next, slots_.next_timer());
   SetToEarlier(&next, probes_.next_timer());
+  SetToEarlier(&next, statements_.next_end());
   SetToEarlier(&next, claims_.next_timer());
   SetToEarlier(&next, quotas_.next_timer());
   SetToEarlier(&next, rollouts_.next_timer());
--- a/cluster/node.h
+++ b/cluster/node.h
@@ -26,6 +26,7 @@
 #include "common/now.h"
 #include "common/vm_list.h"
 #include "policy/dispatcher.h"
+#include "policy/endpoint_statements.h"
 #include "policy/policy_variant.h"
 #include "policy/probe_result.h"
 
@@ -98,6 +99,8 @@
   const NodeSettings& settings() const { return settings_; }
   /// Returns how this gateway's requests for permits have ended.
   const PermitCounts& permit_counts() const { return dispatcher_.permit_counts(); }
+  /// Returns how often an endpoint was passed over, by reason.
+  EndpointHoldCounts hold_counts() const { return policy_.hold_counts(); }
   /// Returns how the calls of workspaces with a quota have ended, and the tokens for them.
   const QuotaCounts& quota_counts() const { return quotas_.counts(); }
   /// Returns the number of unfinished calls, including those whose request key is being claimed and
@@ -107,6 +110,12 @@
   }
 
  private:
+  /// A run of an endpoint, and when the configuration first listed it.
+  struct ListedRun {
+    Incarnation run;
+    MonoTime since;
+  };
+
   /// A call that waits for a token of its workspace's quota.
   struct QuotaWait {
     CallRequest request;
@@ -150,6 +159,34 @@
                         const EndpointNotice& notice,
                         bool tell_peers,
                         NodeActions* actions);
+  /// Applies what an endpoint said of itself in a response, before its load or the result of its
+  /// attempt is used.
+  /// @param latency time from the request to the response.
+  void OnUpstreamStatement(Now now,
+                           const EndpointId& endpoint,
+                           const UpstreamStatement& statement,
+                           Duration latency,
+                           NodeActions* actions);
+  /// Records since when the configuration lists each endpoint in its run.
+  void RecordListedRuns(Now now);
+  /// Applies what a peer has learned from the responses of endpoints.
+  void OnEndpointStatement(Now now, const EndpointStatement& message, NodeActions* actions);
+  /// Applies the statements of endpoints that are in force to the services.
+  void UpdateHeldEndpoints(Now now, NodeActions* actions);
+  /// Passes the statements in force on to the directory and the slots, and records the changes.
+  /// @return whether an endpoint was held back or released.
+  bool ApplyHeldEndpoints(Now now, NodeActions* actions);
+  /// Records that an endpoint is held back or released.
+  void RecordHold(Now now,
+                  EventKind kind,
+                  const EndpointId& endpoint,
+                  const HeldEndpoint& held,
+                  NodeActions* actions);
+  /// Tells a gateway that has just started what this one knows of endpoints that leave and of
+  /// requests that crash upstreams.
+  void SendStateTo(Now now, const GatewayId& peer, NodeActions* actions);
+  /// Fills in this gateway as the one that has seen the losses.
+  CrashEvidence NameGateway(CrashEvidence evidence) const;
   /// Returns the gateway that issues the permits for an endpoint of this zone, or, for another
   /// zone, a gateway there that knows it.
   /// @return nothing if no such gateway is known.
@@ -172,6 +209,7 @@
   void OnTableUpdate(Now now, const TableUpdate& update, NodeActions* actions);
   void SendTo(Now now, const GatewayId& to, PeerBody body, NodeActions* actions);
   void SendToAll(Now now, const PeerBody& body, NodeActions* actions);
+  /// Sends to all peers and to the gateways of the other zones.
   void SendToAllZones(Now now, const PeerBody& body, NodeActions* actions);
   static RolloutMember RolloutMemberOf(const NodeSettings& settings);
   RolloutSituation SituationOf(const Rollout& rollout) const;
@@ -235,6 +273,8 @@
   /// When the log may state next that a workspace exceeds its quota.
   std::map<WorkspaceId, MonoTime> next_quota_log_;
   RolloutControl rollouts_;
+  EndpointStatements statements_;
+  std::map<EndpointId, ListedRun> listed_runs_;
   size_t gateway_count_ = 0;  ///< Number of gateways that discovery lists, in all zones.
   bool stopping_ = false;
 };
--- a/cluster/peer_message.h
+++ b/cluster/peer_message.h
@@ -13,6 +13,8 @@
 #include "common/hybrid_clock.h"
 #include "common/ids.h"
 #include "common/units.h"
+#include "policy/crash_evidence.h"
+#include "policy/endpoint_statements.h"
 #include "policy/permit.h"
 #include "policy/quota_message.h"
 #include "policy/slot_message.h"
@@ -51,6 +53,11 @@
   Fingerprint fingerprint;
 };
 
+/// Tells peers which endpoints have said in a response that they leave.
+struct EndpointStatement {
+  std::vector<LeavingEndpoint> leaving;
+};
+
 /// Configuration entries in order of version, sent as the reply to a ConfigFetch or pushed without
 /// a request.
 struct ConfigEntries {
@@ -113,7 +120,9 @@
                               QuotaRequest,
                               QuotaGrant,
                               VersionEvidence,
-                              RolloutNotice>;
+                              RolloutNotice,
+                              EndpointStatement,
+                              CrashEvidence>;
 
 /// A message between gateways. The shared key that authenticates it is added and checked by the
 /// transport.
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -329,6 +329,7 @@
   values.ready = ready();
   values.permits = node_.permit_counts();
   values.quotas = node_.quota_counts();
+  values.holds = node_.hold_counts();
   if (peer_traffic_source_) {
     values.peer_traffic = peer_traffic_source_();
   }
--- a/gateway/metrics.cc
+++ b/gateway/metrics.cc
@@ -171,6 +171,14 @@
       add("jackdawdeck_quota_tokens_granted", "Granted tokens for calls of workspaces.");
   quota_unanswered_ = add("jackdawdeck_quota_unanswered",
                           "Waits for a token of a quota that got no reply in time.");
+  auto& holds = prometheus::BuildGauge()
+                    .Name("jackdawdeck_endpoint_holds")
+                    .Help("Times that a call passed over an endpoint, by reason.")
+                    .Register(registry_);
+  for (size_t i = 1; i < kEndpointHoldCount; ++i) {
+    const std::string reason(EndpointHoldName(static_cast<EndpointHold>(i)));
+    endpoint_holds_.push_back(&holds.Add({{"reason", reason}}));
+  }
   ready_ = add("jackdawdeck_ready", "1 if the balancer may send calls.");
 }
 
@@ -224,6 +232,9 @@
   quota_tokens_requested_->Set(static_cast<double>(values.quotas.tokens_requested));
   quota_tokens_granted_->Set(static_cast<double>(values.quotas.tokens_granted));
   quota_unanswered_->Set(static_cast<double>(values.quotas.unanswered));
+  for (size_t i = 1; i < kEndpointHoldCount; ++i) {
+    endpoint_holds_.at(i - 1)->Set(static_cast<double>(values.holds.at(i)));
+  }
   ready_->Set(values.ready ? 1 : 0);
   return prometheus::TextSerializer().Serialize(registry_.Collect());
 }
--- a/policy/call_action.h
+++ b/policy/call_action.h
@@ -8,6 +8,7 @@
 #include "common/event_ring.h"
 #include "common/ids.h"
 #include "common/units.h"
+#include "policy/crash_evidence.h"
 #include "policy/refusal.h"
 
 namespace jd {
@@ -81,6 +82,11 @@
   Fingerprint fingerprint;
 };
 
+/// Tells the peer gateways what this one has seen of requests that may crash upstreams.
+struct TellCrashEvidence {
+  CrashEvidence evidence;
+};
+
 /// An effect that the event loop must carry out for a call.
 using CallAction = std::variant<SendAttempt,
                                 CancelAttempt,
@@ -90,7 +96,8 @@
                                 SendProbe,
                                 RequestPermit,
                                 RecordEvent,
-                                AnnounceCrash>;
+                                AnnounceCrash,
+                                TellCrashEvidence>;
 using CallActions = std::vector<CallAction>;
 
 }  // namespace jd
--- a/policy/call_manager.cc
+++ b/policy/call_manager.cc
@@ -10,15 +10,10 @@
 namespace jd {
 namespace {
 
-/// Retry-after time for callers of a service without a usable endpoint, and for callers whose
-/// attempts failed.
-constexpr Duration kRetryAfterFailure = 1s;
 /// Until an upstream has answered, the service time of a call is assumed to be this share of its
 /// target latency.
 constexpr double kDefaultServiceTimeShare = 0.35;
 constexpr int kFirstServerError = 500;
-/// An upstream that refused a call although it had room may accept the call shortly afterwards.
-constexpr Duration kRetryAfterUpstreamRefusal = 10ms;
 
 uint64_t HashRequestId(const RequestId& request) {
   return XXH3_64bits(request.value.data(), request.value.size());
@@ -200,21 +195,6 @@
   return next ? Find(*next) : nullptr;
 }
 
-bool CallManager::HasWaitingCalls(const ServiceId& service) const {
-  const auto state = services_.find(service);
-  return state != services_.end() && !state->second.queue.empty();
-}
-
-std::vector<ServiceId> CallManager::ServicesWithWaitingCalls() const {
-  std::vector<ServiceId> waiting;
-  for (const auto& [id, state] : services_) {
-    if (!state.queue.empty()) {
-      waiting.push_back(id);
-    }
-  }
-  return waiting;
-}
-
 bool CallManager::CheckBeforeAttempt(MonoTime now, Call* call, CallActions* actions) {
   if (call->deadline <= now) {
     Expire(call, actions);
@@ -228,6 +208,9 @@
            "The same request has crashed upstreams and is not sent to another one.", actions);
     return false;
   }
+  if (RefuseIfNothingWanted(now, call, actions)) {
+    return false;
+  }
   const auto fast_latency = StateOf(*call).load.TenthPercentileLatency(now);
   if (fast_latency && *fast_latency > call->deadline - now) {
     Refuse(call, RefusalReason::kDeadline, Duration(0),
@@ -331,8 +314,8 @@
   }
   if (text != nullptr) {
     const bool refused = ended.result.outcome == AttemptOutcome::kRefused;
-    Refuse(call, RefusalReason::kUpstreamFailed,
-           refused ? kRetryAfterUpstreamRefusal : kRetryAfterFailure, text, actions);
+    Refuse(call, RefusalReason::kUpstreamFailed, RetryAfterFailedAttempt(now, *call, refused), text,
+           actions);
     return nullptr;
   }
   return call;
@@ -396,19 +379,6 @@
   return next;
 }
 
-std::vector<std::pair<ServiceId, int32_t>> CallManager::TakeQueueLengthChanges() {
-  std::vector<std::pair<ServiceId, int32_t>> changes;
-  for (const ServiceId& id : services_with_changed_queue_) {
-    ServiceState& state = services_.at(id);
-    const auto waiting = static_cast<int32_t>(state.queue.size());
-    if (waiting != std::exchange(state.reported_queue_length, waiting)) {
-      changes.emplace_back(id, waiting);
-    }
-  }
-  services_with_changed_queue_.clear();
-  return changes;
-}
-
 Call* CallManager::Find(CallId id) {
   const auto call = calls_.find(id);
   return call == calls_.end() ? nullptr : &call->second;
--- a/policy/call_manager_overload.cc
+++ b/policy/call_manager_overload.cc
@@ -18,8 +18,6 @@
 /// With less slack than this before the target time, a retry by the caller cannot be answered in
 /// time.
 constexpr Duration kMinSlack = 40ms;
-/// An upstream that refused a call although it had room may accept the call shortly afterwards.
-constexpr Duration kRetryAfterUpstreamRefusal = 10ms;
 
 }  // namespace
 
@@ -80,7 +78,7 @@
     return;
   }
   if (call->attempts > 0) {
-    Refuse(call, RefusalReason::kUpstreamFailed, kRetryAfterUpstreamRefusal,
+    Refuse(call, RefusalReason::kUpstreamFailed, RetryAfterFailedAttempt(now, *call, true),
            "The attempt failed and no other endpoint has room.", actions);
     return;
   }
--- a/policy/routing_policy.h
+++ b/policy/routing_policy.h
@@ -12,6 +12,7 @@
 #include "common/random.h"
 #include "common/units.h"
 #include "policy/attempt_result.h"
+#include "policy/endpoint_gate.h"
 #include "policy/probe_result.h"
 #include "policy/version_side.h"
 
@@ -26,6 +27,8 @@
   /// the endpoint is draining or ejected.
   bool usable = true;
   VersionSide side = VersionSide::kAny;
+  EndpointHold hold = EndpointHold::kNone;  ///< Why it is not usable, if that is known.
+  MonoTime held_until = {};                 ///< When kWantsNothing ends.
   bool operator==(const EndpointView&) const = default;
 };
 
--- a/rpc/convert.cc
+++ b/rpc/convert.cc
@@ -9,6 +9,7 @@
 #include "rpc/quota_wire.h"
 #include "rpc/rollout_messages.h"
 #include "rpc/table_update.h"
+#include "rpc/upstream_evidence.h"
 #include "rpc/wire_integers.h"
 
 namespace jd {
@@ -369,6 +370,10 @@
     body->__set_version_evidence(VersionEvidenceToWire(in));
   }
   void operator()(const RolloutNotice& in) { body->__set_rollout_notice(RolloutNoticeToWire(in)); }
+  void operator()(const EndpointStatement& in) {
+    body->__set_endpoint_statement(StatementToWire(in));
+  }
+  void operator()(const CrashEvidence& in) { body->__set_crash_evidence(EvidenceToWire(in)); }
   void operator()(const CrashNotice& in) { body->__set_crash_notice(ToWire(in)); }
   void operator()(const ConfigEntries& in) { body->__set_config_entries(ToWire(in)); }
   void operator()(const ConfigFetch& in) { body->__set_config_fetch(ToWire(in)); }
@@ -413,6 +418,12 @@
   if (set.rollout_notice) {
     return RolloutNoticeFromWire(body.rollout_notice);
   }
+  if (set.endpoint_statement) {
+    return StatementFromWire(body.endpoint_statement);
+  }
+  if (set.crash_evidence) {
+    return EvidenceFromWire(body.crash_evidence);
+  }
   if (set.crash_notice) {
     return FromWire(body.crash_notice);
   }
--- a/rpc/gen-cpp/jackdawdeck_types.cpp
+++ b/rpc/gen-cpp/jackdawdeck_types.cpp
@@ -5356,6 +5356,786 @@
 }
 
 
+LeavingEndpoint::~LeavingEndpoint() noexcept {
+}
+
+
+void LeavingEndpoint::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
+}
+
+void LeavingEndpoint::__set_run(const int64_t val) {
+  this->run = val;
+}
+std::ostream& operator<<(std::ostream& out, const LeavingEndpoint& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LeavingEndpoint::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          this->__isset.endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->run);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LeavingEndpoint::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LeavingEndpoint");
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->run);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LeavingEndpoint &a, LeavingEndpoint &b) {
+  using ::std::swap;
+  swap(a.endpoint, b.endpoint);
+  swap(a.run, b.run);
+  swap(a.__isset, b.__isset);
+}
+
+LeavingEndpoint::LeavingEndpoint(const LeavingEndpoint& other126) {
+  endpoint = other126.endpoint;
+  run = other126.run;
+  __isset = other126.__isset;
+}
+LeavingEndpoint& LeavingEndpoint::operator=(const LeavingEndpoint& other127) {
+  endpoint = other127.endpoint;
+  run = other127.run;
+  __isset = other127.__isset;
+  return *this;
+}
+void LeavingEndpoint::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LeavingEndpoint(";
+  out << "endpoint=" << to_string(endpoint);
+  out << ", " << "run=" << to_string(run);
+  out << ")";
+}
+
+
+EndpointStatement::~EndpointStatement() noexcept {
+}
+
+
+void EndpointStatement::__set_leaving(const std::vector<LeavingEndpoint> & val) {
+  this->leaving = val;
+}
+std::ostream& operator<<(std::ostream& out, const EndpointStatement& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EndpointStatement::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->leaving.clear();
+            uint32_t _size128;
+            ::apache::thrift::protocol::TType _etype131;
+            xfer += iprot->readListBegin(_etype131, _size128);
+            this->leaving.resize(_size128);
+            uint32_t _i132;
+            for (_i132 = 0; _i132 < _size128; ++_i132)
+            {
+              xfer += this->leaving[_i132].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EndpointStatement::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EndpointStatement");
+
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
+    std::vector<LeavingEndpoint> ::const_iterator _iter133;
+    for (_iter133 = this->leaving.begin(); _iter133 != this->leaving.end(); ++_iter133)
+    {
+      xfer += (*_iter133).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EndpointStatement &a, EndpointStatement &b) {
+  using ::std::swap;
+  swap(a.leaving, b.leaving);
+  swap(a.__isset, b.__isset);
+}
+
+EndpointStatement::EndpointStatement(const EndpointStatement& other134) {
+  leaving = other134.leaving;
+  __isset = other134.__isset;
+}
+EndpointStatement& EndpointStatement::operator=(const EndpointStatement& other135) {
+  leaving = other135.leaving;
+  __isset = other135.__isset;
+  return *this;
+}
+void EndpointStatement::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EndpointStatement(";
+  out << "leaving=" << to_string(leaving);
+  out << ")";
+}
+
+
+LossReport::~LossReport() noexcept {
+}
+
+
+void LossReport::__set_fingerprint(const int64_t val) {
+  this->fingerprint = val;
+}
+
+void LossReport::__set_gateway(const std::string& val) {
+  this->gateway = val;
+}
+
+void LossReport::__set_call(const int64_t val) {
+  this->call = val;
+}
+
+void LossReport::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void LossReport::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
+}
+
+void LossReport::__set_sent(const int64_t val) {
+  this->sent = val;
+}
+
+void LossReport::__set_lost(const int64_t val) {
+  this->lost = val;
+}
+
+void LossReport::__set_idempotent(const bool val) {
+  this->idempotent = val;
+}
+std::ostream& operator<<(std::ostream& out, const LossReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LossReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fingerprint);
+          this->__isset.fingerprint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->gateway);
+          this->__isset.gateway = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->call);
+          this->__isset.call = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          this->__isset.service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          this->__isset.endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sent);
+          this->__isset.sent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lost);
+          this->__isset.lost = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->idempotent);
+          this->__isset.idempotent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LossReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LossReport");
+
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->fingerprint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("gateway", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->gateway);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("call", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->call);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sent", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->sent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lost", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->lost);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("idempotent", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->idempotent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LossReport &a, LossReport &b) {
+  using ::std::swap;
+  swap(a.fingerprint, b.fingerprint);
+  swap(a.gateway, b.gateway);
+  swap(a.call, b.call);
+  swap(a.service_name, b.service_name);
+  swap(a.endpoint, b.endpoint);
+  swap(a.sent, b.sent);
+  swap(a.lost, b.lost);
+  swap(a.idempotent, b.idempotent);
+  swap(a.__isset, b.__isset);
+}
+
+LossReport::LossReport(const LossReport& other136) {
+  fingerprint = other136.fingerprint;
+  gateway = other136.gateway;
+  call = other136.call;
+  service_name = other136.service_name;
+  endpoint = other136.endpoint;
+  sent = other136.sent;
+  lost = other136.lost;
+  idempotent = other136.idempotent;
+  __isset = other136.__isset;
+}
+LossReport& LossReport::operator=(const LossReport& other137) {
+  fingerprint = other137.fingerprint;
+  gateway = other137.gateway;
+  call = other137.call;
+  service_name = other137.service_name;
+  endpoint = other137.endpoint;
+  sent = other137.sent;
+  lost = other137.lost;
+  idempotent = other137.idempotent;
+  __isset = other137.__isset;
+  return *this;
+}
+void LossReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LossReport(";
+  out << "fingerprint=" << to_string(fingerprint);
+  out << ", " << "gateway=" << to_string(gateway);
+  out << ", " << "call=" << to_string(call);
+  out << ", " << "service_name=" << to_string(service_name);
+  out << ", " << "endpoint=" << to_string(endpoint);
+  out << ", " << "sent=" << to_string(sent);
+  out << ", " << "lost=" << to_string(lost);
+  out << ", " << "idempotent=" << to_string(idempotent);
+  out << ")";
+}
+
+
+BlockReport::~BlockReport() noexcept {
+}
+
+
+void BlockReport::__set_fingerprint(const int64_t val) {
+  this->fingerprint = val;
+}
+
+void BlockReport::__set_since(const int64_t val) {
+  this->since = val;
+}
+std::ostream& operator<<(std::ostream& out, const BlockReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t BlockReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fingerprint);
+          this->__isset.fingerprint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->since);
+          this->__isset.since = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t BlockReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("BlockReport");
+
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->fingerprint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("since", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->since);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(BlockReport &a, BlockReport &b) {
+  using ::std::swap;
+  swap(a.fingerprint, b.fingerprint);
+  swap(a.since, b.since);
+  swap(a.__isset, b.__isset);
+}
+
+BlockReport::BlockReport(const BlockReport& other138) noexcept {
+  fingerprint = other138.fingerprint;
+  since = other138.since;
+  __isset = other138.__isset;
+}
+BlockReport& BlockReport::operator=(const BlockReport& other139) noexcept {
+  fingerprint = other139.fingerprint;
+  since = other139.since;
+  __isset = other139.__isset;
+  return *this;
+}
+void BlockReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "BlockReport(";
+  out << "fingerprint=" << to_string(fingerprint);
+  out << ", " << "since=" << to_string(since);
+  out << ")";
+}
+
+
+CrashEvidence::~CrashEvidence() noexcept {
+}
+
+
+void CrashEvidence::__set_losses(const std::vector<LossReport> & val) {
+  this->losses = val;
+}
+
+void CrashEvidence::__set_answered(const std::vector<int64_t> & val) {
+  this->answered = val;
+}
+
+void CrashEvidence::__set_blocked(const std::vector<BlockReport> & val) {
+  this->blocked = val;
+}
+
+void CrashEvidence::__set_told(const int64_t val) {
+  this->told = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashEvidence& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashEvidence::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->losses.clear();
+            uint32_t _size140;
+            ::apache::thrift::protocol::TType _etype143;
+            xfer += iprot->readListBegin(_etype143, _size140);
+            this->losses.resize(_size140);
+            uint32_t _i144;
+            for (_i144 = 0; _i144 < _size140; ++_i144)
+            {
+              xfer += this->losses[_i144].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.losses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->answered.clear();
+            uint32_t _size145;
+            ::apache::thrift::protocol::TType _etype148;
+            xfer += iprot->readListBegin(_etype148, _size145);
+            this->answered.resize(_size145);
+            uint32_t _i149;
+            for (_i149 = 0; _i149 < _size145; ++_i149)
+            {
+              xfer += iprot->readI64(this->answered[_i149]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.answered = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->blocked.clear();
+            uint32_t _size150;
+            ::apache::thrift::protocol::TType _etype153;
+            xfer += iprot->readListBegin(_etype153, _size150);
+            this->blocked.resize(_size150);
+            uint32_t _i154;
+            for (_i154 = 0; _i154 < _size150; ++_i154)
+            {
+              xfer += this->blocked[_i154].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.blocked = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->told);
+          this->__isset.told = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashEvidence::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashEvidence");
+
+  xfer += oprot->writeFieldBegin("losses", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->losses.size()));
+    std::vector<LossReport> ::const_iterator _iter155;
+    for (_iter155 = this->losses.begin(); _iter155 != this->losses.end(); ++_iter155)
+    {
+      xfer += (*_iter155).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answered", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->answered.size()));
+    std::vector<int64_t> ::const_iterator _iter156;
+    for (_iter156 = this->answered.begin(); _iter156 != this->answered.end(); ++_iter156)
+    {
+      xfer += oprot->writeI64((*_iter156));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("blocked", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->blocked.size()));
+    std::vector<BlockReport> ::const_iterator _iter157;
+    for (_iter157 = this->blocked.begin(); _iter157 != this->blocked.end(); ++_iter157)
+    {
+      xfer += (*_iter157).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("told", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->told);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashEvidence &a, CrashEvidence &b) {
+  using ::std::swap;
+  swap(a.losses, b.losses);
+  swap(a.answered, b.answered);
+  swap(a.blocked, b.blocked);
+  swap(a.told, b.told);
+  swap(a.__isset, b.__isset);
+}
+
+CrashEvidence::CrashEvidence(const CrashEvidence& other158) {
+  losses = other158.losses;
+  answered = other158.answered;
+  blocked = other158.blocked;
+  told = other158.told;
+  __isset = other158.__isset;
+}
+CrashEvidence& CrashEvidence::operator=(const CrashEvidence& other159) {
+  losses = other159.losses;
+  answered = other159.answered;
+  blocked = other159.blocked;
+  told = other159.told;
+  __isset = other159.__isset;
+  return *this;
+}
+void CrashEvidence::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashEvidence(";
+  out << "losses=" << to_string(losses);
+  out << ", " << "answered=" << to_string(answered);
+  out << ", " << "blocked=" << to_string(blocked);
+  out << ", " << "told=" << to_string(told);
+  out << ")";
+}
+
+
 OperatorRequest::~OperatorRequest() noexcept {
 }
 
@@ -5482,19 +6262,19 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorRequest::OperatorRequest(const OperatorRequest& other126) {
-  id = other126.id;
-  command = other126.command;
-  body = other126.body;
-  timeout = other126.timeout;
-  __isset = other126.__isset;
+OperatorRequest::OperatorRequest(const OperatorRequest& other160) {
+  id = other160.id;
+  command = other160.command;
+  body = other160.body;
+  timeout = other160.timeout;
+  __isset = other160.__isset;
 }
-OperatorRequest& OperatorRequest::operator=(const OperatorRequest& other127) {
-  id = other127.id;
-  command = other127.command;
-  body = other127.body;
-  timeout = other127.timeout;
-  __isset = other127.__isset;
+OperatorRequest& OperatorRequest::operator=(const OperatorRequest& other161) {
+  id = other161.id;
+  command = other161.command;
+  body = other161.body;
+  timeout = other161.timeout;
+  __isset = other161.__isset;
   return *this;
 }
 void OperatorRequest::printTo(std::ostream& out) const {
@@ -5617,17 +6397,17 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorReply::OperatorReply(const OperatorReply& other128) {
-  id = other128.id;
-  status = other128.status;
-  body = other128.body;
-  __isset = other128.__isset;
+OperatorReply::OperatorReply(const OperatorReply& other162) {
+  id = other162.id;
+  status = other162.status;
+  body = other162.body;
+  __isset = other162.__isset;
 }
-OperatorReply& OperatorReply::operator=(const OperatorReply& other129) {
-  id = other129.id;
-  status = other129.status;
-  body = other129.body;
-  __isset = other129.__isset;
+OperatorReply& OperatorReply::operator=(const OperatorReply& other163) {
+  id = other163.id;
+  status = other163.status;
+  body = other163.body;
+  __isset = other163.__isset;
   return *this;
 }
 void OperatorReply::printTo(std::ostream& out) const {
@@ -5733,6 +6513,16 @@
   this->rollout_notice = val;
 __isset.rollout_notice = true;
 }
+
+void Body::__set_endpoint_statement(const EndpointStatement& val) {
+  this->endpoint_statement = val;
+__isset.endpoint_statement = true;
+}
+
+void Body::__set_crash_evidence(const CrashEvidence& val) {
+  this->crash_evidence = val;
+__isset.crash_evidence = true;
+}
 std::ostream& operator<<(std::ostream& out, const Body& obj)
 {
   obj.printTo(out);
@@ -5905,6 +6695,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->endpoint_statement.read(iprot);
+          this->__isset.endpoint_statement = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->crash_evidence.read(iprot);
+          this->__isset.crash_evidence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5992,6 +6798,16 @@
     xfer += this->permit_reply.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.endpoint_statement) {
+    xfer += oprot->writeFieldBegin("endpoint_statement", ::apache::thrift::protocol::T_STRUCT, 15);
+    xfer += this->endpoint_statement.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.crash_evidence) {
+    xfer += oprot->writeFieldBegin("crash_evidence", ::apache::thrift::protocol::T_STRUCT, 16);
+    xfer += this->crash_evidence.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   if (this->__isset.quota_request) {
     xfer += oprot->writeFieldBegin("quota_request", ::apache::thrift::protocol::T_STRUCT, 17);
     xfer += this->quota_request.write(oprot);
@@ -6037,50 +6853,56 @@
   swap(a.quota_grant, b.quota_grant);
   swap(a.version_evidence, b.version_evidence);
   swap(a.rollout_notice, b.rollout_notice);
+  swap(a.endpoint_statement, b.endpoint_statement);
+  swap(a.crash_evidence, b.crash_evidence);
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other130) {
-  heartbeat = other130.heartbeat;
-  slot_request = other130.slot_request;
-  slot_grant = other130.slot_grant;
-  endpoint_notice = other130.endpoint_notice;
-  crash_notice = other130.crash_notice;
-  config_entries = other130.config_entries;
-  config_fetch = other130.config_fetch;
-  unrecorded_zone = other130.unrecorded_zone;
-  operator_request = other130.operator_request;
-  operator_reply = other130.operator_reply;
-  table_news = other130.table_news;
-  table_fetch = other130.table_fetch;
-  permit_request = other130.permit_request;
-  permit_reply = other130.permit_reply;
-  quota_request = other130.quota_request;
-  quota_grant = other130.quota_grant;
-  version_evidence = other130.version_evidence;
-  rollout_notice = other130.rollout_notice;
-  __isset = other130.__isset;
-}
-Body& Body::operator=(const Body& other131) {
-  heartbeat = other131.heartbeat;
-  slot_request = other131.slot_request;
-  slot_grant = other131.slot_grant;
-  endpoint_notice = other131.endpoint_notice;
-  crash_notice = other131.crash_notice;
-  config_entries = other131.config_entries;
-  config_fetch = other131.config_fetch;
-  unrecorded_zone = other131.unrecorded_zone;
-  operator_request = other131.operator_request;
-  operator_reply = other131.operator_reply;
-  table_news = other131.table_news;
-  table_fetch = other131.table_fetch;
-  permit_request = other131.permit_request;
-  permit_reply = other131.permit_reply;
-  quota_request = other131.quota_request;
-  quota_grant = other131.quota_grant;
-  version_evidence = other131.version_evidence;
-  rollout_notice = other131.rollout_notice;
-  __isset = other131.__isset;
+Body::Body(const Body& other164) {
+  heartbeat = other164.heartbeat;
+  slot_request = other164.slot_request;
+  slot_grant = other164.slot_grant;
+  endpoint_notice = other164.endpoint_notice;
+  crash_notice = other164.crash_notice;
+  config_entries = other164.config_entries;
+  config_fetch = other164.config_fetch;
+  unrecorded_zone = other164.unrecorded_zone;
+  operator_request = other164.operator_request;
+  operator_reply = other164.operator_reply;
+  table_news = other164.table_news;
+  table_fetch = other164.table_fetch;
+  permit_request = other164.permit_request;
+  permit_reply = other164.permit_reply;
+  quota_request = other164.quota_request;
+  quota_grant = other164.quota_grant;
+  version_evidence = other164.version_evidence;
+  rollout_notice = other164.rollout_notice;
+  endpoint_statement = other164.endpoint_statement;
+  crash_evidence = other164.crash_evidence;
+  __isset = other164.__isset;
+}
+Body& Body::operator=(const Body& other165) {
+  heartbeat = other165.heartbeat;
+  slot_request = other165.slot_request;
+  slot_grant = other165.slot_grant;
+  endpoint_notice = other165.endpoint_notice;
+  crash_notice = other165.crash_notice;
+  config_entries = other165.config_entries;
+  config_fetch = other165.config_fetch;
+  unrecorded_zone = other165.unrecorded_zone;
+  operator_request = other165.operator_request;
+  operator_reply = other165.operator_reply;
+  table_news = other165.table_news;
+  table_fetch = other165.table_fetch;
+  permit_request = other165.permit_request;
+  permit_reply = other165.permit_reply;
+  quota_request = other165.quota_request;
+  quota_grant = other165.quota_grant;
+  version_evidence = other165.version_evidence;
+  rollout_notice = other165.rollout_notice;
+  endpoint_statement = other165.endpoint_statement;
+  crash_evidence = other165.crash_evidence;
+  __isset = other165.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -6104,6 +6926,8 @@
   out << ", " << "quota_grant="; (__isset.quota_grant ? (out << to_string(quota_grant)) : (out << "<null>"));
   out << ", " << "version_evidence="; (__isset.version_evidence ? (out << to_string(version_evidence)) : (out << "<null>"));
   out << ", " << "rollout_notice="; (__isset.rollout_notice ? (out << to_string(rollout_notice)) : (out << "<null>"));
+  out << ", " << "endpoint_statement="; (__isset.endpoint_statement ? (out << to_string(endpoint_statement)) : (out << "<null>"));
+  out << ", " << "crash_evidence="; (__isset.crash_evidence ? (out << to_string(crash_evidence)) : (out << "<null>"));
   out << ")";
 }
 
@@ -6251,21 +7075,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other132) {
-  key = other132.key;
-  sender = other132.sender;
-  incarnation = other132.incarnation;
-  stamp = other132.stamp;
-  body = other132.body;
-  __isset = other132.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other133) {
-  key = other133.key;
-  sender = other133.sender;
-  incarnation = other133.incarnation;
-  stamp = other133.stamp;
-  body = other133.body;
-  __isset = other133.__isset;
+Envelope::Envelope(const Envelope& other166) {
+  key = other166.key;
+  sender = other166.sender;
+  incarnation = other166.incarnation;
+  stamp = other166.stamp;
+  body = other166.body;
+  __isset = other166.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other167) {
+  key = other167.key;
+  sender = other167.sender;
+  incarnation = other167.incarnation;
+  stamp = other167.stamp;
+  body = other167.body;
+  __isset = other167.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
