--- a/cluster/node_rollouts.cc
+++ b/cluster/node_rollouts.cc
@@ -136,11 +136,4 @@
   }
 }
 
-void Node::SendToAllZones(Now now, const PeerBody& body, NodeActions* actions) {
-  SendToAll(now, body, actions);
-  for (const GatewayId& id : zone_contacts_.gateways()) {
-    SendTo(now, id, body, actions);
-  }
-}
-
 }  // namespace jd
