--- a/tests/quota_network.h
+++ b/tests/quota_network.h
@@ -44,7 +44,6 @@
     GatewayId id;
     size_t zone = 0;
     std::unique_ptr<NodeQuotas> quotas;
-    bool listed = true;
     bool alive = true;
     MonoTime paused_until;
     int side = 0;  ///< Gateways of different sides do not reach each other.
@@ -77,7 +76,7 @@
   void Restart(size_t i) {
     Gateway& gateway = nodes[i];
     gateway.alive = true;
-    gateway.next_timer.reset();
+    SetTimer(i, std::nullopt);
     gateway.quotas = std::make_unique<NodeQuotas>(gateway.id, random());
     gateway.quotas->SetConfiguration(configuration);
   }
@@ -98,23 +97,29 @@
   }
   /// Tells each gateway the members that it would know by now.
   void UpdateMembers() {
-    const auto listed = static_cast<size_t>(std::count_if(
-        nodes.begin(), nodes.end(), [](const Gateway& gateway) { return gateway.listed; }));
+    std::map<std::pair<size_t, int>, std::vector<GatewayId>> heard;  // By zone and side.
+    std::vector<std::vector<GatewayId>> listed(zones_);
+    for (const Gateway& gateway : nodes) {
+      listed[gateway.zone].push_back(gateway.id);
+      if (gateway.alive) {
+        heard[{gateway.zone, gateway.side}].push_back(gateway.id);
+      }
+    }
+    for (auto& [group, issuers] : heard) {
+      std::sort(issuers.begin(), issuers.end());
+    }
     for (Gateway& gateway : nodes) {
       if (!gateway.alive) {
         continue;
       }
       NodeQuotas::Members members;
-      members.listed = listed;
-      for (const Gateway& other : nodes) {
-        if (other.zone == gateway.zone && Reaches(gateway, other)) {
-          members.issuers.push_back(other.id);
-        }
-      }
-      std::sort(members.issuers.begin(), members.issuers.end());
+      members.listed = nodes.size();
+      members.issuers = heard.at({gateway.zone, gateway.side});
       for (size_t zone = 0; zone < zones_; ++zone) {
+        // Any listed gateway of the zone, whether it is up or not.
+        const auto any = std::uniform_int_distribution<size_t>(0, listed[zone].size() - 1)(random);
         if (zone != gateway.zone) {
-          members.contacts.push_back(ContactOf(zone));
+          members.contacts.push_back(listed[zone][any]);
         }
       }
       gateway.quotas->SetMembers(now, std::move(members));
@@ -157,10 +162,14 @@
       messages_.erase(messages_.begin());
       Deliver(message);
     }
-    for (size_t i = 0; i < nodes.size(); ++i) {
+    while (!timers_.empty() && timers_.begin()->first <= now) {
+      const size_t i = timers_.begin()->second;
       Gateway& gateway = nodes[i];
-      if (gateway.alive && gateway.paused_until <= now && gateway.next_timer &&
-          *gateway.next_timer <= now) {
+      if (gateway.paused_until > now) {
+        SetTimer(i, gateway.paused_until);
+      } else if (!gateway.alive) {
+        SetTimer(i, std::nullopt);
+      } else {
         gateway.quotas->OnTimer(now);
         Flush(i);
       }
@@ -202,19 +211,18 @@
   std::vector<Duration> retry_afters;
 
  private:
+  void SetTimer(size_t i, std::optional<MonoTime> time) {
+    if (nodes[i].next_timer) {
+      timers_.erase({*nodes[i].next_timer, i});
+    }
+    nodes[i].next_timer = time;
+    if (time) {
+      timers_.emplace(*time, i);
+    }
+  }
   bool Reaches(const Gateway& a, const Gateway& b) const {
     return a.alive && b.alive && a.side == b.side;
   }
-  // Any listed gateway of the zone, whether it is up or not.
-  GatewayId ContactOf(size_t zone) {
-    std::vector<GatewayId> listed;
-    for (const Gateway& gateway : nodes) {
-      if (gateway.zone == zone) {
-        listed.push_back(gateway.id);
-      }
-    }
-    return listed.at(std::uniform_int_distribution<size_t>(0, listed.size() - 1)(random));
-  }
   void Send(Gateway* gateway, CallId call) {
     gateway->quotas->OnAttemptStarted(now, call, AttemptId(call.value));
     gateway->quotas->OnAttemptEnded(now, AttemptId(call.value), true);
@@ -235,7 +243,11 @@
     for (NodeQuotas::Message& message : output.messages) {
       Post(i, std::move(message));
     }
-    gateway.next_timer = gateway.quotas->next_timer();
+    std::optional<MonoTime> next = gateway.quotas->next_timer();
+    if (next) {
+      next = std::max(*next, now + kTick);
+    }
+    SetTimer(i, next);
   }
   void Post(size_t from, NodeQuotas::Message message) {
     const auto to = index_.find(message.to);
@@ -274,6 +286,7 @@
   std::map<WorkspaceId, std::optional<Quota>> quotas_;
   std::multimap<MonoTime, Message> messages_;
   std::map<CallId, WorkspaceId> workspaces_;
+  std::set<std::pair<MonoTime, size_t>> timers_;
   uint64_t last_call_ = 0;
   MonoTime next_members_update_;
 
