Keep using permits under overload, and probe for waiting calls fully without a limit

endpoint_limit_test failed with 3 gateways: of 100 permits a second 87 were used (1,750 of 2,000), because calls that would be late were not sent while others lacked room. That rule no longer holds for endpoints that name a limit.

--- a/policy/fresh_load.cc
+++ b/policy/fresh_load.cc
@@ -68,9 +68,9 @@
     const double jitter = std::uniform_real_distribution<double>(0, 0.2)(random);
     ranked.push_back({ProbeRank(now, *record) + jitter, &endpoint});
   }
-  const size_t most = request.waiting ? kProbesPerWaitingCall
-                      : stage == 0    ? kProbesPerCall
-                                      : kRemoteProbesPerCall;
+  const size_t most_now = stage == 0 ? kProbesPerCall : kRemoteProbesPerCall;
+  const bool spread = request.waiting && probe_rate_ > 0;
+  const size_t most = spread ? kProbesPerWaitingCall : most_now;
   const size_t wanted = std::min(most, ranked.size());
   // A call is never sent to an endpoint whose load is unknown, so a new call has one probe at
   // least.
@@ -363,7 +363,8 @@
       now + request.usual_service_time < request.target_time) {
     return false;
   }
-  if (!meets_target && request.yields) {
+  // What an endpoint with a limit lacks is permits, not slots.
+  if (!meets_target && request.yields && !record.report.limit.rate) {
     return false;
   }
   // Calls that are expected to miss their target time may not use the last useful slot, because
