Refuse a call without a permit anywhere at once

permit_waits_test failed: a call that no endpoint with a limit had a permit for waited for room, and so did calls that found no endpoint to probe. They are refused at once again.

--- a/policy/call.h
+++ b/policy/call.h
@@ -42,8 +42,9 @@
   int32_t attempts = 0;   ///< Number of attempts sent.
   bool hedged = false;
   bool queued = false;
-  bool waited = false;     ///< The call has found no room and waited for it.
-  bool came_back = false;  ///< The caller has been refused before.
+  bool waited = false;          ///< The call has found no room and waited for it.
+  bool permit_refused = false;  ///< An endpoint with a limit had no permit for the call.
+  bool came_back = false;       ///< The caller has been refused before.
   /// While the call waits for a free slot: the latest time at which it can be sent and still be
   /// answered by its target time.
   std::optional<MonoTime> latest_start;
--- a/policy/dispatcher.h
+++ b/policy/dispatcher.h
@@ -299,13 +299,18 @@
     call_manager_.DequeueForProbing(now, call);
     const AcquireRequest request = MakeAcquireRequest(now, *call);
     std::vector<EndpointId> candidates;
+    const bool none_probed = call->probe_stage == 0 && !call->waited;
     for (; call->probe_stage < kProbeStages && candidates.empty(); ++call->probe_stage) {
       candidates = policy_->ChooseProbeTargets(now, request, call->probe_stage, random_);
     }
     if (candidates.empty()) {
       // Every candidate has been probed, so decide with the results so far.
       if (!SendToProbedEndpoint(now, call, true, actions)) {
-        HandleNoRoom(now, call, actions);
+        if (none_probed) {
+          call_manager_.HandleNoProbedCapacity(now, call, random_, actions);
+        } else {
+          HandleNoRoom(now, call, actions);
+        }
       }
       return;
     }
--- a/policy/dispatcher_permits.h
+++ b/policy/dispatcher_permits.h
@@ -62,10 +62,11 @@
   if constexpr (ProbingPolicy<Policy>) {
     policy_->OnPermitRefused(wait.endpoint, now + retry_after);
   }
-  const Call* call = call_manager_.Find(wait.call);
+  Call* call = call_manager_.Find(wait.call);
   if (call == nullptr) {
     return;
   }
+  call->permit_refused = true;
   Event event;
   event.kind = EventKind::kPermitRefused;
   event.request = call->request.request_id;
--- a/policy/dispatcher_waiting.h
+++ b/policy/dispatcher_waiting.h
@@ -21,7 +21,8 @@
 template <RoutingPolicy Policy>
 void Dispatcher<Policy>::HandleNoRoom(MonoTime now, Call* call, CallActions* actions) {
   const ServiceId service = call->request.service;
-  if (!call_manager_.WaitForRoom(now, call)) {
+  // A slot that gets free does not help a call that lacks a permit.
+  if (call->permit_refused || !call_manager_.WaitForRoom(now, call)) {
     call_manager_.HandleNoProbedCapacity(now, call, random_, actions);
     return;
   }
