--- a/policy/dispatcher.h
+++ b/policy/dispatcher.h
@@ -345,6 +345,7 @@
     call_manager_.DequeueForProbing(now, call);
     const AcquireRequest request = MakeAcquireRequest(now, *call);
     std::vector<EndpointId> candidates;
+    const bool none_probed = call->probe_stage == 0 && !call->waited;
     for (; call->probe_stage < kProbeStages && candidates.empty(); ++call->probe_stage) {
       candidates = policy_->ChooseProbeTargets(now, request, call->probe_stage, random_);
     }
@@ -359,6 +360,8 @@
         call->probe_stage = 0;
         rollout_gate_.OnNoRoom(call->request.service);
         ProbeCandidates(now, call, actions);
+      } else if (none_probed) {
+        call_manager_.HandleNoProbedCapacity(now, call, random_, actions);
       } else {
         HandleNoRoom(now, call, actions);
       }
