--- a/gateway/caller_server.cc
+++ b/gateway/caller_server.cc
@@ -61,13 +61,16 @@
   return RequestId(text.data());
 }
 
-// Returns the response to a request that was not passed on.
-HttpResponse RefusalResponse(int status, const Refusal& refusal, std::string_view reason) {
+// Returns the response of the gateway itself to a request that it refuses.
+HttpResponse RefusalResponse(int status,
+                             Verdict verdict,
+                             std::string_view reason,
+                             const std::string& message) {
   HttpResponse response;
   response.status = status;
-  SetJsonBody(&response, {{"verdict", std::string(VerdictName(refusal.verdict))},
+  SetJsonBody(&response, {{"verdict", std::string(VerdictName(verdict))},
                           {"refusal", std::string(reason)},
-                          {"message", refusal.text}});
+                          {"message", message}});
   return response;
 }
 
@@ -267,8 +270,7 @@
 }
 
 void CallerServer::Reject(CallerConnection* connection, int status, const std::string& error) {
-  HttpResponse response = RefusalResponse(
-      status, {RefusalReason::kOverload, Verdict::kNotRun, Duration(0), error}, "bad-request");
+  HttpResponse response = RefusalResponse(status, Verdict::kNotRun, "bad-request", error);
   response.headers.emplace_back("x-verdict", "not-run");
   response.headers.emplace_back("x-refusal", "bad-request");
   rejected_.emit(status);
@@ -283,8 +285,8 @@
                                   " all_bytes=" + std::to_string(memory_.used_bytes()));
   const Refusal refusal = {RefusalReason::kOverload, Verdict::kNotRun, kRetryAfterMemory,
                            "The requests of all callers take too much memory."};
-  HttpResponse response =
-      RefusalResponse(kServiceUnavailable, refusal, RefusalReasonName(refusal.reason));
+  HttpResponse response = RefusalResponse(kServiceUnavailable, refusal.verdict,
+                                          RefusalReasonName(refusal.reason), refusal.text);
   dialect_->AddRefusalHeaders(refusal, &response.headers);
   rejected_.emit(kServiceUnavailable);
   EndWith(connection, std::move(response));
@@ -383,8 +385,8 @@
 }
 
 void CallerServer::Refuse(CallId call, const RequestId& request_id, const Refusal& refusal) {
-  HttpResponse response =
-      RefusalResponse(dialect_->StatusOf(refusal), refusal, RefusalReasonName(refusal.reason));
+  HttpResponse response = RefusalResponse(dialect_->StatusOf(refusal), refusal.verdict,
+                                          RefusalReasonName(refusal.reason), refusal.text);
   dialect_->AddRefusalHeaders(refusal, &response.headers);
   response.headers.emplace_back(dialect_->request_id_header(), request_id.value);
   SetResponse(call, std::move(response));
