--- a/tests/node_statements_test.cc
+++ b/tests/node_statements_test.cc
@@ -89,9 +89,7 @@
     request.fingerprint = Fingerprint(id);
     node.OnCall(now, request, &actions);
   }
-  void AnswerProbe(const EndpointId& endpoint,
-                   const UpstreamStatement& statement = {},
-                   std::optional<CallRate> limit = std::nullopt) {
+  void AnswerProbe(const EndpointId& endpoint, const UpstreamStatement& statement = {}) {
     ProbeResult result;
     result.endpoint = endpoint;
     result.answered = true;
@@ -99,7 +97,6 @@
     result.report = LoadReport();
     result.report->slots = 4;
     result.report->instance = InstanceId(endpoint.value);
-    result.report->limit.rate = limit;
     result.statement = statement;
     node.OnProbeResult(now, result, &actions);
   }
@@ -197,31 +194,6 @@
   CHECK(fixture.Receivers<EndpointStatement>().size() == 2);
 }
 
-TEST_CASE("a permit that arrives after an endpoint has said that it leaves is not used",
-          "[node_statements_test]") {
-  // Guards against a path to an endpoint that passes by the choice of endpoints.
-  Fixture fixture;
-  for (uint64_t id = 1; id <= 2; ++id) {
-    fixture.Call(id);
-    fixture.AnswerProbe(kEndpoint, {}, CallRate{2});
-  }
-  CHECK(fixture.Take<SendAttempt>().empty());
-  fixture.node.OnPeerMessage(
-      fixture.now,
-      {GatewayId("g2"), Incarnation(1), {}, EndpointStatement{{{kEndpoint, Incarnation(5)}}}},
-      &fixture.actions);
-  for (uint64_t id = 1; id <= 2; ++id) {
-    fixture.node.OnPeerMessage(
-        fixture.now,
-        {GatewayId("g2"),
-         Incarnation(1),
-         {},
-         PermitReply{CallId(id), kEndpoint, PermitDecision{true, Duration(0)}}},
-        &fixture.actions);
-  }
-  CHECK(fixture.Take<SendAttempt>().empty());
-}
-
 TEST_CASE("a peer's statement is applied and not told again", "[node_statements_test]") {
   Fixture fixture;
   fixture.node.OnPeerMessage(
