Tell a gateway that has started what leaves and what crashes, without being asked

Cause: a gateway that reads its tables from the store asks no peer, so it was not told. Three peers, by rendezvous hashing over those that are heard, send what they know when they hear the first heartbeat of the process.

--- a/cluster/node.h
+++ b/cluster/node.h
@@ -158,6 +158,11 @@
                   const EndpointId& endpoint,
                   const HeldEndpoint& held,
                   NodeActions* actions);
+  /// Returns whether a heartbeat of this process of a peer has been received.
+  bool HasHeard(const GatewayId& peer, Incarnation incarnation) const;
+  /// Returns whether this gateway is among the few that tell a peer that has just started what it
+  /// cannot read from the store.
+  bool InformsNewProcess(const GatewayId& peer) const;
   /// Tells a gateway that has just started what this one knows of endpoints that leave and of
   /// requests that crash upstreams.
   void SendStateTo(Now now, const GatewayId& peer, NodeActions* actions);
--- a/cluster/node_effects.cc
+++ b/cluster/node_effects.cc
@@ -84,8 +84,12 @@
   const GatewayId& from = message.from;
   if (const auto* heartbeat = std::get_if<Heartbeat>(&message.body)) {
     MembershipOutput members;
+    const bool is_new_process = !HasHeard(from, message.incarnation);
     membership_.OnHeartbeat(now.mono, from, message.incarnation, *heartbeat, &members);
     ApplyMembershipOutput(now, members, actions);
+    if (is_new_process && InformsNewProcess(from)) {
+      SendStateTo(now, from, actions);
+    }
     config_.OnPeerVersion(now, from, heartbeat->version, &output);
   } else if (const auto* request = std::get_if<SlotRequest>(&message.body)) {
     slots_.OnRequest(now.mono, from, message.incarnation, *request);
--- a/cluster/node_statements.cc
+++ b/cluster/node_statements.cc
@@ -4,8 +4,16 @@
 #include <utility>
 
 #include "cluster/node.h"
+#include "cluster/ownership.h"
 
 namespace jd {
+namespace {
+
+/// Number of peers that tell a gateway that has just started what they know; one of them may have
+/// just started too.
+constexpr int kInformants = 3;
+
+}  // namespace
 
 void Node::OnUpstreamStatement(Now now,
                                const EndpointId& endpoint,
@@ -116,6 +124,28 @@
   return evidence;
 }
 
+bool Node::HasHeard(const GatewayId& peer, Incarnation incarnation) const {
+  const auto member = membership_.members().find(peer);
+  return member != membership_.members().end() && member->second.incarnation == incarnation;
+}
+
+bool Node::InformsNewProcess(const GatewayId& peer) const {
+  std::vector<GatewayId> candidates{settings_.id};
+  for (const auto& [id, member] : membership_.members()) {
+    if (id != peer && id != settings_.id && member.state == MemberState::kLive) {
+      candidates.push_back(id);
+    }
+  }
+  for (int i = 0; i < kInformants && !candidates.empty(); ++i) {
+    const GatewayId informant = OwnerOf(PoolId(peer.value), candidates);
+    if (informant == settings_.id) {
+      return true;
+    }
+    std::erase(candidates, informant);
+  }
+  return false;
+}
+
 void Node::SendStateTo(Now now, const GatewayId& peer, NodeActions* actions) {
   std::vector<LeavingEndpoint> leaving = statements_.leaving();
   if (!leaving.empty()) {
--- a/tests/node_statements_test.cc
+++ b/tests/node_statements_test.cc
@@ -282,6 +282,28 @@
   CHECK(fixture.Take<ServeTableFetch>().size() == 1);
 }
 
+TEST_CASE("a peer that has started again is told once without asking", "[node_statements_test]") {
+  // Guards against a gateway that reads its tables from the store and so asks no peer: it would
+  // use an endpoint that leaves, and let a crashing request through.
+  Fixture fixture;
+  fixture.AnswerProbe(kEndpoint, Leaving());
+  fixture.TakeMessages();
+  const auto hear = [&](uint64_t incarnation) {
+    Heartbeat heartbeat;
+    heartbeat.zone = ZoneId("z");
+    heartbeat.address = "10.0.0.2";
+    heartbeat.peer_port = 1;
+    heartbeat.sent = fixture.now.mono;
+    fixture.now.mono += 10ms;
+    fixture.node.OnPeerMessage(
+        fixture.now, {GatewayId("g2"), Incarnation(incarnation), {}, heartbeat}, &fixture.actions);
+    return fixture.Receivers<EndpointStatement>();
+  };
+  CHECK(hear(7) == std::vector<std::string>{"g2"});
+  CHECK(hear(7).empty());
+  CHECK(hear(8) == std::vector<std::string>{"g2"});
+}
+
 TEST_CASE("a lost connection is told to the gateways of all zones", "[node_statements_test]") {
   Fixture fixture;
   fixture.EndAttempt(fixture.SendCall(1), AttemptOutcome::kConnectionLost, {});
