--- a/policy/call_manager_holds.cc
+++ b/policy/call_manager_holds.cc
@@ -15,12 +15,12 @@
 constexpr double kReturnSpreadShare = 0.5;
 constexpr Duration kMinReturnSpread = 200ms;
 constexpr Duration kMaxReturnSpread = 2s;
+constexpr int kPriorities = static_cast<int>(Priority::kHigh) + 1;
+constexpr int kRanks = kPriorities * kPriorities;
 
 // Returns the part of the spread within which callers of this rank return: the more urgent a call
 // is, the earlier its caller may come back.
 double SpreadPart(const CallRank& rank) {
-  constexpr int kPriorities = static_cast<int>(Priority::kHigh) + 1;
-  constexpr int kRanks = kPriorities * kPriorities;
   const int urgency =
       static_cast<int>(rank.workspace) * kPriorities + static_cast<int>(rank.profile);
   return static_cast<double>(kRanks - urgency) / kRanks;
