--- a/cluster/rollout.cc
+++ b/cluster/rollout.cc
@@ -161,7 +161,7 @@
   return ShareIn(phase_, self_.bounds);
 }
 
-void Rollout::Decide(MonoTime now, const RolloutSituation& situation, bool collects) {
+void Rollout::Decide(MonoTime now, const RolloutSituation& situation, bool acts) {
   evidence_.Advance(now);
   const RolloutCounts total = evidence_.total();
   const RolloutCounts latest = evidence_.latest();
@@ -171,7 +171,7 @@
   } else if (!only_new_since_) {
     only_new_since_ = now;
   }
-  if (bad_ || withdrawn_ || !collects) {
+  if (bad_ || withdrawn_ || !acts) {
     return;
   }
   if (only_new_since_ && now - *only_new_since_ >= kOnlyNewPeriod) {
@@ -299,14 +299,15 @@
   alone_ = situation.alone;
   const auto own = std::find(situation.collectors.begin(), situation.collectors.end(), self_.id);
   const bool collects = own != situation.collectors.end();
+  const bool acts = collects && order_.duration > Duration(0);
   if (!outcome_) {
-    Decide(now, situation, collects);
+    Decide(now, situation, acts);
     SendReports(now, situation, output);
     if (collects) {
       SendZoneSum(now, output);
     }
   }
-  if (collects) {
+  if (acts) {
     WriteStatus(now, situation, static_cast<int32_t>(own - situation.collectors.begin()), output);
   }
 }
--- a/cluster/rollout.h
+++ b/cluster/rollout.h
@@ -122,9 +122,9 @@
   bool finished() const { return outcome_ && recorded_ == outcome_; }
   bool Hears(MonoTime now) const;
   void RaisePhase(MonoTime now, RolloutPhase phase);
-  /// Decides from the evidence whether the version is bad, and as a collector whether the next
-  /// phase begins.
-  void Decide(MonoTime now, const RolloutSituation& situation, bool collects);
+  /// Decides from the evidence whether the version is bad, and whether the next phase begins.
+  /// @param acts whether this gateway is a collector that has read the order itself.
+  void Decide(MonoTime now, const RolloutSituation& situation, bool acts);
   void SendReports(MonoTime now, const RolloutSituation& situation, RolloutOutput* output);
   void SendZoneSum(MonoTime now, RolloutOutput* output);
   VersionEvidence MakeMessage(MonoTime now) const;
--- a/cluster/rollout_control.cc
+++ b/cluster/rollout_control.cc
@@ -57,7 +57,11 @@
                                 Incarnation incarnation,
                                 const VersionEvidence& evidence,
                                 RolloutOutput* output) {
-  const auto found = rollouts_.find(evidence.rollout.service);
+  const RolloutId& id = evidence.rollout;
+  if (evidence.zone_sum && !rollouts_.contains(id.service)) {
+    Replace(now, {id.service, id.to, Duration(0), id.row, StoreEra()});
+  }
+  const auto found = rollouts_.find(id.service);
   if (found != rollouts_.end()) {
     found->second.OnEvidence(now, from, incarnation, evidence, output);
   }
--- a/cluster/rollout_control.h
+++ b/cluster/rollout_control.h
@@ -27,6 +27,8 @@
                  const std::map<ServiceId, RolloutOrder>& orders,
                  StoreEra era,
                  RolloutGate* gate);
+  /// Takes the evidence of another gateway. An order that this gateway has not read yet is taken
+  /// from it, so that the ordered version is not used like the others meanwhile.
   void OnEvidence(MonoTime now,
                   const GatewayId& from,
                   Incarnation incarnation,
--- a/cluster/rollout_message.h
+++ b/cluster/rollout_message.h
@@ -16,7 +16,7 @@
 struct RolloutOrder {
   ServiceId service;
   SoftwareVersion to;
-  Duration duration{0};
+  Duration duration{0};  ///< 0: the order is known from other gateways only.
   RowVersion row;  ///< Version of the order's row, which tells apart orders for the same version.
   StoreEra era = {};  ///< Era of the store in which the row has that version.
   bool operator==(const RolloutOrder&) const = default;
--- a/tests/rollout_control_test.cc
+++ b/tests/rollout_control_test.cc
@@ -127,6 +127,32 @@
   CHECK(f.control.rollouts().at(kService).share(kStart.mono).share == 0);
 }
 
+TEST_CASE("an order that only other gateways have read is followed", "[rollout_control_test]") {
+  // Guards against a gateway that learns of new endpoints before it learns of their order.
+  Fixture f;
+  VersionEvidence sum;
+  sum.rollout = {kService, kNew, RowVersion(10)};
+  sum.zone_sum = true;
+  RolloutOutput output;
+  f.control.OnEvidence(kStart.mono, GatewayId("other"), Incarnation(1), sum, &output);
+  f.control.UpdateGate(kStart.mono, &f.gate);
+  CHECK(f.rule().to == kNew);
+  CHECK(f.gate.DefaultSide(kService) == VersionSide::kOld);
+  f.SetOrders({});
+  CHECK(f.control.rollouts().at(kService).share(kStart.mono).share > 0);
+  f.control.OnTimer(
+      kStart.mono + 1s,
+      [](const Rollout&) {
+        RolloutSituation situation;
+        situation.collectors = {GatewayId("g")};
+        return situation;
+      },
+      &output);
+  CHECK(output.writes.empty());
+  f.SetOrders({{kService, Order(kNew)}});
+  CHECK(f.control.rollouts().at(kService).order().duration == 60s);
+}
+
 TEST_CASE("a node with an order writes its state and divides the calls", "[rollout_control_test]") {
   NodeSettings settings;
   settings.id = GatewayId("g");
--- a/tests/rollout_network.h
+++ b/tests/rollout_network.h
@@ -118,8 +118,7 @@
     return collectors;
   }
   Gateway* Find(const GatewayId& id) {
-    return &*std::find_if(gateways.begin(), gateways.end(),
-                          [&](const Gateway& gateway) { return gateway.id == id; });
+    return &gateways[static_cast<size_t>(std::stoi(id.value.substr(1)))];
   }
   /// Whether the requests to the version are within the bounds.
   bool ExposureIsKept() const {
@@ -188,6 +187,9 @@
   bool Reachable(const Gateway& gateway) const { return gateway.alive && !gateway.cut; }
 
   void Step() {
+    for (int zone = 0; zone < kZones; ++zone) {
+      collectors_[zone] = Collectors(zone);
+    }
     while (!events_.empty() && events_.front().due <= now) {
       const std::function<void()> run = std::move(events_.front().run);
       events_.pop_front();
@@ -203,9 +205,13 @@
            gateway.calls_due -= 1) {
         SendCall(&gateway);
       }
-      RolloutOutput output;
-      gateway.rollout->OnTimer(now, SituationOf(gateway), &output);
-      Deliver(gateway, std::move(output));
+      const std::optional<MonoTime> due = gateway.rollout->next_timer();
+      if (due && *due <= now) {
+        RolloutOutput output;
+        gateway.rollout->OnTimer(now, SituationOf(gateway), &output);
+        Deliver(gateway, std::move(output));
+        gateway.gate->SetUsualLatencies(order.service, gateway.rollout->latest_counts());
+      }
     }
     UpdateShownBad();
   }
@@ -223,7 +229,6 @@
       gateway->gate->SetService(view);
     }
     gateway->gate->SetShare(order.service, gateway->rollout->share(now));
-    gateway->gate->SetUsualLatencies(order.service, gateway->rollout->latest_counts());
   }
 
   static EndpointId Endpoint(const Gateway& gateway, bool is_new, int index) {
@@ -282,7 +287,7 @@
 
   RolloutSituation SituationOf(const Gateway& gateway) const {
     RolloutSituation situation;
-    situation.collectors = Collectors(gateway.zone_index);
+    situation.collectors = collectors_.at(gateway.zone_index);
     if (gateway.cut) {
       situation.collectors = {gateway.id};
     }
@@ -377,6 +382,7 @@
 
   uint64_t next_row_ = 11;
   std::deque<Event> events_;
+  std::map<int, std::vector<GatewayId>> collectors_;  ///< At the beginning of the step.
 };
 
 }  // namespace jd
--- a/tests/rollout_rows_test.cc
+++ b/tests/rollout_rows_test.cc
@@ -3,7 +3,10 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
+#include "cluster/version_evidence.h"
 #include "platform/operator_rows.h"
+#include "rpc/convert.h"
+#include "rpc/frame.h"
 #include "rpc/rollout_messages.h"
 #include "standin/row_store.h"
 
@@ -120,5 +123,32 @@
   CHECK(RolloutNoticeFromWire(RolloutNoticeToWire(notice)).status_row == RowVersion(5));
 }
 
+// Returns the bytes of a message about three routes.
+size_t FrameSize(int endpoints) {
+  VersionEvidence evidence;
+  evidence.rollout = {ServiceId("ledger"), SoftwareVersion("v12"), RowVersion(123'456)};
+  evidence.zone = ZoneId("nyarugenge");
+  evidence.age = 40s;
+  for (int i = 0; i < 3; ++i) {
+    evidence.counts.routes[ProfileId("route-" + std::to_string(i))] = {
+        {20'000, 40, 600}, {1'000, 10, 30}, 2000s};
+  }
+  for (int i = 0; i < endpoints; ++i) {
+    evidence.counts.endpoints[EndpointId("i-7f3a" + std::to_string(1000 + i))] = {40, 3, 1};
+  }
+  KeepWorstEndpoints(&evidence.counts);
+  RowPacker packer;
+  const PeerMessage message{GatewayId("edge-nyarugenge-12"), Incarnation(1'700'000'000'000'000),
+                            HybridTime(), evidence};
+  return EncodeFrame(ToEnvelope(message, std::string(), &packer)).size();
+}
+
+TEST_CASE("messages about roll-outs stay short", "[rollout_rows_test]") {
+  // Guards against sums that grow with the number of endpoints.
+  CHECK(FrameSize(5) <= 350);
+  CHECK(FrameSize(300) <= 800);
+  CHECK(FrameSize(300) == FrameSize(600));
+}
+
 }  // namespace
 }  // namespace jd
