--- a/cluster/node.h
+++ b/cluster/node.h
@@ -165,7 +165,7 @@
                          NodeActions* actions);
   void OnRolloutNotice(Now now, const RolloutNotice& notice, NodeActions* actions);
   /// Sends the messages of roll-outs, and applies their shares and rules.
-  void ApplyRolloutOutput(Now now, RolloutOutput from, NodeActions* actions);
+  void ApplyRolloutOutput(Now now, const RolloutOutput& from, NodeActions* actions);
   /// Sets the addresses of the gateways in other zones. They are not peers, and receive only rare
   /// and urgent messages, such as a CrashNotice.
   void SetOtherZoneGateways(const VmList& gateways, NodeActions* actions);
--- a/cluster/node_rollouts.cc
+++ b/cluster/node_rollouts.cc
@@ -89,13 +89,13 @@
   RolloutOutput output;
   rollouts_.OnTimer(
       now.mono, [this](const Rollout& rollout) { return SituationOf(rollout); }, &output);
-  ApplyRolloutOutput(now, std::move(output), actions);
+  ApplyRolloutOutput(now, output, actions);
 }
 
 void Node::OnRolloutWriteResult(Now now, const RolloutWriteResult& result, NodeActions* actions) {
   RolloutOutput output;
   rollouts_.OnWriteResult(now.mono, result, &output);
-  ApplyRolloutOutput(now, std::move(output), actions);
+  ApplyRolloutOutput(now, output, actions);
 }
 
 void Node::OnVersionEvidence(Now now,
@@ -105,7 +105,7 @@
                              NodeActions* actions) {
   RolloutOutput output;
   rollouts_.OnEvidence(now.mono, from, incarnation, evidence, &output);
-  ApplyRolloutOutput(now, std::move(output), actions);
+  ApplyRolloutOutput(now, output, actions);
 }
 
 void Node::OnRolloutNotice(Now now, const RolloutNotice& notice, NodeActions* actions) {
@@ -113,9 +113,9 @@
   ApplyRolloutOutput(now, {}, actions);
 }
 
-void Node::ApplyRolloutOutput(Now now, RolloutOutput from, NodeActions* actions) {
-  for (auto& [to, report] : from.reports) {
-    SendTo(now, to, std::move(report), actions);
+void Node::ApplyRolloutOutput(Now now, const RolloutOutput& from, NodeActions* actions) {
+  for (const auto& [to, report] : from.reports) {
+    SendTo(now, to, report, actions);
   }
   for (const auto& [to, reply] : from.replies) {
     SendTo(now, to, reply, actions);
--- a/cluster/rollout_plan.cc
+++ b/cluster/rollout_plan.cc
@@ -30,6 +30,9 @@
 constexpr double kMinFailureRate = 0.01;
 constexpr double kMinTroubleRate = 0.03;
 
+// Calls of the other versions that the lowest expected rate counts as.
+constexpr double kAssumedCalls = 20;
+
 // How far a number of calls with trouble must lie above the expected one.
 struct Threshold {
   double deviations;     // Standard deviations above the expected number.
@@ -53,7 +56,6 @@
 // Returns the rate of trouble that the other versions have at the same time, rounded up while they
 // have had few calls.
 double ExpectedRate(int64_t troubled, int64_t calls, double minimum) {
-  constexpr double kAssumedCalls = 20;
   const double rate = (static_cast<double>(troubled) + minimum * kAssumedCalls) /
                       (static_cast<double>(calls) + kAssumedCalls);
   return std::max(rate, minimum);
--- a/policy/rollout_gate.cc
+++ b/policy/rollout_gate.cc
@@ -157,9 +157,9 @@
 }
 
 const RolloutCounts& RolloutGate::counts(const ServiceId& service) const {
-  static const RolloutCounts kNone;
+  static const RolloutCounts none;
   const auto found = rollouts_.find(service);
-  return found == rollouts_.end() ? kNone : found->second.counts;
+  return found == rollouts_.end() ? none : found->second.counts;
 }
 
 int64_t RolloutGate::sent(const ServiceId& service) const {
