Roll-outs: compare both sides over the same time, and orders of 12 s

An order of 12 s for a service with 85 calls a second is completed in time: the watched share is 0.7 of the exposure, fewer calls suffice from 0.6 of the duration, and the handover takes 0.3 of it at most.

--- a/cluster/rollout.cc
+++ b/cluster/rollout.cc
@@ -29,6 +29,8 @@
   zone_evidence_ = {};
   reporters_.clear();
   evidence_ = {};
+  compares_ = false;
+  shown_since_.reset();
   zone_reports_.clear();
   reported_at_.reset();
   summed_at_.reset();
@@ -63,6 +65,7 @@
   if (phase > phase_) {
     phase_ = phase;
     phase_since_ = now;
+    evidence_.Restart(false);
   }
 }
 
@@ -162,10 +165,20 @@
 }
 
 void Rollout::Decide(MonoTime now, const RolloutSituation& situation, bool acts) {
+  if (!compares_ && evidence_.sum().total().new_side.calls > 0) {
+    compares_ = true;
+    evidence_.Restart(true);
+  }
   evidence_.Advance(now);
   const RolloutCounts total = evidence_.total();
   const RolloutCounts latest = evidence_.latest();
-  bad_ = bad_ || ShowsBadVersion(total) || ShowsBadVersion(latest);
+  const bool shown = ShowsBadVersion(total) || ShowsBadVersion(latest);
+  if (shown && !shown_since_) {
+    shown_since_ = now;
+  } else if (!RaisesSuspicion(total) && !RaisesSuspicion(latest)) {
+    shown_since_.reset();
+  }
+  bad_ = bad_ || (shown && shown_since_ && now - *shown_since_ >= kReportInterval);
   if (!situation.only_new) {
     only_new_since_.reset();
   } else if (!only_new_since_) {
@@ -183,7 +196,7 @@
   progress.age = now - started_;
   progress.phase_age = now - phase_since_;
   progress.duration = order_.duration;
-  progress.new_calls = total.total().new_side.calls;
+  progress.new_calls = evidence_.sum().total().new_side.calls;
   progress.suspicious = RaisesSuspicion(latest);
   progress.has_capacity = situation.has_capacity;
   bad_ = IsOverdue(progress);
@@ -250,7 +263,7 @@
   if (phase_ != RolloutPhase::kFull || now - phase_since_ < kMinHandover) {
     return false;
   }
-  if (now - phase_since_ >= kMaxHandover) {
+  if (now - phase_since_ >= std::min(kMaxHandover, Scale(order_.duration, kMaxHandoverPart))) {
     return true;
   }
   for (const auto& [zone, collectors] : zone_reports_) {
--- a/cluster/rollout.h
+++ b/cluster/rollout.h
@@ -73,6 +73,7 @@
   /// Time from the phase kFull to the state kCompleted.
   static constexpr Duration kMinHandover = 1500ms;
   static constexpr Duration kMaxHandover = 5s;
+  static constexpr double kMaxHandoverPart = 0.3;  ///< Of the duration of the order.
   /// A service whose endpoints all had the ordered version for this time has been moved.
   static constexpr Duration kOnlyNewPeriod = 3s;
 
@@ -153,6 +154,10 @@
   ZoneCounts zone_evidence_;
   std::map<GatewayId, Reporter> reporters_;
   RolloutEvidence evidence_;
+  bool compares_ = false;  ///< A call of the ordered version has ended.
+  /// Since when the evidence shows a bad version. Trouble of the ordered version is reported at
+  /// once, and that of the others within kReportInterval, so the evidence must last as long.
+  std::optional<MonoTime> shown_since_;
   std::map<ZoneId, std::map<GatewayId, ZoneReport>> zone_reports_;
 
   // Latest messages sent.
--- a/cluster/rollout_plan.cc
+++ b/cluster/rollout_plan.cc
@@ -9,7 +9,7 @@
 
 // Parts of the exposure that all gateways together use: while the version is watched, and since the
 // order until it is proved.
-constexpr double kWatchingPart = 0.5;
+constexpr double kWatchingPart = 0.7;
 constexpr double kLifetimePart = 0.8;
 constexpr double kRampingShare = 0.25;
 constexpr double kProvedShare = 0.5;
@@ -22,7 +22,7 @@
 // Calls at the new version without which it is not used further. Fewer suffice later.
 constexpr int64_t kManyCalls = 40;
 constexpr int64_t kFewCalls = 15;
-constexpr double kFewCallsFrom = 0.7;
+constexpr double kFewCallsFrom = 0.6;
 
 // Endpoints whose trouble may be their own.
 constexpr size_t kSickEndpoints = 2;
@@ -41,7 +41,7 @@
   double rate_distance;  // and this much above it.
 };
 constexpr Threshold kBadFailures = {3.5, 2.0, 2.0, 0.02};
-constexpr Threshold kBadTrouble = {4.0, 3.0, 2.0, 0.10};
+constexpr Threshold kBadTrouble = {3.5, 2.5, 2.0, 0.10};
 constexpr Threshold kSuspicious = {2.0, 1.5, 1.5, 0.02};
 
 bool Exceeds(int64_t troubled, int64_t calls, double expected_rate, const Threshold& threshold) {
--- a/cluster/version_evidence.cc
+++ b/cluster/version_evidence.cc
@@ -97,6 +97,9 @@
   if (!history_.empty() && now - history_.back().first < kResolution) {
     return;
   }
+  if (Calls(sum()) < Calls(base_)) {
+    base_ = sum();
+  }
   const RolloutCounts present = total();
   if (!history_.empty() && Calls(present) < Calls(history_.back().second)) {
     history_.clear();  // Another collector counts now, which knows of fewer calls.
@@ -107,7 +110,19 @@
   }
 }
 
-RolloutCounts RolloutEvidence::total() const {
+void RolloutEvidence::Restart(bool keep_new) {
+  base_ = sum();
+  history_.clear();
+  if (!keep_new) {
+    return;
+  }
+  base_.endpoints.clear();
+  for (auto& [route, sides] : base_.routes) {
+    sides.new_side = {};
+  }
+}
+
+RolloutCounts RolloutEvidence::sum() const {
   RolloutCounts total;
   for (const auto& [zone, collectors] : zones_) {
     const auto most =
--- a/cluster/version_evidence.h
+++ b/cluster/version_evidence.h
@@ -49,10 +49,16 @@
                  const ZoneId& zone,
                  const GatewayId& collector,
                  const RolloutCounts& counts);
+  /// Counts from now on, so that both sides are compared over the same time and in the same
+  /// proportion.
+  /// @param keep_new whether the calls of the ordered version so far still count.
+  void Restart(bool keep_new);
   /// Remembers the present counts for latest(). Called at least once a second.
   void Advance(MonoTime now);
   /// Returns the counts since the order.
-  RolloutCounts total() const;
+  RolloutCounts sum() const;
+  /// Returns the counts since Restart.
+  RolloutCounts total() const { return CountsSince(sum(), base_); }
   /// Returns the counts of about the latest kWindow.
   RolloutCounts latest() const;
 
@@ -65,6 +71,7 @@
   };
 
   std::map<ZoneId, std::map<GatewayId, Report>> zones_;
+  RolloutCounts base_;  ///< As of the latest Restart.
   std::deque<std::pair<MonoTime, RolloutCounts>> history_;
 };
 
