--- a/cluster/rollout.h
+++ b/cluster/rollout.h
@@ -73,6 +73,7 @@
   /// Time from the phase kFull to the state kCompleted.
   static constexpr Duration kMinHandover = 1500ms;
   static constexpr Duration kMaxHandover = 5s;
+  static constexpr double kMaxHandoverPart = 0.3;  ///< Of the duration of the order.
   /// A service whose endpoints all had the ordered version for this time has been moved.
   static constexpr Duration kOnlyNewPeriod = 3s;
 
@@ -122,9 +123,9 @@
   bool finished() const { return outcome_ && recorded_ == outcome_; }
   bool Hears(MonoTime now) const;
   void RaisePhase(MonoTime now, RolloutPhase phase);
-  /// Decides from the evidence whether the version is bad, and as a collector whether the next
-  /// phase begins.
-  void Decide(MonoTime now, const RolloutSituation& situation, bool collects);
+  /// Decides from the evidence whether the version is bad, and whether the next phase begins.
+  /// @param acts whether this gateway is a collector that has read the order itself.
+  void Decide(MonoTime now, const RolloutSituation& situation, bool acts);
   void SendReports(MonoTime now, const RolloutSituation& situation, RolloutOutput* output);
   void SendZoneSum(MonoTime now, RolloutOutput* output);
   VersionEvidence MakeMessage(MonoTime now) const;
@@ -153,6 +154,10 @@
   ZoneCounts zone_evidence_;
   std::map<GatewayId, Reporter> reporters_;
   RolloutEvidence evidence_;
+  bool compares_ = false;  ///< A call of the ordered version has ended.
+  /// Since when the evidence shows a bad version. Trouble of the ordered version is reported at
+  /// once, and that of the others within kReportInterval, so the evidence must last as long.
+  std::optional<MonoTime> shown_since_;
   std::map<ZoneId, std::map<GatewayId, ZoneReport>> zone_reports_;
 
   // Latest messages sent.
