--- a/tests/overload_test.cc
+++ b/tests/overload_test.cc
@@ -3,60 +3,11 @@
 #include "policy/call_queue.h"
 #include "policy/fresh_load.h"
 #include "policy/room_shortage.h"
-#include "tests/overload_reference.h"
-#include "tests/overload_simulation.h"
+#include "tests/overload_ratio.h"
 
 namespace jd {
 namespace {
 
-constexpr Duration kWarmUp = 3s;
-constexpr Duration kBurst = 6s;
-
-// Multiple of the scenario's normal demand that asks this share of what its endpoints can do: each
-// has 4 calls in progress below the load that makes it nearly full, and is slow for 0.3 of the
-// time.
-double DemandFor(double share_of_room) {
-  const OverloadScenario scenario;
-  const SimulatedKind& kind = scenario.kinds.front();
-  const double seconds = std::chrono::duration<double>(kind.service_time).count();
-  const double speed = 1 - scenario.slow_share * (1 - 1 / scenario.slow_factor);
-  return share_of_room * scenario.endpoints * 4 * speed / seconds / kind.per_second;
-}
-
-// Returns the callers answered in time during a burst as a share of those that one queue with full
-// knowledge answers in time.
-double ShareOfReference(const OverloadScenario& scenario, double demand) {
-  OverloadReference reference(scenario, 1);
-  reference.Run(kWarmUp, 1);
-  reference.Run(1s, demand);
-  const int best = reference.Run(kBurst, demand);
-  OverloadSimulation<FreshLoad> simulation(scenario, 1);
-  simulation.Run(kWarmUp, 1);
-  simulation.Run(1s, demand);
-  return static_cast<double>(simulation.Run(kBurst, demand).in_target) / best;
-}
-
-TEST_CASE("overload: 105 gateways serve most of what one queue with full knowledge serves",
-          "[overload_test]") {
-  // Guards against slots that stay idle while calls are refused, and against endpoints that are
-  // filled until they slow down, at 110%, 150% and 300% of what the endpoints can do.
-  const auto [share_of_room, least] =
-      GENERATE(std::pair(1.1, 0.65), std::pair(1.5, 0.63), std::pair(3.0, 0.57));
-  CAPTURE(share_of_room);
-  CHECK(ShareOfReference(OverloadScenario(), DemandFor(share_of_room)) > least);
-}
-
-TEST_CASE("overload: more gateways serve little less", "[overload_test]") {
-  // Guards against gateways that compete for the same slots without knowing of each other.
-  const double demand = DemandFor(1.1);
-  OverloadScenario scenario;
-  scenario.gateways = 10;
-  const double few = ShareOfReference(scenario, demand);
-  scenario.gateways = GENERATE(105, 300);
-  CAPTURE(scenario.gateways, few);
-  CHECK(ShareOfReference(scenario, demand) > few - 0.13);
-}
-
 TEST_CASE("overload: a burst is served as well at its end as at its begin", "[overload_test]") {
   // Guards against goodput that falls under a constant overload, and against a slow recovery.
   OverloadSimulation<FreshLoad> simulation(OverloadScenario(), 2);
@@ -64,8 +15,8 @@
   const int begin = simulation.Run(2s, 3).in_target;
   const int middle = simulation.Run(2s, 3).in_target;
   const OverloadCounts end = simulation.Run(2s, 3);
-  CHECK(middle > 0.8 * begin);
-  CHECK(end.in_target > 0.8 * begin);
+  CHECK(middle > 0.85 * begin);
+  CHECK(end.in_target > 0.85 * begin);
   CHECK(end.late < 0.15 * end.in_target);
   CHECK(simulation.Run(2s, 1).share_in_target() > 0.9);
 }
