Mend what the reviews of the merged parts found

Cause and change, each found by reading: - A waiting call on a public route whose key was withdrawn changed its workspace, by which the queue finds it: a dead entry stayed and could be sent twice.

Measured: the tests of these files, debug build.

--- a/cluster/discovery.h
+++ b/cluster/discovery.h
@@ -56,7 +56,7 @@
   std::optional<OperatorConfiguration> configuration;
   std::optional<std::set<ZoneId>> zones_out;
   std::optional<std::map<ServiceId, RolloutOrder>> rollouts;  ///< All orders.
-  StoreEra rollouts_era = {};  ///< Era of the store that the orders were read in.
+  StoreEra rollouts_era = {};             ///< Era of the store that the orders were read in.
   std::vector<EndpointRecord> endpoints;  ///< New or changed.
   std::vector<EndpointId> removed;
   std::optional<VmList> gateways;
--- a/cluster/node_quotas.cc
+++ b/cluster/node_quotas.cc
@@ -62,7 +62,10 @@
     return QuotaAdmission::kAdmitted;
   }
   const QuotaAdmission admission = ledger_.Admit(now, workspace->id, request.id, retry_after);
-  if (admission != QuotaAdmission::kRefused) {
+  if (admission == QuotaAdmission::kRefused) {
+    std::uniform_real_distribution<double> spread(1.0, kRetryAfterSpread);
+    *retry_after = Scale(*retry_after, spread(random_));
+  } else {
     const bool admitted = admission == QuotaAdmission::kAdmitted;
     calls_[request.id] = {workspace->id, admitted, !admitted};
   }
--- a/cluster/node_statements.cc
+++ b/cluster/node_statements.cc
@@ -21,21 +21,21 @@
                                Duration latency,
                                NodeActions* actions) {
   const Endpoint* known = directory_.FindEndpoint(endpoint);
-  if (statement.empty() || known == nullptr) {
+  const auto listed = listed_runs_.find(endpoint);
+  if (statement.empty() || listed == listed_runs_.end()) {
     return;
   }
   // After a pause of this process, a response of an earlier run may be handled after the row of the
   // present one.
-  const auto listed = listed_runs_.find(endpoint);
-  if (listed != listed_runs_.end() && now.mono - latency < listed->second.since) {
+  if (now.mono - latency < listed->second.since) {
     return;
   }
   // Another upstream may have got the address of the endpoint.
-  if (!known->instance.empty() && !statement.instance.empty() &&
+  if (known != nullptr && !known->instance.empty() && !statement.instance.empty() &&
       known->instance != statement.instance) {
     return;
   }
-  const Incarnation run = known->run;
+  const Incarnation run = known != nullptr ? known->run : listed->second.run;
   if (statements_.OnStatement(now.mono, endpoint, run, statement)) {
     SendToAllZones(now, EndpointStatement{{{endpoint, run}}}, actions);
   }
@@ -43,7 +43,11 @@
 }
 
 void Node::RecordListedRuns(Now now) {
+  // Rows may be lost and come back, so the runs of endpoints that are not listed are kept.
   std::map<EndpointId, ListedRun> runs;
+  if (listed_runs_.size() < EndpointStatements::kMaxEntries) {
+    runs = listed_runs_;
+  }
   for (const auto& [id, service] : config_.configuration()->services) {
     for (const Endpoint& endpoint : service.endpoints) {
       const auto known = listed_runs_.find(endpoint.id);
--- a/cluster/rollout.cc
+++ b/cluster/rollout.cc
@@ -18,6 +18,8 @@
 
 void Rollout::Reset(MonoTime now) {
   ++generation_;
+  finished_since_.reset();
+  over_ = false;
   started_ = now;
   phase_ = RolloutPhase::kWatching;
   phase_since_ = now;
@@ -305,10 +307,17 @@
 }
 
 void Rollout::OnTimer(MonoTime now, const RolloutSituation& situation, RolloutOutput* output) {
-  if (now < next_tick_ || finished()) {
+  if (now < next_tick_ || ended()) {
     return;
   }
   next_tick_ = now + kTick;
+  if (finished()) {
+    finished_since_ = finished_since_.value_or(now);
+    over_ = outcome_ == RolloutState::kReverted || now - *finished_since_ >= kOldEndpointsStop;
+    return;
+  }
+  finished_since_.reset();
+  over_ = false;
   alone_ = situation.alone;
   const auto own = std::find(situation.collectors.begin(), situation.collectors.end(), self_.id);
   const bool collects = own != situation.collectors.end();
@@ -326,7 +335,7 @@
 }
 
 std::optional<MonoTime> Rollout::next_timer() const {
-  return finished() ? std::nullopt : std::optional(next_tick_);
+  return ended() ? std::nullopt : std::optional(next_tick_);
 }
 
 }  // namespace jd
--- a/cluster/rollout.h
+++ b/cluster/rollout.h
@@ -76,6 +76,9 @@
   static constexpr double kMaxHandoverPart = 0.3;  ///< Of the duration of the order.
   /// A service whose endpoints all had the ordered version for this time has been moved.
   static constexpr Duration kOnlyNewPeriod = 3s;
+  /// Time for which endpoints of other versions get no calls after the state kCompleted. The store
+  /// may list the old endpoints a little longer; later ones belong to a further release.
+  static constexpr Duration kOldEndpointsStop = 10s;
 
   Rollout(MonoTime now, RolloutMember self, RolloutOrder order);
 
@@ -103,6 +106,8 @@
   /// The final state of the status row, if it is known to have one.
   std::optional<RolloutState> outcome() const { return outcome_; }
   bool bad() const { return bad_; }
+  /// Whether the roll-out has been completed for so long that other versions may be used again.
+  bool over() const { return ended() && outcome_ == RolloutState::kCompleted; }
   /// What all gateways have seen lately.
   RolloutCounts latest_counts() const { return evidence_.latest(); }
   /// Changes when the counts of the gate must start again.
@@ -121,6 +126,8 @@
   void Reset(MonoTime now);
   RolloutId id() const { return {order_.service, order_.to, order_.row}; }
   bool finished() const { return outcome_ && recorded_ == outcome_; }
+  /// Whether OnTimer has nothing left to do.
+  bool ended() const { return over_ && finished(); }
   bool Hears(MonoTime now) const;
   void RaisePhase(MonoTime now, RolloutPhase phase);
   /// Decides from the evidence whether the version is bad, and whether the next phase begins.
@@ -178,6 +185,8 @@
   MonoTime wanted_since_;
   MonoTime next_write_;
   bool writing_ = false;
+  std::optional<MonoTime> finished_since_;
+  bool over_ = false;  ///< Finished for long enough; a status row that is lost again ends that.
 };
 
 }  // namespace jd
--- a/cluster/rollout_control.cc
+++ b/cluster/rollout_control.cc
@@ -113,6 +113,9 @@
     }
   }
   for (const auto& [service, rollout] : rollouts_) {
+    if (rollout.over()) {
+      continue;
+    }
     VersionRule& rule = rules[service];
     rule.to = rollout.order().to;
     rule.use = rollout.use();
--- a/gateway/caller_connection.h
+++ b/gateway/caller_connection.h
@@ -30,6 +30,7 @@
 
   State state = State::kWaiting;
   CallRequest call;
+  MonoTime arrived;  ///< When the request was complete.
   HttpRequest request;
   HttpResponse response;           ///< Set in state kAnswered.
   size_t request_bytes = 0;        ///< Memory that the request takes.
--- a/gateway/caller_server.cc
+++ b/gateway/caller_server.cc
@@ -248,6 +248,8 @@
   call.method = MethodName(request.method);
   call.path = request.target;
   call.fingerprint = HashRequest(call.method, call.path, request.body.get());
+  entry->request_bytes += call.path.size();
+  entry->arrived = loop_->ReadClocks().mono;
   entry->closes_connection = !request.keep_alive;
   SetState(connection, request.keep_alive ? CallerState::kIdle : CallerState::kStopped);
   connection->calls.push_back(std::move(entry));
@@ -263,7 +265,12 @@
     }
     next->state = PipelinedCall::State::kRunning;
     // A copy, because the call may end before the signal returns.
-    const CallRequest call = next->call;
+    CallRequest call = next->call;
+    if (call.timeout) {
+      // The caller counts the time that its request spent behind others.
+      const Duration waited = loop_->ReadClocks().mono - next->arrived;
+      call.timeout = std::max(*call.timeout - waited, Duration(0));
+    }
     calls_[call.id] = connection;
     call_arrived_.emit(call);
   }
@@ -293,6 +300,14 @@
 }
 
 void CallerServer::EndWith(CallerConnection* connection, HttpResponse response) {
+  if (connection->ended) {
+    // Its last response has been written.
+    evbuffer* unread = bufferevent_get_input(connection->stream.get());
+    evbuffer_drain(unread, evbuffer_get_length(unread));
+    connection->reader.reset();
+    connection->memory.Set(connection->MemoryUsage());
+    return;
+  }
   auto entry = std::make_unique<PipelinedCall>();
   if (connection->reader != nullptr) {
     entry->request.method = connection->reader->request().method;
--- a/net/http_request_reader.cc
+++ b/net/http_request_reader.cc
@@ -70,6 +70,7 @@
     }
     request_->method = *known;
     request_->target = ToString(target);
+    header_memory_bytes_ += target.size();
     request_->is_http_1_0 = version < kVersion11;
   }
   void on_response_impl(int, string_view, int, error_code&) override {}
--- a/net/request_memory.cc
+++ b/net/request_memory.cc
@@ -37,7 +37,8 @@
   const Part* largest = *std::max_element(
       parts_.begin(), parts_.end(),
       [](const Part* a, const Part* b) { return a->usage().unwritten < b->usage().unwritten; });
-  return largest->usage().unwritten > 0 ? largest : nullptr;
+  // Smaller answers may be on their way to a caller that reads; the write timeout bounds them.
+  return largest->usage().unwritten > kSmallRequestBytes ? largest : nullptr;
 }
 
 }  // namespace jd
--- a/policy/call_manager_configuration.cc
+++ b/policy/call_manager_configuration.cc
@@ -97,7 +97,13 @@
     return true;
   }
   if (call->request.is_public) {
+    // The queue finds a call by its workspace.
+    const bool queued = call->queued;
+    Dequeue(call);
     call->request.workspace = WorkspaceId();
+    if (queued) {
+      Requeue(call);
+    }
     return true;
   }
   Refuse(call, RefusalReason::kUnknownCaller, Duration(0),
--- a/policy/dispatcher.h
+++ b/policy/dispatcher.h
@@ -234,7 +234,10 @@
     RecordLimitChange(context.endpoint, limit, "call", actions);
   }
   Call* retry = call_manager_.HandleEndedAttempt(now, *ended, actions);
-  if (retry != nullptr) {
+  if (retry != nullptr && UsesProbes()) {
+    // It may not wait for room, so it is probed for at once whatever waits before it.
+    TrySend(now, retry, actions);
+  } else if (retry != nullptr) {
     // The call keeps its arrival number, so it is sent before calls that arrived later.
     call_manager_.Requeue(retry);
   }
@@ -304,7 +307,7 @@
   request.usual_service_time = call_manager_.UsualServiceTime(call);
   request.excluded = call_manager_.ExcludedEndpoints(call);
   request.yields = call_manager_.MustYield(now, call);
-  request.waiting = call.waited;
+  request.waiting = call.waited && call.attempts == 0;
   request.side = call.attempts == 0 && call.side != VersionSide::kAny
                      ? call.side
                      : rollout_gate_.DefaultSide(call.request.service);
@@ -392,7 +395,8 @@
                                               CallActions* actions) {
   AcquireRequest request = MakeAcquireRequest(now, *call);
   // A late answer is not accepted while the call may wait for an earlier one.
-  request.last_stage = last_stage && !call_manager_.MayWaitForRoom(now, *call);
+  request.last_stage =
+      last_stage && request.side != VersionSide::kNew && !call_manager_.MayWaitForRoom(now, *call);
   const std::optional<EndpointId> endpoint = policy_->Acquire(now, request, random_);
   if (!endpoint) {
     return false;
--- a/policy/dispatcher_waiting.h
+++ b/policy/dispatcher_waiting.h
@@ -9,7 +9,9 @@
 
 template <RoutingPolicy Policy>
 void Dispatcher<Policy>::HandleNewProbedCall(MonoTime now, Call* call, CallActions* actions) {
-  if (!call_manager_.HasWaitingCalls(call->request.service)) {
+  DrawSide(call);
+  // The waiting calls lack room at the other versions.
+  if (!call_manager_.HasWaitingCalls(call->request.service) || call->side == VersionSide::kNew) {
     TrySend(now, call, actions);
     return;
   }
@@ -49,15 +51,10 @@
                                                 const ServiceId& service,
                                                 CallActions* actions) {
   while (Call* call = call_manager_.NextWaitingCall(service, {})) {
-    // A call that is tried again is probed for at once.
-    const bool retried = call->attempts > 0;
-    if (!retried && call_manager_.CheckBeforeAttempt(now, call, actions) &&
+    if (call_manager_.CheckBeforeAttempt(now, call, actions) &&
         !SendToProbedEndpoint(now, call, false, actions)) {
       break;
     }
-    if (retried) {
-      TrySend(now, call, actions);
-    }
   }
   Call* next = call_manager_.NextWaitingCall(service, {});
   if (next != nullptr && !waiting_probe_times_.contains(service)) {
--- a/policy/fresh_load.cc
+++ b/policy/fresh_load.cc
@@ -60,7 +60,8 @@
       continue;
     }
     const EndpointRecord* record = FindRecord(request.service, endpoint.id);
-    if (record == nullptr || !Admits(request.side, endpoint.side) || IsHeld(HoldOnProbes(now, FactsOf(endpoint, *record))) ||
+    if (record == nullptr || !Admits(request.side, endpoint.side) ||
+        IsHeld(HoldOnProbes(now, FactsOf(endpoint, *record))) ||
         std::find(request.excluded.begin(), request.excluded.end(), endpoint.id) !=
             request.excluded.end()) {
       continue;
--- a/tests/workspace_calls_test.cc
+++ b/tests/workspace_calls_test.cc
@@ -106,6 +106,7 @@
   CallFixture f(MakeTable("w", "k1"));
   Call* withdrawn = f.Admit("k1");
   Call* open = f.Admit("k1", "/open/a");
+  f.manager.Requeue(open);
   SECTION("to another workspace") {
     f.Apply(MakeTable("v", "k1"));
   }
@@ -117,6 +118,9 @@
   CHECK(f.Refused() == RefusalReason::kUnknownCaller);
   CHECK(f.manager.CheckBeforeAttempt(kStart, open, &f.actions));
   CHECK(open->request.workspace.empty());
+  // Guards against a queue that keeps a call under its former workspace.
+  f.manager.StartAttempt(kStart, open, EndpointId("e"), "", &f.actions);
+  CHECK_FALSE(f.manager.HasWaitingCalls(ServiceId("s")));
 }
 
 TEST_CASE("a waiting call goes on if its key stays while others change", "[workspace_calls_test]") {
