--- a/gateway/caller_server.cc
+++ b/gateway/caller_server.cc
@@ -24,6 +24,7 @@
 // Limit on the bytes that a caller may send ahead while no further request is read.
 constexpr size_t kMaxUnreadBytes = 65536;
 constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
 constexpr int kExpectationFailed = 417;
 constexpr int kServiceUnavailable = 503;
 // Retry-after time of a request that is refused because callers take too much memory.
@@ -68,6 +69,9 @@
                              const std::string& message) {
   HttpResponse response;
   response.status = status;
+  if (status == kUnauthorized) {
+    response.headers.emplace_back("WWW-Authenticate", "Bearer");
+  }
   SetJsonBody(&response, {{"verdict", std::string(VerdictName(verdict))},
                           {"refusal", std::string(reason)},
                           {"message", message}});
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -253,8 +253,11 @@
 }
 
 std::string Gateway::RequestKey(const CallRequest& request) const {
-  const Profile* profile =
-      configuration_ == nullptr ? nullptr : FindProfile(*configuration_, request);
+  // Routes name no request key, so a call is not looked up in the route table for it.
+  if (configuration_ == nullptr || configuration_->routes != nullptr) {
+    return {};
+  }
+  const Profile* profile = FindProfile(*configuration_, request);
   if (profile == nullptr || profile->request_key_header.empty()) {
     return {};
   }
--- a/gateway/native_dialect.cc
+++ b/gateway/native_dialect.cc
@@ -90,9 +90,6 @@
 }
 
 void NativeDialect::AddRefusalHeaders(const Refusal& refusal, HttpHeaders* headers) const {
-  if (refusal.reason == RefusalReason::kUnknownCaller) {
-    headers->emplace_back("WWW-Authenticate", "Bearer");
-  }
   const std::string verdict(VerdictName(refusal.verdict));
   const std::string reason(RefusalReasonName(refusal.reason));
   headers->emplace_back("x-verdict", verdict);
--- a/gateway/retry_after.cc
+++ b/gateway/retry_after.cc
@@ -23,9 +23,10 @@
   }
   if (error == std::errc::result_out_of_range || std::isinf(seconds)) {
     // "inf" is no decimal number; a number with too many digits is a long time.
-    return text.find_first_not_of("0123456789.") == std::string::npos
-               ? std::optional(Duration(std::chrono::seconds(86'400)))
-               : std::nullopt;
+    if (text.find_first_not_of("0123456789.") != std::string::npos) {
+      return std::nullopt;
+    }
+    seconds = kLongestSeconds;
   }
   return std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(std::min(seconds, kLongestSeconds)));
--- a/policy/call.cc
+++ b/policy/call.cc
@@ -51,7 +51,6 @@
                  profile.hedge_after,
                  profile.retry_budget,
                  profile.max_queue,
-                 profile.priority,
                  RankOf(request.workspace, profile, configuration)};
   call.arrival = now;
   call.deadline = now + std::min(profile.deadline, request.timeout.value_or(profile.deadline));
--- a/policy/call.h
+++ b/policy/call.h
@@ -22,8 +22,7 @@
   Duration hedge_after{0};
   double retry_budget = 0;
   int32_t max_queue = 0;
-  Priority priority = Priority::kNormal;
-  CallRank rank = {};  ///< `priority` is its second part.
+  CallRank rank = {};
 };
 
 /// A call in progress: its request, its limits and the state of its attempts.
@@ -74,8 +73,7 @@
                                               : limits.rank;
   }
   QueuedCall ToQueued() const {
-    const CallRank rank =
-        waited ? admission_rank() : CallRank{limits.rank.workspace, limits.priority};
+    const CallRank rank = waited ? admission_rank() : limits.rank;
     QueuedCall queued{request.id, request.workspace, weight,  rank.profile,
                       idempotent, attempts == 0,     sequence};
     queued.workspace_priority = rank.workspace;
--- a/policy/call_manager.cc
+++ b/policy/call_manager.cc
@@ -6,6 +6,7 @@
 #include <cassert>
 
 #include "common/route_table.h"
+#include "policy/call_profile.h"
 
 namespace jd {
 namespace {
@@ -117,13 +118,9 @@
     if (!Identify(false, request, actions)) {
       return nullptr;
     }
-    const auto service = configuration_->services.find(request->service);
-    if (service != configuration_->services.end()) {
-      request->profile = service->second.profile;
-      const auto profile = configuration_->profiles.find(request->profile);
-      if (profile != configuration_->profiles.end()) {
-        return &profile->second;
-      }
+    if (const Profile* profile = FindProfile(*configuration_, *request)) {
+      request->profile = configuration_->services.at(request->service).profile;
+      return profile;
     }
   }
   RefuseNew(*request, RefusalReason::kUnknownService, Duration(0), "No such service.", actions);
--- a/policy/call_manager_overload.cc
+++ b/policy/call_manager_overload.cc
@@ -8,8 +8,6 @@
 /// A call is not sent later than this multiple of the usual service time before its target time,
 /// because service times vary.
 constexpr double kServiceTimeMargin = 1.25;
-/// Retry-after time for callers of a service without a usable endpoint.
-constexpr Duration kRetryAfterNoEndpoint = 1s;
 /// Upper limit of the retry-after time, as a share of the time that the caller has left.
 constexpr double kMaxRetryAfterShare = 0.33;
 /// The retry-after time is drawn at random between this share of the longest useful time and that
@@ -83,7 +81,7 @@
     return;
   }
   if (StateOf(*call).usable.empty()) {
-    Refuse(call, RefusalReason::kNoEndpoint, kRetryAfterNoEndpoint,
+    Refuse(call, RefusalReason::kNoEndpoint, kRetryAfterFailure,
            "The service has no usable endpoint.", actions);
     return;
   }
--- a/policy/dispatcher.h
+++ b/policy/dispatcher.h
@@ -303,7 +303,7 @@
   request.local_zone = zone_;
   request.deadline = call.deadline;
   request.target_time = call.target_time;
-  request.priority = call.limits.priority;
+  request.priority = call.limits.rank.profile;
   request.usual_service_time = call_manager_.UsualServiceTime(call);
   request.excluded = call_manager_.ExcludedEndpoints(call);
   request.yields = call_manager_.MustYield(now, call);
@@ -405,8 +405,8 @@
   if (NeedsPermit(*endpoint)) {
     call_manager_.DequeueForProbing(now, call);
     permit_waits_.Start(now, call->request.id, *endpoint);
-    actions->push_back(
-        RequestPermit{call->request.id, *endpoint, *KnownLimit(*endpoint), call->limits.priority});
+    actions->push_back(RequestPermit{call->request.id, *endpoint, *KnownLimit(*endpoint),
+                                     call->limits.rank.profile});
     return true;
   }
   call_manager_.StartAttempt(now, call, *endpoint, DescribeChoice(now, *endpoint), actions);
