--- a/review/6/case.cc
+++ b/review/6/case.cpp
@@ -1,12 +1,14 @@
-// REFUSED: a late second copy of an endpoint's refusal is taken for the refusal of the next attempt of the same request.
-#include "world.h"
+// REFUSED: a late second copy of an endpoint's refusal is taken for the refusal of the next attempt
+// of the same request.
+#include "world.hpp"
 
 using namespace kit;
 
 namespace {
 
-constexpr double kShedShare = 0.45;    // srv_grey, how "shed": share of requests that are refused.
-constexpr double kExtraShare = 0.03;   // garble, how "extra late": share of answers that are sent twice.
+constexpr double kShedShare = 0.45;  // srv_grey, how "shed": share of requests that are refused.
+constexpr double kExtraShare =
+    0.03;  // garble, how "extra late": share of answers that are sent twice.
 constexpr int kExtraDelayMs = 20;
 constexpr int kWorkMs = 40;
 constexpr double kSeconds = 80;
@@ -55,9 +57,13 @@
         }
       });
   Heartbeats heartbeats(&store, {endpoint.get()});
-  store.Put("op", "config",
-            ManifestJson(7, json::array({RouteJson("r-order", "/order/", "non_idempotent", "intake", 1500, 800, 2)}),
-                         {"intake"}).dump());
+  store.Put(
+      "op", "config",
+      ManifestJson(
+          7,
+          json::array({RouteJson("r-order", "/order/", "non_idempotent", "intake", 1500, 800, 2)}),
+          {"intake"})
+          .dump());
   Gateway gateway(folder, store.port(), {});
   gateway.Start();
   if (!gateway.WaitReady(20)) {
--- a/review/7/case.cc
+++ b/review/7/case.cpp
@@ -1,5 +1,6 @@
-// QUOTA: one open connection between two gateways goes silent for good; both issue the tokens of the same tenant.
-#include "quota.h"
+// QUOTA: one open connection between two gateways goes silent for good; both issue the tokens of
+// the same tenant.
+#include "quota.hpp"
 
 using namespace kit;
 
@@ -9,8 +10,11 @@
   const std::string folder = TemporaryFolder();
   Store store;
   QuotaTerms terms;
-  terms.tenants = 6;
+  terms.tenants = 3;
+  terms.rate_per_s = 150;
+  terms.asked_share = 0.6;
   terms.random_times = true;
+  terms.ip = "127.1.0.1";  // Outside the network whose addresses the proxies replace.
   QuotaWorld world(terms, &record, &store);
   std::vector<std::unique_ptr<Gateway>> gateways;
   std::vector<std::unique_ptr<PeerProxy>> proxies;
@@ -31,7 +35,7 @@
     }
   }
   SleepMs(6000);
-  world.StartRequesters(list, 2);
+  world.StartRequesters(list, 4);
   SleepMs(10000);
   if (Trouble()) {
     const int count = proxies[1]->Silence("edge-0");
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for source in review/*/case.cc; do
+for source in review/*/case.cpp; do
   number=$(basename "$(dirname "$source")")
   g++ -std=c++20 -O2 -pthread -Wall -Wno-psabi -I review/kit-2 "$source" -o "target/review-2/case-$number"
 done
--- a/review/kit-2/quota.h
+++ b/review/kit-2/quota.hpp
@@ -1,10 +1,10 @@
-// What the two cases on allotments share: endpoints that note which requests arrive, requesters that ask for more than
-// the allotment at every gateway, and the check of rule QUOTA.
+// What the two cases on allotments share: endpoints that note which requests arrive, requesters
+// that ask for more than the allotment at every gateway, and the check of rule QUOTA.
 #pragma once
 
 #include <algorithm>
 
-#include "world.h"
+#include "world.hpp"
 
 namespace kit {
 
@@ -15,13 +15,16 @@
   double window_s = 5;
   double excess = 0.1;
   double slack = 20;
-  bool random_times = false;  // Requests come at random times (Poisson) instead of at equal distances.
+  double asked_share = 1;        // What a tenant asks each gateway for, as a share of its rate.
+  bool random_times = false;     // Requests come at random times, not at equal distances.
+  std::string ip = "127.0.0.1";  // Where the endpoints listen.
   double limit() const { return (rate_per_s * window_s + burst) * (1 + excess) + slack; }
 };
 
 class QuotaWorld {
  public:
-  QuotaWorld(const QuotaTerms& terms, Record* record, Store* store) : terms_(terms), record_(record) {
+  QuotaWorld(const QuotaTerms& terms, Record* record, Store* store)
+      : terms_(terms), record_(record) {
     arrivals_.resize(static_cast<size_t>(terms.tenants));
     std::vector<Endpoint*> list;
     for (int i = 0; i < kEndpoints; ++i) {
@@ -29,12 +32,14 @@
           "i-" + std::to_string(i), "ledger", "nyarugenge", 20,
           [this, i](const std::shared_ptr<Connection>& connection, const Message& request) {
             Run(i, connection, request);
-          }));
+          },
+          false, terms.ip));
       list.push_back(endpoints_.back().get());
     }
     heartbeats_ = std::make_unique<Heartbeats>(store, list);
     json manifest = ManifestJson(
-        7, json::array({RouteJson("r-status", "/status/", "idempotent", "ledger", 1500, 800, 2)}), {"ledger"});
+        7, json::array({RouteJson("r-status", "/status/", "idempotent", "ledger", 1500, 800, 2)}),
+        {"ledger"});
     for (int i = 0; i < terms.tenants; ++i) {
       manifest["tenants"].push_back({{"name", "t-" + std::to_string(i)},
                                      {"api_keys", {"key-" + std::to_string(i)}},
@@ -45,13 +50,14 @@
     store->Put("op", "config", manifest.dump());
   }
 
-  // Starts requesters: each tenant asks each gateway for its whole rate.
+  // Starts requesters of each tenant at each gateway.
   void StartRequesters(const std::vector<Gateway*>& gateways, int threads) {
     started_ = Now();
     for (Gateway* gateway : gateways) {
       for (int tenant = 0; tenant < terms_.tenants; ++tenant) {
         for (int i = 0; i < threads; ++i) {
-          requesters_.emplace_back([this, gateway, tenant, threads] { Ask(gateway, tenant, threads); });
+          requesters_.emplace_back(
+              [this, gateway, tenant, threads] { Ask(gateway, tenant, threads); });
         }
       }
     }
@@ -85,10 +91,12 @@
       }
       const bool broken = static_cast<double>(worst) > terms_.limit();
       held = held && !broken;
-      std::printf("tenant t-%zu: at most %zu requests run in a window of %.0f s (from %.2f s on), allowed %.0f%s\n",
-                  tenant, worst, terms_.window_s, at, terms_.limit(), broken ? ": QUOTA broken" : "");
-      record_->Line("tenant t-%zu: at most %zu in a window, from %.2f s on; allowed %.0f%s", tenant, worst, at,
-                    terms_.limit(), broken ? ": QUOTA broken" : "");
+      std::printf(
+          "tenant t-%zu: at most %zu requests run in a window of %.0f s (from %.2f s on), allowed "
+          "%.0f%s\n",
+          tenant, worst, terms_.window_s, at, terms_.limit(), broken ? ": QUOTA broken" : "");
+      record_->Line("tenant t-%zu: at most %zu in a window, from %.2f s on; allowed %.0f%s", tenant,
+                    worst, at, terms_.limit(), broken ? ": QUOTA broken" : "");
     }
     for (const auto& [status, count] : statuses_) {
       std::printf("requests with status %d: %d\n", status, count);
@@ -112,10 +120,11 @@
 
   void Ask(Gateway* gateway, int tenant, int threads) {
     std::mt19937 random(std::random_device{}());
-    std::exponential_distribution<double> gap(terms_.rate_per_s / threads);
+    const double per_s = terms_.rate_per_s * terms_.asked_share / threads;
+    std::exponential_distribution<double> gap(per_s);
     double due = Now();
     while (!stop_) {
-      due = std::max(due + (terms_.random_times ? gap(random) : threads / terms_.rate_per_s), Now());
+      due = std::max(due + (terms_.random_times ? gap(random) : 1 / per_s), Now());
       SleepMs(static_cast<int>((due - Now()) * 1000));
       Request request;
       request.id = "q" + std::to_string(next_++);
@@ -127,7 +136,8 @@
         sent_[request.id] = Now();
       }
       const Outcome outcome = Send(gateway->front(), request);
-      record_->Line("sent %s t-%d to %s: %d", request.id.c_str(), tenant, gateway->name().c_str(), outcome.status);
+      record_->Line("sent %s t-%d to %s: %d", request.id.c_str(), tenant, gateway->name().c_str(),
+                    outcome.status);
       {
         const std::lock_guard<std::mutex> lock(mutex_);
         ++statuses_[outcome.status];
--- a/review/kit-2/world.h
+++ b/review/kit-2/world.hpp
@@ -1,5 +1,6 @@
-// Small stand-ins for the cases of the second review: the platform's store, endpoints, requesters and the
-// processes under test, all on loopback addresses. Header only; needs libc, threads and nlohmann-json.
+// Small stand-ins for the cases of the second review: the platform's store, endpoints, requesters
+// and the processes under test, all on loopback addresses. Header only; needs libc, threads and
+// nlohmann-json.
 #pragma once
 
 #include <arpa/inet.h>
@@ -7,13 +8,14 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
-#include <sys/prctl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <strings.h>
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
@@ -32,7 +34,6 @@
 #include <random>
 #include <set>
 #include <string>
-#include <strings.h>
 #include <thread>
 #include <vector>
 
@@ -53,7 +54,9 @@
              std::chrono::system_clock::now().time_since_epoch())
       .count();
 }
-inline void SleepMs(int ms) { std::this_thread::sleep_for(std::chrono::milliseconds(ms)); }
+inline void SleepMs(int ms) {
+  std::this_thread::sleep_for(std::chrono::milliseconds(ms));
+}
 inline bool Trouble() {
   const char* value = std::getenv("TROUBLE");
   return value == nullptr || std::string(value) != "0";
@@ -207,7 +210,9 @@
   std::mutex write_mutex_;
 };
 
-inline std::string Format(const std::string& first, const Headers& headers, const std::string& body) {
+inline std::string Format(const std::string& first,
+                          const Headers& headers,
+                          const std::string& body) {
   std::string text = first + "\r\n";
   for (const auto& [name, value] : headers) {
     text += name + ": " + value + "\r\n";
@@ -236,15 +241,16 @@
   return bind(*fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0;
 }
 
-// Gives the ports of one block, below the range from which outgoing connections take theirs. The first port of
-// the block stays bound, so that other runs at the same time leave the block alone.
+// Gives the ports of one block, below the range from which outgoing connections take theirs. The
+// first port of the block stays bound, so that other runs at the same time leave the block alone.
 inline uint16_t FreePort() {
   constexpr int kBlock = 200;
   static int first = 0;
   static int used = 0;
   int fd = -1;
   while (first == 0) {
-    const int block = 11000 + kBlock * std::uniform_int_distribution<int>(0, 90)(*new std::mt19937(std::random_device{}()));
+    const int block = 11000 + kBlock * std::uniform_int_distribution<int>(
+                                           0, 90)(*new std::mt19937(std::random_device{}()));
     if (BindsPort(static_cast<uint16_t>(block), &fd)) {
       first = block;
     } else {
@@ -354,7 +360,8 @@
 }
 
 inline std::string FromBase64(const std::string& text) {
-  static const std::string kDigits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+  static const std::string kDigits =
+      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
   std::string bytes;
   uint32_t group = 0;
   int bits = 0;
@@ -380,8 +387,8 @@
   }
 }
 
-// Gateways listen for each other on addresses of the first network; each knows the others by addresses of the
-// second one, on which PeerProxy listens. The texts have the same length.
+// Gateways listen for each other on addresses of the first network; each knows the others by
+// addresses of the second one, on which PeerProxy listens. The texts have the same length.
 constexpr const char* kOwnNetwork = "127.0.0.";
 constexpr const char* kProxyNetwork = "127.0.1.";
 
@@ -398,15 +405,18 @@
   return out;
 }
 
-// One store with rows-get, rows-feed and rows-tx. Rows that the operator or the servers write are set by Put.
+// One store with rows-get, rows-feed and rows-tx. Rows that the operator or the servers write are
+// set by Put.
 class Store {
  public:
-  Store() : server_(FreePort(), [this](std::shared_ptr<Connection> c) { Serve(std::move(c), ""); }) {}
+  Store()
+      : server_(FreePort(), [this](std::shared_ptr<Connection> c) { Serve(std::move(c), ""); }) {}
   uint16_t port() const { return server_.port(); }
   // Opens a port for one gateway, which sees the addresses of PeerProxy in the rows of all others.
   uint16_t OpenPortFor(const std::string& gateway) {
     doors_.push_back(std::make_unique<Server>(
-        FreePort(), [this, gateway](std::shared_ptr<Connection> c) { Serve(std::move(c), gateway); }));
+        FreePort(),
+        [this, gateway](std::shared_ptr<Connection> c) { Serve(std::move(c), gateway); }));
     return doors_.back()->port();
   }
   uint64_t Put(const std::string& table, const std::string& key, const std::string& value) {
@@ -428,7 +438,9 @@
     bool deleted = false;
   };
 
-  static json RowJson(const std::string& table, const std::string& key, const Row& row,
+  static json RowJson(const std::string& table,
+                      const std::string& key,
+                      const Row& row,
                       const std::string& reader) {
     json value = {{"table", table}, {"part", ""}, {"key", key}, {"ver", row.version}};
     if (row.deleted) {
@@ -463,9 +475,11 @@
     size_t at = target.find('?');
     while (at != std::string::npos) {
       const size_t next = target.find('&', at + 1);
-      const std::string pair = target.substr(at + 1, next == std::string::npos ? next : next - at - 1);
+      const std::string pair =
+          target.substr(at + 1, next == std::string::npos ? next : next - at - 1);
       const size_t equals = pair.find('=');
-      query[pair.substr(0, equals)] = equals == std::string::npos ? "" : Unescape(pair.substr(equals + 1));
+      query[pair.substr(0, equals)] =
+          equals == std::string::npos ? "" : Unescape(pair.substr(equals + 1));
       at = next;
     }
     SleepMs(4);
@@ -510,7 +524,8 @@
     for (const json& row : body.value("expect", json::array())) {
       const auto& table = rows_[row.at("table")];
       const auto found = table.find(row.at("key"));
-      const uint64_t version = found == table.end() || found->second.deleted ? 0 : found->second.version;
+      const uint64_t version =
+          found == table.end() || found->second.deleted ? 0 : found->second.version;
       if (version != row.at("ver")) {
         *status = 412;
         return {{"rows", json::array()}, {"ver", version_}, {"now_ms", NowMs()}};
@@ -537,16 +552,30 @@
 
 // ---- Endpoints ----
 
-// One endpoint: answers its health path, refuses other instances' requests, and passes the rest on to a function.
+// One endpoint: answers its health path, refuses other instances' requests, and passes the rest on
+// to a function.
 class Endpoint {
  public:
   using Handler = std::function<void(const std::shared_ptr<Connection>&, const Message&)>;
   // A handler that gets the head only reads the body itself.
-  Endpoint(std::string id, std::string service, std::string zone, int slots, Handler handler,
-           bool head_only = false)
-      : id_(std::move(id)), service_(std::move(service)), zone_(std::move(zone)), slots_(slots),
-        handler_(std::move(handler)), head_only_(head_only),
-        server_(FreePort(), [this](std::shared_ptr<Connection> c) { Serve(std::move(c)); }) {}
+  Endpoint(std::string id,
+           std::string service,
+           std::string zone,
+           int slots,
+           Handler handler,
+           bool head_only = false,
+           const std::string& ip = "127.0.0.1")
+      : id_(std::move(id)),
+        service_(std::move(service)),
+        zone_(std::move(zone)),
+        slots_(slots),
+        handler_(std::move(handler)),
+        head_only_(head_only),
+        ip_(ip),
+        server_(
+            FreePort(),
+            [this](std::shared_ptr<Connection> c) { Serve(std::move(c)); },
+            ip) {}
   const std::string& id() const { return id_; }
   Server& server() { return server_; }
   std::atomic<int>& running() { return running_; }
@@ -554,22 +583,30 @@
     return std::to_string(running_.load()) + ",0," + std::to_string(slots_);
   }
   std::string Row(const char* state, uint64_t seq) const {
-    return json{{"service", service_}, {"address", "127.0.0.1:" + std::to_string(server_.port())},
-                {"zone", zone_}, {"config_version", "v1"}, {"slots", slots_}, {"state", state},
-                {"warmup_left_ms", 0}, {"seq", seq}, {"born", born_}}.dump();
+    return json{{"service", service_}, {"address", ip_ + ":" + std::to_string(server_.port())},
+                {"zone", zone_},       {"config_version", "v1"},
+                {"slots", slots_},     {"state", state},
+                {"warmup_left_ms", 0}, {"seq", seq},
+                {"born", born_}}
+        .dump();
   }
   // An answer of the application, with the endpoint's signature.
   std::string Answer(int status, const Message& request, const std::string& body) const {
     return Format("HTTP/1.1 " + std::to_string(status) + " X",
                   {{"Request-Id", Find(request.headers, "Request-Id")},
                    {"Server-Stamp", "stamp." + id_ + "." + Find(request.headers, "Request-Id")},
-                   {"Server-Load", Load()}, {"Keep-Alive", "timeout=10"}}, body);
+                   {"Server-Load", Load()},
+                   {"Keep-Alive", "timeout=10"}},
+                  body);
   }
   // A refusal: the request was not run.
   std::string Shed(const Message& request) const {
     return Format("HTTP/1.1 503 Service Unavailable",
-                  {{"Request-Id", Find(request.headers, "Request-Id")}, {"Not-Executed", "1"},
-                   {"Server-Load", Load()}, {"Keep-Alive", "timeout=10"}}, "");
+                  {{"Request-Id", Find(request.headers, "Request-Id")},
+                   {"Not-Executed", "1"},
+                   {"Server-Load", Load()},
+                   {"Keep-Alive", "timeout=10"}},
+                  "");
   }
 
  private:
@@ -581,12 +618,13 @@
       }
       const std::string expected = Find(request.headers, "Expect-Instance");
       if (!expected.empty() && expected != id_) {
-        connection->Write(Format("HTTP/1.1 421 X",
-                                 {{"Request-Id", Find(request.headers, "Request-Id")},
-                                  {"Instance-Id", id_}}, ""));
+        connection->Write(Format(
+            "HTTP/1.1 421 X",
+            {{"Request-Id", Find(request.headers, "Request-Id")}, {"Instance-Id", id_}}, ""));
       } else if (request.Word(1) == "/health") {
-        connection->Write(Format("HTTP/1.1 200 OK", {{"Instance-Id", id_}, {"Server-Load", Load()},
-                                                     {"Keep-Alive", "timeout=10"}}, ""));
+        connection->Write(Format(
+            "HTTP/1.1 200 OK",
+            {{"Instance-Id", id_}, {"Server-Load", Load()}, {"Keep-Alive", "timeout=10"}}, ""));
       } else {
         handler_(connection, request);
       }
@@ -600,6 +638,7 @@
   int64_t born_ = UnixMs();
   Handler handler_;
   bool head_only_;
+  std::string ip_;
   std::atomic<int> running_{0};
   Server server_;
 };
@@ -637,11 +676,16 @@
 class Gateway {
  public:
   Gateway(std::string folder, uint16_t store, GatewayOptions options)
-      : folder_(std::move(folder)), store_(store), options_(std::move(options)),
-        front_(FreePort()), ready_(FreePort()), peers_(FreePort()) {}
+      : folder_(std::move(folder)),
+        store_(store),
+        options_(std::move(options)),
+        front_(FreePort()),
+        ready_(FreePort()),
+        peers_(FreePort()) {}
   ~Gateway() { Kill(); }
   uint16_t front() const { return front_; }
   uint16_t peers() const { return peers_; }
+  uint16_t ready() const { return ready_; }
   pid_t pid() const { return pid_; }
   const std::string& name() const { return options_.name; }
 
@@ -725,12 +769,15 @@
 
  private:
   std::string Settings() const {
-    const auto address = [](uint16_t port) { return "\"127.0.0.1:" + std::to_string(port) + "\"\n"; };
+    const auto address = [](uint16_t port) {
+      return "\"127.0.0.1:" + std::to_string(port) + "\"\n";
+    };
     return "[gateway]\nid = \"" + options_.name + "\"\nzone = \"" + options_.zone +
            "\"\npolicy = \"fresh_load\"\ngrace_ms = 3000\nstop_limit_s = " +
-           std::to_string(options_.grace_s) + "\nevent_ring = 0\n\n[callers]\nlisten = " +
-           address(front_) + "\n[status]\nlisten = " + address(ready_) +
-           "\n[peers]\naddress = \"" + options_.ip + "\"\nport = " + std::to_string(peers_) +
+           std::to_string(options_.grace_s) +
+           "\nevent_ring = 0\n\n[callers]\nlisten = " + address(front_) +
+           "\n[status]\nlisten = " + address(ready_) + "\n[peers]\naddress = \"" + options_.ip +
+           "\"\nport = " + std::to_string(peers_) +
            "\nshared_key = \"closed-network-of-the-platform\"\n\n[limits]\nmemory_mb = " +
            std::to_string(options_.memory_mb) + "\n\n[platform]\nserver = " + address(store_) +
            "source = \"discovery\"\nnew_deployment = " + (options_.bootstrap ? "true" : "false") +
@@ -746,14 +793,19 @@
   pid_t pid_ = -1;
 };
 
-// Forwards the connections of a gateway's peers to it, and can silence open ones: bytes are dropped, nothing is
-// closed, and new connections work.
+// Forwards the connections of a gateway's peers to it, and can silence open ones: bytes are
+// dropped, nothing is closed, and new connections work.
 class PeerProxy {
  public:
   // ip: the gateway's address in the first network.
   PeerProxy(const std::string& ip, uint16_t port, Record* record)
-      : target_(ip), record_(record), server_(port, [this](std::shared_ptr<Connection> c) { Serve(std::move(c)); },
-                              kProxyNetwork + ip.substr(std::strlen(kOwnNetwork))), port_(port) {}
+      : target_(ip),
+        record_(record),
+        server_(
+            port,
+            [this](std::shared_ptr<Connection> c) { Serve(std::move(c)); },
+            kProxyNetwork + ip.substr(std::strlen(kOwnNetwork))),
+        port_(port) {}
   // Silences the open connections that this peer has opened.
   int Silence(const std::string& peer) {
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -783,11 +835,17 @@
       const std::lock_guard<std::mutex> lock(mutex_);
       links_.push_back(link);
     }
-    std::thread([from, to, link] { Pump(to.get(), from.get(), link.get(), nullptr, nullptr); }).detach();
+    std::thread([from, to, link] {
+      Pump(to.get(), from.get(), link.get(), nullptr, nullptr);
+    }).detach();
     Pump(from.get(), to.get(), link.get(), &mutex_, record_);
   }
   // Forwards bytes. The first message names the sender.
-  static void Pump(Connection* from, Connection* to, Link* link, std::mutex* mutex, Record* record) {
+  static void Pump(Connection* from,
+                   Connection* to,
+                   Link* link,
+                   std::mutex* mutex,
+                   Record* record) {
     while (from->Fill(Now() + 600)) {
       std::string bytes;
       bytes.swap(from->input());
@@ -834,7 +892,8 @@
 };
 
 inline std::string FormatRequest(const Request& request) {
-  Headers headers = {{"Host", "shop.example"}, {"Request-Id", request.id},
+  Headers headers = {{"Host", "shop.example"},
+                     {"Request-Id", request.id},
                      {"Request-Deadline", std::to_string(request.deadline_ms)}};
   headers.insert(headers.end(), request.extra.begin(), request.extra.end());
   std::string text = request.method + " " + request.path + " HTTP/1.1\r\n";
@@ -867,26 +926,43 @@
 
 // ---- The manifest ----
 
-inline json RouteJson(const std::string& name, const std::string& prefix, const char* kind,
-                      const std::string& service, int timeout_ms, int target_ms, int max_attempts) {
-  return {{"name", name}, {"hostname", "shop.example"}, {"prefix", prefix}, {"kind", kind},
-          {"timeout_ms", timeout_ms}, {"target_latency_ms", target_ms}, {"priority", 1},
-          {"service", service}, {"max_attempts", max_attempts}};
+inline json RouteJson(const std::string& name,
+                      const std::string& prefix,
+                      const char* kind,
+                      const std::string& service,
+                      int timeout_ms,
+                      int target_ms,
+                      int max_attempts) {
+  return {{"name", name},  {"hostname", "shop.example"}, {"prefix", prefix},
+          {"kind", kind},  {"timeout_ms", timeout_ms},   {"target_latency_ms", target_ms},
+          {"priority", 1}, {"service", service},         {"max_attempts", max_attempts}};
 }
 
 inline json ManifestJson(uint64_t version, json routes, const std::vector<std::string>& services) {
   json list = json::array();
   for (const std::string& service : services) {
-    list.push_back({{"name", service}, {"health_path", "/health"}, {"max_connections", 260},
-                    {"protocol", "h1"}, {"tls", false}, {"warmup_s", 3.0}, {"warmup_per_s", 5.3}});
-  }
-  return {{"config_version", version}, {"routes", std::move(routes)}, {"services", std::move(list)},
-          {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", 67108864},
-                      {"header_timeout_ms", 3000}, {"idle_timeout_ms", 15000}}}};
+    list.push_back({{"name", service},
+                    {"health_path", "/health"},
+                    {"max_connections", 260},
+                    {"protocol", "h1"},
+                    {"tls", false},
+                    {"warmup_s", 3.0},
+                    {"warmup_per_s", 5.3}});
+  }
+  return {{"config_version", version},
+          {"routes", std::move(routes)},
+          {"services", std::move(list)},
+          {"limits",
+           {{"max_header_bytes", 16384},
+            {"max_body_bytes", 67108864},
+            {"header_timeout_ms", 3000},
+            {"idle_timeout_ms", 15000}}}};
 }
 
 // Ends the case: its processes, then this one.
-[[noreturn]] inline void Finish(int code, const std::vector<Gateway*>& gateways, const std::string& folder) {
+[[noreturn]] inline void Finish(int code,
+                                const std::vector<Gateway*>& gateways,
+                                const std::string& folder) {
   for (Gateway* gateway : gateways) {
     gateway->Kill();
   }
