Connections carry no two attempts of one request

Cause: a second copy of a response is recognised by its request id, which all attempts of a call share. An endpoint refused the first attempt, ran the second one, which came on the same connection, and sent its refusal once more: the copy was taken for the answer to the second attempt.

Ruled out: a second refusal by the endpoint (its record has one a request), and a mix-up of attempts on different connections (no 503 without a copy). The gateway's log could not show that a connection had carried an earlier attempt: new log line connection-passed-over, new metric jackdawdeck_upstream_connections_passed_over.

The copy can then only arrive on a connection where it names another request and is dropped, or is idle and is closed. A caller that sends a refused request again under its id is covered too.

The fixture of upstream_test moved to upstream_harness.h.

--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -328,6 +328,7 @@
   values.caller_connections = callers_.connections();
   values.caller_memory_bytes = callers_.memory_bytes();
   values.upstream_connections = upstreams_.connections();
+  values.upstream_connections_passed_over = upstreams_.connections_passed_over();
   values.config_version = configuration_ == nullptr ? 0 : configuration_->version.value;
   values.ready = ready();
   values.permits = node_.permit_counts();
--- a/gateway/metrics.cc
+++ b/gateway/metrics.cc
@@ -151,6 +151,10 @@
   caller_memory_bytes_ = add("jackdawdeck_caller_memory_bytes",
                              "Memory of callers' requests and of answers that are not written.");
   upstream_connections_ = add("jackdawdeck_upstream_connections", "Connections to endpoints.");
+  upstream_connections_passed_over_ =
+      add("jackdawdeck_upstream_connections_passed_over",
+          "Attempts since the start that no idle connection could carry, because each had carried "
+          "an earlier attempt of the request.");
   peer_bytes_sent_ = add("jackdawdeck_peer_bytes_sent", "Bytes sent to peers since the start.");
   peer_bytes_received_ = add("jackdawdeck_peer_bytes_received",
                              "Bytes received from peers and operators since the start.");
@@ -224,6 +228,8 @@
   peer_bytes_received_->Set(static_cast<double>(values.peer_traffic.bytes_received));
   peer_messages_sent_->Set(static_cast<double>(values.peer_traffic.messages_sent));
   upstream_connections_->Set(static_cast<double>(values.upstream_connections));
+  upstream_connections_passed_over_->Set(
+      static_cast<double>(values.upstream_connections_passed_over));
   config_version_->Set(static_cast<double>(values.config_version));
   permits_granted_->Set(static_cast<double>(values.permits.granted));
   permits_refused_->Set(static_cast<double>(values.permits.refused));
--- a/gateway/metrics.h
+++ b/gateway/metrics.h
@@ -38,6 +38,7 @@
   size_t caller_connections = 0;
   size_t caller_memory_bytes = 0;  ///< Of requests and of answers that are not written.
   size_t upstream_connections = 0;
+  uint64_t upstream_connections_passed_over = 0;
   uint64_t config_version = 0;  ///< 0: none.
   bool ready = false;
   PermitCounts permits;
@@ -100,6 +101,7 @@
   Gauge* peer_bytes_received_ = nullptr;
   Gauge* peer_messages_sent_ = nullptr;
   Gauge* upstream_connections_ = nullptr;
+  Gauge* upstream_connections_passed_over_ = nullptr;
   Gauge* config_version_ = nullptr;
   std::vector<Gauge*> endpoint_holds_;  ///< By EndpointHold, without kNone.
   Gauge* permits_granted_ = nullptr;
--- a/gateway/upstream_pool.cc
+++ b/gateway/upstream_pool.cc
@@ -19,6 +19,8 @@
 // the first. If the next request were already sent on the connection, the second answer would be
 // taken for the answer to that request, and closing the connection would abort its processing.
 constexpr Duration kSecondAnswerWindow = 1s;
+// Callers and the gateway may repeat a request that was answered with a status from this one on.
+constexpr int kFirstFailure = 400;
 // Used for upstreams that do not announce an idle timeout, because they may close idle connections
 // as well.
 constexpr Duration kDefaultIdleTimeout = 5s;
@@ -84,17 +86,51 @@
 }
 
 std::vector<UpstreamPool::ConnectionPtr>::iterator UpstreamPool::ChooseIdleConnection(
-    EndpointPool* pool) const {
-  const auto most_recently_used = std::prev(pool->idle.end());
+    EndpointPool* pool,
+    const RequestId& request) const {
   const MonoTime latest_safe_answer = loop_->ReadClocks().mono - kSecondAnswerWindow;
-  const auto found =
-      std::find_if(pool->idle.rbegin(), pool->idle.rend(), [&](const ConnectionPtr& connection) {
-        return connection->last_answered <= latest_safe_answer;
-      });
-  return found == pool->idle.rend() ? most_recently_used : std::prev(found.base());
+  auto chosen = pool->idle.end();
+  for (auto connection = pool->idle.end(); connection != pool->idle.begin();) {
+    --connection;
+    if ((*connection)->unsuccessful.Contains(request)) {
+      continue;
+    }
+    if ((*connection)->last_answered <= latest_safe_answer) {
+      return connection;
+    }
+    if (chosen == pool->idle.end()) {
+      chosen = connection;
+    }
+  }
+  return chosen;
+}
+
+UpstreamPool::ConnectionPtr UpstreamPool::TakeIdleConnection(EndpointPool* pool,
+                                                             const RequestId& request) {
+  auto chosen = ChooseIdleConnection(pool, request);
+  while (chosen != pool->idle.end()) {
+    ConnectionPtr connection = std::move(*chosen);
+    pool->idle.erase(chosen);
+    if (connection->http->usable() && !connection->http->PeerClosed() &&
+        loop_->ReadClocks().mono < connection->idle_until) {
+      return connection;
+    }
+    DiscardConnection(std::move(connection));
+    chosen = ChooseIdleConnection(pool, request);
+  }
+  return nullptr;
+}
+
+void UpstreamPool::CloseIdleConnection(EndpointPool* pool) {
+  if (!pool->idle.empty()) {
+    ConnectionPtr connection = std::move(pool->idle.front());
+    pool->idle.erase(pool->idle.begin());
+    DiscardConnection(std::move(connection));
+  }
 }
 
 UpstreamPool::ConnectionPtr UpstreamPool::AcquireConnection(const EndpointId& endpoint,
+                                                            const RequestId& request,
                                                             bool* is_new) {
   const auto found = endpoint_pools_.find(endpoint);
   if (found == endpoint_pools_.end() || found->second.config.address.empty()) {
@@ -102,17 +138,23 @@
   }
   EndpointPool& pool = found->second;
   *is_new = false;
-  while (!pool.idle.empty()) {
-    const auto chosen = ChooseIdleConnection(&pool);
-    ConnectionPtr connection = std::move(*chosen);
-    pool.idle.erase(chosen);
-    if (connection->http->usable() && !connection->http->PeerClosed() &&
-        loop_->ReadClocks().mono < connection->idle_until) {
-      return connection;
-    }
-    DiscardConnection(std::move(connection));
+  if (ConnectionPtr idle = TakeIdleConnection(&pool, request)) {
+    return idle;
   }
-  if (pool.config.max_connections > 0 && pool.connections >= pool.config.max_connections) {
+  if (!pool.idle.empty()) {
+    // Each of them has carried an earlier attempt of the request.
+    ++connections_passed_over_;
+    LogDebug(LogPart::kCalls, "event=connection-passed-over endpoint=" + endpoint.value +
+                                  " request=" + request.value +
+                                  " idle=" + std::to_string(pool.idle.size()));
+  }
+  const auto at_limit = [&pool] {
+    return pool.config.max_connections > 0 && pool.connections >= pool.config.max_connections;
+  };
+  if (at_limit()) {
+    CloseIdleConnection(&pool);
+  }
+  if (at_limit()) {
     return nullptr;
   }
   *is_new = true;
@@ -173,7 +215,8 @@
   exchange.idempotent = attempt.idempotent;
   exchange.sent = now;
   exchange.deadline = now + attempt.timeout;
-  exchange.connection = AcquireConnection(attempt.endpoint, &exchange.new_connection);
+  exchange.connection =
+      AcquireConnection(attempt.endpoint, request.request_id, &exchange.new_connection);
   if (exchange.connection == nullptr) {
     exchange.connection = std::make_unique<Connection>();
     exchange.connection->endpoint = attempt.endpoint;
@@ -244,7 +287,11 @@
   // The bytes of an invalid response may belong to another request, so the connection is not
   // reused.
   if (result.response != nullptr && connection->http->usable() &&
-      reply.outcome != AttemptOutcome::kInvalid && reply.reusable) {
+      reply.outcome != AttemptOutcome::kInvalid && reply.reusable &&
+      !connection->unsuccessful.full()) {
+    if (reply.outcome == AttemptOutcome::kRefused || result.response->status >= kFirstFailure) {
+      connection->unsuccessful.Add(exchange.request_id);
+    }
     if (!exchange.is_probe) {
       connection->last_answered = loop_->ReadClocks().mono;
     }
--- a/gateway/upstream_pool.h
+++ b/gateway/upstream_pool.h
@@ -19,6 +19,7 @@
 #include "net/http_connection.h"
 #include "policy/attempt_result.h"
 #include "policy/call_action.h"
+#include "policy/unsuccessful_requests.h"
 
 namespace jd {
 
@@ -64,6 +65,9 @@
 
   /// Returns the number of connections, idle or in use.
   size_t connections() const { return connection_count_; }
+  /// Returns how often every idle connection to an endpoint was passed over, because each had
+  /// carried an earlier attempt of the request.
+  uint64_t connections_passed_over() const { return connections_passed_over_; }
   /// Returns the bytes of all incomplete responses.
   size_t response_bytes() const { return memory_.used_bytes(); }
 
@@ -90,6 +94,7 @@
     /// twice sends the second answer soon after the first.
     MonoTime last_answered;
     MonoTime idle_since;  ///< When the connection last became idle.
+    UnsuccessfulRequests unsuccessful;
     std::unique_ptr<HttpConnection> http;
   };
   using ConnectionPtr = std::unique_ptr<Connection>;
@@ -119,14 +124,23 @@
   ConnectionPtr NewConnection(const EndpointId& endpoint, const EndpointConfig& config);
   /// Returns an idle or a new connection to an endpoint, or null if the endpoint is unknown, has
   /// as many connections as its limit allows, or no connection can be created.
+  /// @param request the request that the connection is for; empty for a probe.
   /// @param is_new receives whether the connection is new.
-  ConnectionPtr AcquireConnection(const EndpointId& endpoint, bool* is_new);
-  /// Returns the idle connection for the next exchange: the most recently used one on which a
-  /// second answer to an earlier attempt can no longer arrive, or, if there is none, the most
-  /// recently used one of all. Thus a call that follows a probe uses the connection that has just
-  /// worked.
-  /// @param pool must have an idle connection.
-  std::vector<ConnectionPtr>::iterator ChooseIdleConnection(EndpointPool* pool) const;
+  ConnectionPtr AcquireConnection(const EndpointId& endpoint,
+                                  const RequestId& request,
+                                  bool* is_new);
+  /// Takes out an idle connection on which an exchange of `request` can start; closes those that
+  /// have become unusable. Returns null if there is none.
+  ConnectionPtr TakeIdleConnection(EndpointPool* pool, const RequestId& request);
+  /// Returns the idle connection for the next exchange: of those that have not carried `request`
+  /// without success, the most recently used one on which a second answer to an earlier attempt can
+  /// no longer arrive soon, or, if there is none, the most recently used one. Thus a call that
+  /// follows a probe uses the connection that has just worked. Returns the end if every idle
+  /// connection has carried the request.
+  std::vector<ConnectionPtr>::iterator ChooseIdleConnection(EndpointPool* pool,
+                                                            const RequestId& request) const;
+  /// Closes the least recently used idle connection, if there is one.
+  void CloseIdleConnection(EndpointPool* pool);
   void StartExchange(uint64_t id,
                      const SendAttempt& attempt,
                      const UpstreamRequest& request,
@@ -162,6 +176,7 @@
   std::vector<ConnectionPtr> discarded_;  ///< Closed; destroyed outside their own callbacks.
   uint64_t next_probe_ = 0;
   size_t connection_count_ = 0;
+  uint64_t connections_passed_over_ = 0;
   Timer deadline_timer_;
   std::optional<MonoTime> deadline_timer_due_;  ///< When deadline_timer_ fires.
   Timer discard_timer_;
--- a/tests/upstream_test.cc
+++ b/tests/upstream_test.cc
@@ -1,73 +1,11 @@
 #include <catch2/catch.hpp>
 
-#include "gateway/upstream_pool.h"
-#include "tests/http_harness.h"
+#include "tests/upstream_harness.h"
 
 namespace jd {
 namespace {
 
-constexpr size_t kMemoryBytes = 1 << 20;
-
-// A pool with one endpoint "e", which is a server that the test controls.
-struct Fixture {
-  explicit Fixture(std::string upstream_address = "127.0.0.1")
-      : server(&loop),
-        pool(&loop, HttpConnection::Limits(), kMemoryBytes, &dialect),
-        address(std::move(upstream_address)) {
-    Configure(4);
-    pool.attempt_ended().connect([this](const AttemptResult& result, HttpResponsePtr&) {
-      results[result.attempt.value].push_back(result);
-    });
-    pool.probe_ended().connect([this](const ProbeResult& result) { probes.push_back(result); });
-  }
-  void Configure(int max_connections) {
-    Configuration configuration;
-    Service service;
-    service.id = ServiceId("s");
-    service.health_path = "/healthy";
-    service.endpoints = {
-        {EndpointId("e"), ZoneId("z"), address, server.port, 4, max_connections, {}}};
-    configuration.services[service.id] = service;
-    pool.SetConfiguration(std::make_shared<const Configuration>(configuration));
-  }
-  void Send(uint64_t attempt, Duration timeout = 60s, bool idempotent = false) {
-    UpstreamRequest request;
-    request.method = EVHTTP_REQ_POST;
-    request.target = "/order";
-    request.request_id = RequestId("r" + std::to_string(attempt));
-    const BufferPtr body(evbuffer_new());
-    evbuffer_add_printf(body.get(), "body");
-    request.body = body.get();
-    pool.Send({CallId(1), AttemptId(attempt), EndpointId("e"), timeout, idempotent}, request);
-  }
-  AttemptResult WaitForResult(uint64_t attempt) {
-    REQUIRE(RunUntil(&loop, [&] { return !results[attempt].empty(); }));
-    CHECK(results[attempt].size() == 1);
-    return results[attempt].front();
-  }
-  void AnswerAll(const std::string& response) {
-    server.on_request = [response](TextConnection& connection) { connection.Answer(response); };
-  }
-  void RunLoopBriefly() {
-    for (int i = 0; i < 20; ++i) {
-      int checks = 0;
-      RunUntil(&loop, [&] { return ++checks > 2; });
-    }
-  }
-
-  EventLoop loop;
-  TextServer server;
-  NativeDialect dialect;
-  UpstreamPool pool;
-  std::string address;
-  std::map<uint64_t, std::vector<AttemptResult>> results;
-  std::vector<ProbeResult> probes;
-};
-
-const std::string kOk =
-    HttpResponse("200 OK",
-                 "x-load: in-flight=1;slots=4;state=warm\r\nx-instance-id: i7\r\n",
-                 "done");
+using Fixture = UpstreamFixture;
 
 TEST_CASE("responses without end share one limit on memory", "[upstream_test]") {
   // Guards against a process that runs out of memory because several upstreams send without end at
