--- a/tests/http_response_reader_test.cc
+++ b/tests/http_response_reader_test.cc
@@ -109,6 +109,27 @@
   CHECK(stream.reader.OnEndOfStream() == State::kFailed);
 }
 
+TEST_CASE("a response whose head is cut at any byte is never complete",
+          "[http_response_reader_test]") {
+  // Guards against a cut head that is taken for a whole response without a body. The heads without
+  // a length are the ones to which the end of the stream is a proper end of the body.
+  const std::string head =
+      GENERATE(as<std::string>{}, kHead + "\r\n", kHead + "a: b\r\nConnection: close\r\n\r\n",
+               kHead + "a: b\r\nContent-Length: 0\r\n\r\n", kHead + "a:\r\n b\r\n\r\n",
+               "HTTP/1.0 200 OK\r\na: b\r\n\r\n", "HTTP/1.1 204 No Content\r\n\r\n",
+               "HTTP/1.1 100 Continue\r\n\r\n" + kHead + "a: b\r\n\r\n");
+  const bool head_request = GENERATE(false, true);
+  const size_t piece = GENERATE(size_t{1}, size_t{1000});
+  for (size_t cut = 0; cut < head.size(); ++cut) {
+    INFO(cut << " bytes of " << head);
+    Stream stream(head_request);
+    for (size_t at = 0; at < cut; at += piece) {
+      CHECK(stream.Feed(head.substr(at, std::min(piece, cut - at))) == State::kIncomplete);
+    }
+    CHECK(stream.reader.OnEndOfStream() == State::kFailed);
+  }
+}
+
 TEST_CASE("a response without a length ends with the stream", "[http_response_reader_test]") {
   Stream stream;
   CHECK(stream.Feed(kHead + "\r\nabc") == State::kIncomplete);
