Silent connections between gateways are replaced

Cause: a gateway sends over a connection that it opened itself and replaces it only when the kernel reports an end. A connection that goes silent without a reset reports none, and nobody compared what was sent with what the peer says it received, which each heartbeat carries (the echo).

Fix: a connection to a peer that has not echoed a heartbeat for 1 s is replaced, then after 2, 4 and each 8 s, because a peer that does not run looks alike. The receiver closes the earlier connections of a peer that sends over a new one; their close may never arrive. All connections between gateways have a TCP keep-alive, for those to other zones, which carry no heartbeats. The options of sockets are in one place (net/socket_options), they stood twice.

Ruled out: a read time limit on incoming connections, because those of other zones are idle for long.

--- a/cluster/membership.cc
+++ b/cluster/membership.cc
@@ -72,6 +72,9 @@
   // An echo of a heartbeat from before a pause does not show that the peer receives heartbeats now.
   if (heartbeat.echo_incarnation == settings_.incarnation && heartbeat.echo >= resumed_at_ &&
       heartbeat.echo <= now) {
+    if (heartbeat.echo > member.last_echo) {
+      member.replacements = 0;
+    }
     member.last_echo = std::max(member.last_echo, heartbeat.echo);
     member.echoed = true;
     member.view_echoed = heartbeat.view_echo;
@@ -254,10 +257,30 @@
   }
 }
 
+void Membership::ReplaceSilentConnection(MonoTime now,
+                                         Member* member,
+                                         MembershipOutput* output) const {
+  if (member->connected == MonoTime()) {
+    member->connected = now;
+  }
+  MonoTime since = std::max(member->connected, resumed_at_);
+  if (member->echoed) {
+    since = std::max(since, member->last_echo);
+  }
+  const int doublings = std::min(member->replacements, kMaxReplacementDoublings);
+  if (now - since < dead_after() * (1 << doublings)) {
+    return;
+  }
+  output->replacements.push_back({member->id, now - since});
+  member->connected = now;
+  ++member->replacements;
+}
+
 void Membership::SendHeartbeats(MonoTime now, MembershipOutput* output) {
   next_heartbeat_ = now + settings_.heartbeat;
   UpdateAnnouncedView();
-  for (const auto& [id, member] : members_) {
+  for (auto& [id, member] : members_) {
+    ReplaceSilentConnection(now, &member, output);
     Heartbeat heartbeat;
     heartbeat.zone = settings_.zone;
     heartbeat.address = settings_.address;
--- a/cluster/membership.h
+++ b/cluster/membership.h
@@ -45,6 +45,8 @@
   bool echoed = false;  ///< `last_echo` has been set since this process started or last paused.
   uint64_t view_generation = 0;  ///< Of the view that its latest heartbeat names.
   GatewayViewPtr view;           ///< That view; null until it has arrived.
+  MonoTime connected;            ///< When the connection to it was last opened or replaced.
+  int replacements = 0;          ///< Of the connection, since it last echoed a heartbeat.
   uint64_t view_echoed = 0;      ///< Generation of the own view that it has received last.
 };
 
@@ -59,6 +61,7 @@
 struct MembershipOutput {
   std::vector<std::pair<GatewayId, Heartbeat>> heartbeats;
   std::vector<SetPeerAddress> addresses;
+  std::vector<ReplacePeerConnection> replacements;
   std::vector<MemberChange> changes;
 };
 
@@ -80,6 +83,8 @@
   /// Number of heartbeat intervals without any event after which this process counts as having been
   /// paused. A lower limit would mistake an ordinary scheduling delay for a pause.
   static constexpr int kPausedAfterHeartbeats = 3;
+  /// How often the time doubles after which the connection to a peer is replaced again.
+  static constexpr int kMaxReplacementDoublings = 3;
 
   explicit Membership(NodeSettings settings);
 
@@ -131,6 +136,10 @@
   void UpdateStates(MonoTime now, MembershipOutput* output);
   MemberState StateOf(MonoTime now, const Member& member) const;
   void SendHeartbeats(MonoTime now, MembershipOutput* output);
+  /// Replaces the connection to a peer that has not echoed a heartbeat for as long as a dead peer
+  /// is silent: no message may arrive over it, while a new connection works. A peer that does not
+  /// run looks alike, so the time doubles until the peer echoes again.
+  void ReplaceSilentConnection(MonoTime now, Member* member, MembershipOutput* output) const;
   /// Makes the current owner candidates the announced view.
   void UpdateAnnouncedView();
   static void UpdateViewOf(const Heartbeat& heartbeat, Member* member);
--- a/cluster/node.h
+++ b/cluster/node.h
@@ -130,6 +130,7 @@
                        NodeActions* actions);
   /// Sends the quota messages that are due, and admits or refuses the calls that waited for tokens.
   void FlushQuotas(Now now, NodeActions* actions);
+  void RecordPeerEvent(Now now, EventKind kind, const GatewayId& peer, NodeActions* actions);
   /// Passes on what the latest heartbeat of a peer says of its view.
   void UpdateIssuerSupport(Now now, const GatewayId& peer);
   /// @param issuers the gateways that may issue tokens, if the list of gateways is known.
--- a/cluster/node_action.h
+++ b/cluster/node_action.h
@@ -26,6 +26,12 @@
   uint16_t port = 0;
 };
 
+/// Replaces the connection to a peer, over which no message seems to arrive.
+struct ReplacePeerConnection {
+  GatewayId peer;
+  Duration silent{0};  ///< Time since the peer last showed that it receives messages.
+};
+
 /// Sends a request to the platform's table. The reply is passed to Node::OnTableReply with the same
 /// id.
 struct CallTable {
@@ -81,6 +87,7 @@
                                 CloseConnections,
                                 SendPeerMessage,
                                 SetPeerAddress,
+                                ReplacePeerConnection,
                                 CallTable,
                                 FetchVmList,
                                 SendProbe,
--- a/cluster/node_effects.cc
+++ b/cluster/node_effects.cc
@@ -36,6 +36,14 @@
   timeline_.Add(now, std::move(event));
 }
 
+void Node::RecordPeerEvent(Now now, EventKind kind, const GatewayId& peer, NodeActions* actions) {
+  Event event;
+  event.kind = kind;
+  event.detail = "peer=" + peer.value;
+  timeline_.Add(now, event);
+  actions->push_back(WriteLog{std::move(event)});
+}
+
 void Node::ApplyCallActions(Now now, const CallActions& from, NodeActions* to) {
   for (const CallAction& action : from) {
     if (const auto* record = std::get_if<RecordEvent>(&action)) {
@@ -154,12 +162,15 @@
   for (const SetPeerAddress& address : from.addresses) {
     actions->push_back(address);
   }
+  for (const ReplacePeerConnection& replacement : from.replacements) {
+    actions->push_back(replacement);
+  }
   for (const auto& [to, heartbeat] : from.heartbeats) {
     SendTo(now, to, heartbeat, actions);
   }
   for (const MemberChange& change : from.changes) {
     if (change.state == MemberState::kDead) {
-      RecordTimelineEvent(now, EventKind::kPeerDead, change.id.value);
+      RecordPeerEvent(now, EventKind::kPeerDead, change.id, actions);
       const auto member = membership_.members().find(change.id);
       if (member != membership_.members().end() && member->second.leaving) {
         slots_.OnGatewayLeft(now.mono, change.id);
@@ -167,9 +178,11 @@
         slots_.OnGatewayDead(now.mono, change.id);
       }
     } else if (change.state == MemberState::kLeaving) {
-      RecordTimelineEvent(now, EventKind::kPeerDead, change.id.value + " is leaving");
+      RecordPeerEvent(now, EventKind::kPeerLeaving, change.id, actions);
     } else if (change.state == MemberState::kLive) {
-      RecordTimelineEvent(now, EventKind::kPeerLive, change.id.value);
+      RecordPeerEvent(now, EventKind::kPeerLive, change.id, actions);
+    } else if (change.state == MemberState::kOneWay) {
+      RecordPeerEvent(now, EventKind::kPeerOneWay, change.id, actions);
     }
   }
   UpdateSlotMembers(now);
--- a/common/event_ring.cc
+++ b/common/event_ring.cc
@@ -44,6 +44,10 @@
       return "peer-live";
     case EventKind::kPeerDead:
       return "peer-dead";
+    case EventKind::kPeerOneWay:
+      return "peer-one-way";
+    case EventKind::kPeerLeaving:
+      return "peer-leaving";
     case EventKind::kConfigApplied:
       return "config-applied";
     case EventKind::kZoneChanged:
--- a/common/event_ring.h
+++ b/common/event_ring.h
@@ -40,6 +40,8 @@
   kProbe,
   kLeaseTaken,
   kLeaseLost,
+  kPeerOneWay,
+  kPeerLeaving,
 };
 
 /// Returns the kind's name in log lines and in the timeline, for example "call-started".
--- a/control/gateway_daemon.cc
+++ b/control/gateway_daemon.cc
@@ -55,6 +55,8 @@
       [this](const SendPeerMessage& action) { links_.SendMessage(action); });
   gateway_.set_peer_address().connect(
       [this](const SetPeerAddress& action) { links_.SetPeerAddress(action); });
+  gateway_.replace_peer_connection().connect(
+      [this](const ReplacePeerConnection& action) { links_.ReplaceConnection(action); });
   gateway_.operator_reply().connect(
       [this](const OperatorReply& reply) { links_.SendOperatorReply(reply); });
   gateway_.SetPeerTrafficSource([this] { return links_.traffic(); });
--- a/gateway/frame_link.cc
+++ b/gateway/frame_link.cc
@@ -3,12 +3,14 @@
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <array>
+#include <chrono>
 #include <stdexcept>
 
+#include "net/socket_options.h"
+
 namespace jd {
 namespace {
 
@@ -22,11 +24,9 @@
   return out;
 }
 
-// Small control messages must not wait for the acknowledgement of earlier messages.
-void DisableNagle(evutil_socket_t socket) {
-  const int on = 1;
-  setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-}
+// The kernel closes a silent connection after about three times as long. Peers in the same zone
+// notice it earlier, from their heartbeats.
+constexpr std::chrono::seconds kKeepAliveIdle{2};
 
 }  // namespace
 
@@ -46,6 +46,7 @@
 void FrameLink::SetUpConnection(evutil_socket_t socket) {
   if (socket >= 0) {
     DisableNagle(socket);
+    EnableTcpKeepAlive(socket, kKeepAliveIdle);
   }
   bufferevent_setcb(connection_.get(), &ReadCallback, nullptr, &EventCallback, this);
   bufferevent_enable(connection_.get(), EV_READ | EV_WRITE);
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -410,6 +410,10 @@
   set_peer_address_.emit(action);
 }
 
+void Gateway::ExecuteAction(const ReplacePeerConnection& action) {
+  replace_peer_connection_.emit(action);
+}
+
 void Gateway::ExecuteAction(const ApplyTableUpdate& action) {
   table_update_received_.emit(action.update);
 }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -52,6 +52,9 @@
   // PeerLinks.
   sigc::signal<void(const SendPeerMessage&)>& send_peer_message() { return send_peer_message_; }
   sigc::signal<void(const SetPeerAddress&)>& set_peer_address() { return set_peer_address_; }
+  sigc::signal<void(const ReplacePeerConnection&)>& replace_peer_connection() {
+    return replace_peer_connection_;
+  }
   sigc::signal<void(const OperatorReply&)>& operator_reply() { return operator_reply_; }
   /// Updates the node with what operators and upstreams have written to the platform's store.
   void OnDiscovery(const DiscoveryUpdate& update);
@@ -142,6 +145,7 @@
   void ExecuteAction(const CloseConnections& action);
   void ExecuteAction(const SendPeerMessage& action);
   void ExecuteAction(const SetPeerAddress& action);
+  void ExecuteAction(const ReplacePeerConnection& action);
   void ExecuteAction(const CallTable& action);
   void ExecuteAction(const FetchVmList& action);
   void ExecuteAction(const SendProbe& action);
@@ -177,6 +181,7 @@
   sigc::signal<void()> stopped_;
   sigc::signal<void(const SendPeerMessage&)> send_peer_message_;
   sigc::signal<void(const SetPeerAddress&)> set_peer_address_;
+  sigc::signal<void(const ReplacePeerConnection&)> replace_peer_connection_;
   sigc::signal<void(const OperatorReply&)> operator_reply_;
   sigc::signal<void(const TableUpdate&)> table_update_received_;
   sigc::signal<void(const RolloutStatusWrite&)> rollout_status_write_;
--- a/gateway/log.cc
+++ b/gateway/log.cc
@@ -127,6 +127,8 @@
       return LogPart::kEndpoints;
     case EventKind::kPeerLive:
     case EventKind::kPeerDead:
+    case EventKind::kPeerOneWay:
+    case EventKind::kPeerLeaving:
       return LogPart::kPeers;
     case EventKind::kZoneChanged:
       return LogPart::kZones;
--- a/gateway/metrics.cc
+++ b/gateway/metrics.cc
@@ -155,6 +155,8 @@
       add("jackdawdeck_upstream_connections_passed_over",
           "Attempts since the start that no idle connection could carry, because each had carried "
           "an earlier attempt of the request.");
+  peer_connections_replaced_ = add("jackdawdeck_peer_connections_replaced",
+                                   "Silent connections to peers replaced since the start.");
   peer_bytes_sent_ = add("jackdawdeck_peer_bytes_sent", "Bytes sent to peers since the start.");
   peer_bytes_received_ = add("jackdawdeck_peer_bytes_received",
                              "Bytes received from peers and operators since the start.");
@@ -224,6 +226,7 @@
   calls_waiting_->Set(static_cast<double>(values.calls_waiting));
   caller_connections_->Set(static_cast<double>(values.caller_connections));
   caller_memory_bytes_->Set(static_cast<double>(values.caller_memory_bytes));
+  peer_connections_replaced_->Set(static_cast<double>(values.peer_traffic.replaced));
   peer_bytes_sent_->Set(static_cast<double>(values.peer_traffic.bytes_sent));
   peer_bytes_received_->Set(static_cast<double>(values.peer_traffic.bytes_received));
   peer_messages_sent_->Set(static_cast<double>(values.peer_traffic.messages_sent));
--- a/gateway/metrics.h
+++ b/gateway/metrics.h
@@ -97,6 +97,7 @@
   Gauge* calls_waiting_ = nullptr;
   Gauge* caller_connections_ = nullptr;
   Gauge* caller_memory_bytes_ = nullptr;
+  Gauge* peer_connections_replaced_ = nullptr;
   Gauge* peer_bytes_sent_ = nullptr;
   Gauge* peer_bytes_received_ = nullptr;
   Gauge* peer_messages_sent_ = nullptr;
--- a/gateway/peer_links.cc
+++ b/gateway/peer_links.cc
@@ -93,6 +93,20 @@
   peer.reconnect_after = MonoTime();
 }
 
+void PeerLinks::ReplaceConnection(const ReplacePeerConnection& action) {
+  const auto peer = peers_.find(action.peer);
+  if (peer == peers_.end() || peer->second.link == nullptr) {
+    return;
+  }
+  if (peer->second.link->connected()) {
+    ++traffic_.replaced;
+    LogInfo(LogPart::kPeers, "event=peer-connection-replaced peer=" + action.peer.value +
+                                 " silent_ms=" + std::to_string(action.silent / 1ms));
+  }
+  CloseAndDestroyLater(std::move(peer->second.link));
+  peer->second.reconnect_after = MonoTime();
+}
+
 void PeerLinks::SendMessage(const SendPeerMessage& action) {
   std::string frame = EncodeFrame(ToEnvelope(action.message, std::string(), &row_packer_));
   if (settings_.added_delay == Duration(0)) {
@@ -122,7 +136,7 @@
   link->envelope_received().connect(
       [this, link](const wire::Envelope& envelope) { OnEnvelopeReceived(link, envelope); });
   link->closed().connect([this, link] { CloseInboundLink(link); });
-  inbound_links_[link] = std::move(owned);
+  inbound_links_[link] = {std::move(owned), ++accepted_links_, {}};
 }
 
 bool PeerLinks::AcceptsKey(const std::string& key) const {
@@ -152,6 +166,7 @@
   }
   if (const auto* message = std::get_if<PeerMessage>(&received)) {
     ++traffic_.messages_received;
+    CloseReplacedLinks(link, message->from);
     message_received_.emit(*message);
   } else if (auto* request = std::get_if<OperatorRequest>(&received)) {
     const uint64_t id = next_request_id_++;
@@ -172,6 +187,23 @@
   CloseInboundLink(link);
 }
 
+void PeerLinks::CloseReplacedLinks(FrameLink* link, const GatewayId& peer) {
+  InboundLink& inbound = inbound_links_.at(link);
+  if (inbound.peer == peer) {
+    return;
+  }
+  inbound.peer = peer;
+  std::vector<FrameLink*> replaced;
+  for (const auto& [other, known] : inbound_links_) {
+    if (known.peer == peer && known.number < inbound.number) {
+      replaced.push_back(other);
+    }
+  }
+  for (FrameLink* other : replaced) {
+    CloseInboundLink(other);
+  }
+}
+
 void PeerLinks::CloseInboundLink(FrameLink* link) {
   const auto owned = inbound_links_.find(link);
   if (owned == inbound_links_.end()) {
@@ -179,7 +211,7 @@
   }
   traffic_.bytes_received += link->bytes_received();
   std::erase_if(pending_replies_, [link](const auto& item) { return item.second.link == link; });
-  CloseAndDestroyLater(std::move(owned->second));
+  CloseAndDestroyLater(std::move(owned->second.link));
   inbound_links_.erase(owned);
 }
 
@@ -256,7 +288,7 @@
 
 PeerLinks::Traffic PeerLinks::traffic() const {
   Traffic out = traffic_;
-  for (const auto& [link, owned] : inbound_links_) {
+  for (const auto& [link, inbound] : inbound_links_) {
     out.bytes_received += link->bytes_received();
   }
   return out;
--- a/gateway/peer_links.h
+++ b/gateway/peer_links.h
@@ -42,6 +42,7 @@
     uint64_t bytes_received = 0;
     uint64_t dropped = 0;   ///< Messages to unreachable peers or over a full connection.
     uint64_t rejected = 0;  ///< Connections closed because of a wrong key or an invalid message.
+    uint64_t replaced = 0;  ///< Silent connections to peers that were replaced.
   };
 
   /// @throws std::runtime_error if the address is not an IPv4 address.
@@ -61,6 +62,9 @@
   /// Sets the address of a peer and closes the connection to its previous address. An empty address
   /// removes the peer.
   void SetPeerAddress(const SetPeerAddress& action);
+  /// Closes the connection to a peer, over which no message seems to arrive. The next message opens
+  /// another one.
+  void ReplaceConnection(const ReplacePeerConnection& action);
   /// Sends a message to a peer, after the added delay if there is one. A message that cannot be
   /// sent is dropped and counted.
   void SendMessage(const SendPeerMessage& action);
@@ -78,6 +82,11 @@
     std::unique_ptr<FrameLink> link;  ///< Null while there is no connection.
     MonoTime reconnect_after;         ///< No new connection is opened before this time.
   };
+  struct InboundLink {
+    std::unique_ptr<FrameLink> link;
+    uint64_t number = 0;  ///< Counts the accepted connections.
+    GatewayId peer;       ///< Sender of the messages; empty if none has arrived.
+  };
   struct DelayedFrame {
     MonoTime due;
     GatewayId to;
@@ -104,6 +113,9 @@
   /// @param sender for the log.
   void RejectLink(FrameLink* link, const std::string& sender, const std::string& fault);
   void CloseInboundLink(FrameLink* link);
+  /// Closes the earlier connections of the peer that has sent a message on `link`: it has replaced
+  /// them, and may not be able to say so.
+  void CloseReplacedLinks(FrameLink* link, const GatewayId& peer);
   MonoTime Now() const;
 
   event_base* base_;
@@ -112,7 +124,8 @@
   LibeventPtr<evconnlistener> listener_;
   LibeventPtr<event> delay_timer_;
   std::unordered_map<GatewayId, Peer> peers_;
-  std::map<FrameLink*, std::unique_ptr<FrameLink>> inbound_links_;
+  std::map<FrameLink*, InboundLink> inbound_links_;
+  uint64_t accepted_links_ = 0;
   // Links closed in this iteration of the event loop. `cleanup_timer_` destroys them in the next
   // iteration, because a link must not be destroyed in its own callback.
   std::vector<std::unique_ptr<FrameLink>> closed_links_;
--- a/net/http_connection.cc
+++ b/net/http_connection.cc
@@ -3,20 +3,20 @@
 #include <event2/bufferevent.h>
 #include <event2/util.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 
 #include <algorithm>
 #include <cassert>
+#include <chrono>
 #include <stdexcept>
 #include <utility>
 
+#include "net/socket_options.h"
+
 namespace jd {
 namespace {
 
-// The kernel closes the connection to an unresponsive server after about
-// kKeepAliveSeconds * (1 + kKeepAliveProbes).
-constexpr int kKeepAliveSeconds = 1;
-constexpr int kKeepAliveProbes = 2;
+// The kernel closes the connection to an unresponsive server after about three times as long.
+constexpr std::chrono::seconds kKeepAliveIdle{1};
 
 constexpr const char* kMemoryError = "the incomplete responses of all connections are too large";
 
@@ -118,17 +118,9 @@
 
 void HttpConnection::SetSocketOptions() {
   const int descriptor = bufferevent_getfd(stream_.get());
-  const auto set = [descriptor](int level, int option, int value) {
-    setsockopt(descriptor, level, option, &value, sizeof(value));
-  };
-  // Without TCP_NODELAY, Nagle's algorithm delays the second segment of a request by up to 40 ms.
-  set(IPPROTO_TCP, TCP_NODELAY, 1);
+  DisableNagle(descriptor);
   if (tcp_keep_alive_) {
-    set(SOL_SOCKET, SO_KEEPALIVE, 1);
-    set(IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveSeconds);
-    set(IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveSeconds);
-    set(IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
-    set(IPPROTO_TCP, TCP_USER_TIMEOUT, kKeepAliveSeconds * kKeepAliveProbes * 1000);
+    jd::EnableTcpKeepAlive(descriptor, kKeepAliveIdle);
   }
 }
 
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <array>
 #include <set>
 
 namespace jd {
@@ -32,6 +33,7 @@
   std::set<std::pair<std::string, std::string>> cut;
   std::set<std::string> paused;
   std::vector<MemberChange> seen_by_a;
+  std::vector<std::pair<int64_t, GatewayId>> replaced_by_a;  ///< Times in milliseconds.
   int64_t now = 100;
 
   Cluster() {
@@ -73,6 +75,9 @@
         node.OnTimer(At(now), &output);
         if (id.value == "a") {
           seen_by_a.insert(seen_by_a.end(), output.changes.begin(), output.changes.end());
+          for (const ReplacePeerConnection& replacement : output.replacements) {
+            replaced_by_a.emplace_back(now, replacement.peer);
+          }
         }
         Deliver(id, output);
       }
@@ -107,6 +112,37 @@
 
 // Guards against a gateway that resumes after a pause of its process and acts as an owner, although
 // its view of its peers is outdated.
+TEST_CASE("a connection over which a peer receives nothing is replaced", "[membership_test]") {
+  // Guards against two gateways that never hear each other again after one connection between them
+  // went silent without a reset.
+  Cluster cluster;
+  cluster.Run(2000);
+  CHECK(cluster.replaced_by_a.empty());
+  const bool both_ways = GENERATE(false, true);
+  cluster.cut = {{"a", "b"}};
+  if (both_ways) {
+    cluster.cut.insert({"b", "a"});
+  }
+  const int64_t start = cluster.now;
+  cluster.Run(10'000);
+  REQUIRE(cluster.replaced_by_a.size() == 3);
+  // After 1 s without an echo, then after 2 and 4 s; a heartbeat more may pass each time.
+  const std::array<int64_t, 3> due{1000, 3000, 7000};
+  for (size_t i = 0; i < due.size(); ++i) {
+    CHECK(cluster.replaced_by_a[i].second == GatewayId("b"));
+    CHECK(cluster.replaced_by_a[i].first - start >= due[i] - 400);
+    CHECK(cluster.replaced_by_a[i].first - start <= due[i] + 600);
+  }
+  cluster.cut.clear();
+  cluster.Run(1000);
+  CHECK(cluster.State("a", "b") == MemberState::kLive);
+  cluster.cut = {{"a", "b"}};
+  const int64_t again = cluster.now;
+  cluster.Run(1500);
+  REQUIRE(cluster.replaced_by_a.size() == 4);
+  CHECK(cluster.replaced_by_a[3].first - again <= 1200);
+}
+
 TEST_CASE("a gateway owns no pools after a pause until it has heard its peers again",
           "[membership_test]") {
   for (const int64_t pause : {900, 5000}) {
--- a/tests/rpc_test.cc
+++ b/tests/rpc_test.cc
@@ -278,6 +278,35 @@
   CHECK(receiver.traffic().rejected == 1);
 }
 
+TEST_CASE("a replaced connection between peers carries messages at once", "[rpc_test]") {
+  // Guards against a silent connection that stays in use, and against its other end, which is never
+  // told and would stay open for good.
+  const LibeventPtr<event_base> base(event_base_new());
+  PeerLinks receiver(base.get(), {"127.0.0.1", 0, "key"});
+  int received = 0;
+  receiver.message_received().connect([&](const PeerMessage&) { ++received; });
+  PeerLinks sender(base.get(), {"127.0.0.1", 0, "key"});
+  sender.SetPeerAddress({GatewayId("r"), "127.0.0.1", receiver.port()});
+  sender.SendMessage({GatewayId("r"), SampleMessage()});
+  RunUntil(base.get(), [&] { return received == 1; });
+  sender.ReplaceConnection({GatewayId("r"), 1s});
+  sender.ReplaceConnection({GatewayId("unknown"), 1s});
+  sender.SendMessage({GatewayId("r"), SampleMessage()});
+  RunUntil(base.get(), [&] { return received == 2; });
+  CHECK(received == 2);
+  CHECK(sender.traffic().replaced == 1);
+  // Another connection of the same peer stands for one whose close does not arrive.
+  PeerLinks silent(base.get(), {"127.0.0.1", 0, "key"});
+  silent.SetPeerAddress({GatewayId("r"), "127.0.0.1", receiver.port()});
+  silent.SendMessage({GatewayId("r"), SampleMessage()});
+  RunUntil(base.get(), [&] { return received == 3; });
+  RunUntil(base.get(), [&] {
+    sender.SendMessage({GatewayId("r"), SampleMessage()});
+    return sender.traffic().dropped > 0;
+  });
+  CHECK(sender.traffic().dropped > 0);
+}
+
 TEST_CASE("a shared key is replaced without a moment in which peers refuse each other",
           "[rpc_test]") {
   // Guards against gateways that do not hear each other while a new key is rolled out, and against
