--- a/cluster/issuer_support.cc
+++ b/cluster/issuer_support.cc
@@ -1,41 +1,29 @@
 #include "cluster/issuer_support.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace jd {
 namespace {
 
-// Time for which earlier views of a gateway are kept. It bounds how far back SupportersSince sees.
-constexpr Duration kHistory = 10s;
+// Number of views of a gateway that are kept. A support that began before them has to begin anew.
 constexpr size_t kMaxEntries = 16;
+// Time after which a peer without heartbeats is forgotten.
+constexpr Duration kSilentPeerLifetime = 60s;
 
 }  // namespace
 
 IssuerSupport::IssuerSupport(const GatewayId& self, Duration lifetime)
-    : self_(HashOf(self)), lifetime_(lifetime) {}
+    : self_(HashOf(self)), lifetime_(lifetime) {
+  own_.valid_until = MonoTime::max();
+}
 
-void IssuerSupport::SetOwnView(MonoTime now, GatewayViewPtr view, bool alone) {
-  std::deque<Entry>& entries = own_.entries;
-  const bool same = !entries.empty() && *entries.back().view == *view;
-  if (same && alone == alone_) {
-    return;
-  }
-  alone_ = alone;
-  cache_.clear();
-  if (same) {
-    return;
-  }
-  DropOld(now, &entries);
-  if (!entries.empty()) {
-    entries.back().until = now + lifetime_;
+void IssuerSupport::SetOwnView(MonoTime now, const Announcement& announcement) {
+  if (UpdateViews(now, announcement, &own_)) {
+    cache_.clear();
+    std::erase_if(peers_, [now](const auto& peer) {
+      return peer.second.valid_until + kSilentPeerLifetime < now;
+    });
   }
-  const bool follows = !entries.empty();
-  entries.push_back({std::move(view), now, MonoTime::max(), follows});
-  std::erase_if(peers_, [now](const auto& peer) {
-    const std::deque<Entry>& theirs = peer.second.entries;
-    return theirs.empty() || theirs.back().until + kHistory < now;
-  });
 }
 
 void IssuerSupport::OnAnnouncement(MonoTime now,
@@ -48,23 +36,49 @@
     cache_.clear();
   }
   if (announcement.view == nullptr) {
-    return;  // The support for the former view runs out.
+    // It may have another view by now, which this gateway does not know.
+    if (!supporter.entries.empty()) {
+      supporter.entries.clear();
+      cache_.clear();
+    }
+    return;
   }
-  std::deque<Entry>& entries = supporter.entries;
-  const MonoTime until = announcement.echo + lifetime_;
-  if (entries.empty() || now >= entries.back().until) {
+  if (now >= supporter.valid_until) {
     supporter.valid_since = now;
     cache_.clear();
   }
-  if (!entries.empty() && announcement.generation == supporter.generation) {
-    entries.back().until = std::max(entries.back().until, until);
-    return;
+  supporter.valid_until = std::max(supporter.valid_until, announcement.echo + lifetime_);
+  if (UpdateViews(now, announcement, &supporter)) {
+    cache_.clear();
   }
-  DropOld(now, &entries);
-  const bool follows = !entries.empty() && announcement.generation == supporter.generation + 1;
-  supporter.generation = announcement.generation;
-  entries.push_back({announcement.view, now, until, follows});
-  cache_.clear();
+}
+
+bool IssuerSupport::UpdateViews(MonoTime now,
+                                const Announcement& announcement,
+                                Supporter* supporter) {
+  std::deque<Entry>& entries = supporter->entries;
+  bool changed = false;
+  if (entries.empty() || entries.back().generation != announcement.generation) {
+    const bool follows =
+        !entries.empty() && announcement.generation == entries.back().generation + 1;
+    entries.push_back({announcement.view, announcement.generation, now, follows, std::nullopt});
+    if (entries.size() > kMaxEntries) {
+      entries.pop_front();
+    }
+    changed = true;
+  }
+  for (Entry& entry : entries) {
+    if (!entry.settled_at && entry.generation <= announcement.settled) {
+      entry.settled_at = now;
+      changed = true;
+    }
+  }
+  if (supporter->unreleased != announcement.unreleased) {
+    supporter->unreleased = announcement.unreleased;
+    supporter->released_at = now;
+    changed = true;
+  }
+  return changed;
 }
 
 IssuerSupport::Support IssuerSupport::SupportFor(MonoTime now, const PoolId& pool) const {
@@ -74,17 +88,11 @@
   }
   cached = {MonoTime::max(), {}};
   const auto add = [&](const Supporter& supporter) {
-    const std::optional<Interval> interval = IntervalOf(now, supporter, pool);
-    if (!interval) {
-      return;
-    }
-    if (now < interval->since) {
-      cached.expires = std::min(cached.expires, interval->since);
-      return;
+    if (const std::optional<MonoTime> since = SupportedSince(now, supporter, pool)) {
+      cached.expires = std::min(cached.expires, supporter.valid_until);
+      ++cached.support.gateways;
+      cached.support.since = std::max(cached.support.since, *since);
     }
-    cached.expires = std::min(cached.expires, interval->until);
-    ++cached.support.gateways;
-    cached.support.since = std::max(cached.support.since, interval->since);
   };
   add(own_);
   for (const auto& [id, peer] : peers_) {
@@ -95,70 +103,83 @@
 
 size_t IssuerSupport::SupportersSince(MonoTime now, const PoolId& pool, MonoTime time) const {
   const auto lasts = [&](const Supporter& supporter) {
-    const std::optional<Interval> interval = IntervalOf(now, supporter, pool);
-    return interval && interval->since <= std::min(now, time);
+    const std::optional<MonoTime> since = SupportedSince(now, supporter, pool);
+    return since && *since <= time;
   };
   const auto count = std::count_if(peers_.begin(), peers_.end(),
                                    [&](const auto& peer) { return lasts(peer.second); });
   return static_cast<size_t>(count) + (lasts(own_) ? 1 : 0);
 }
 
-std::optional<GatewayHash> IssuerSupport::OwnIssuer(MonoTime now, const PoolId& pool) const {
+std::optional<GatewayHash> IssuerSupport::OwnIssuer(const PoolId& pool) const {
   const std::deque<Entry>& entries = own_.entries;
   if (entries.empty() || entries.back().view->gateways().empty()) {
     return std::nullopt;
   }
   const GatewayView& latest = *entries.back().view;
-  const auto in_force = std::find_if(entries.rbegin(), entries.rend(), [&](const Entry& entry) {
-    return entry.since + delay() <= now;
+  const auto settled = std::find_if(entries.rbegin(), entries.rend(), [](const Entry& entry) {
+    return entry.settled_at && !entry.view->gateways().empty();
   });
-  if (in_force != entries.rend() && !in_force->view->gateways().empty()) {
-    const GatewayHash former = in_force->view->OwnerOf(pool);
-    if (latest.Contains(former)) {
+  if (settled != entries.rend()) {
+    const GatewayHash former = settled->view->OwnerOf(pool);
+    if (latest.Contains(former) && IsUnreleased(own_, former)) {
       return former;
     }
   }
   return latest.OwnerOf(pool);
 }
 
-std::optional<IssuerSupport::Interval> IssuerSupport::IntervalOf(MonoTime now,
-                                                                 const Supporter& supporter,
-                                                                 const PoolId& pool) const {
+bool IssuerSupport::IsUnreleased(const Supporter& supporter, GatewayHash owner) {
+  return std::binary_search(supporter.unreleased.begin(), supporter.unreleased.end(), owner);
+}
+
+bool IssuerSupport::FormerOwnersReleased(const Supporter& supporter,
+                                         const PoolId& pool,
+                                         size_t end) const {
   const std::deque<Entry>& entries = supporter.entries;
-  const auto supports = [&](size_t i) {
-    return !entries[i].view->gateways().empty() && entries[i].view->OwnerOf(pool) == self_;
-  };
-  std::optional<Interval> next;
-  for (size_t end = entries.size(); end > 0;) {
-    size_t first = end - 1;
-    if (!supports(first)) {
-      end = first;
-      continue;
+  for (size_t i = end; i > 0; --i) {
+    if (!entries[i].follows) {
+      return false;
     }
-    while (first > 0 && entries[first].follows && supports(first - 1)) {
-      --first;
+    const Entry& former = entries[i - 1];
+    if (!former.view->gateways().empty()) {
+      const GatewayHash owner = former.view->OwnerOf(pool);
+      if (owner != self_ && IsUnreleased(supporter, owner)) {
+        return false;
+      }
     }
-    const Duration wait = alone_ ? Duration(0) : delay();
-    const Interval interval{std::max(entries[first].since + wait, supporter.valid_since),
-                            entries[end - 1].until};
-    if (interval.since <= now && now < interval.until) {
-      return interval;
+    if (former.settled_at) {
+      return true;
     }
-    if (now < interval.since) {
-      next = interval;
-    }
-    end = first;
   }
-  return next;
+  return false;
 }
 
-void IssuerSupport::DropOld(MonoTime now, std::deque<Entry>* entries) {
-  while (entries->size() > 1 && (*entries)[1].since + kHistory <= now) {
-    entries->pop_front();
+std::optional<MonoTime> IssuerSupport::SupportedSince(MonoTime now,
+                                                      const Supporter& supporter,
+                                                      const PoolId& pool) const {
+  if (now >= supporter.valid_until || supporter.entries.empty()) {
+    return std::nullopt;
+  }
+  const std::deque<Entry>& entries = supporter.entries;
+  const auto supports = [&](const Entry& entry) {
+    return !entry.view->gateways().empty() && entry.view->OwnerOf(pool) == self_;
+  };
+  std::optional<MonoTime> since;
+  size_t first = entries.size();  // Of the latest views that name this gateway without a break.
+  while (first > 0 && supports(entries[first - 1])) {
+    --first;
+    if (entries[first].settled_at) {
+      since = std::min(since.value_or(MonoTime::max()), *entries[first].settled_at);
+    }
+    if (!entries[first].follows) {
+      break;
+    }
   }
-  while (entries->size() > kMaxEntries) {
-    entries->pop_front();
+  if (!since && first < entries.size() && FormerOwnersReleased(supporter, pool, first)) {
+    since = std::max(entries[first].arrived, supporter.released_at);
   }
+  return since ? std::optional(std::max(*since, supporter.valid_since)) : std::nullopt;
 }
 
 }  // namespace jd
--- a/cluster/issuer_support.h
+++ b/cluster/issuer_support.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 #include "cluster/gateway_view.h"
 #include "common/ids.h"
@@ -21,21 +22,22 @@
 /// that do not hear each other may both be issuers, but a third one that hears both supports only
 /// one of them.
 ///
-/// While a gateway changes its view, its former issuer may not know yet. The former issuer counts
-/// the support until `lifetime` after it sent the latest heartbeat that the gateway echoed together
-/// with the former view. The new issuer counts it from more than `lifetime` after it has learned of
-/// the new view.
+/// A gateway says with each view which one is settled, so that no owner in an earlier view counts
+/// the support of that gateway any longer, and which owners in later views may still count it
+/// (ViewAnnouncer). A support begins once all former owners of the pool have let go of it, and
+/// lasts through later views that name the same owner. It ends `lifetime` after this gateway sent
+/// the latest heartbeat that the supporter has echoed.
 class IssuerSupport {
  public:
-  /// By how much the clocks of two gateways may differ within the lifetime of a support.
-  static constexpr Duration kClockMargin = 50ms;
-
   /// What a heartbeat of a peer says.
   struct Announcement {
     Incarnation incarnation;
     uint64_t generation = 0;  ///< Of the peer's view; 0: it has announced none.
-    GatewayViewPtr view;      ///< Null if it is not known.
-    MonoTime echo;            ///< Send time of the latest own heartbeat that the peer has echoed.
+    uint64_t settled = 0;     ///< Latest generation that is settled.
+    /// Owners in the settled view and in later ones that may still count the support, ordered.
+    std::vector<GatewayHash> unreleased;
+    GatewayViewPtr view;  ///< Null if it is not known.
+    MonoTime echo;        ///< Send time of the latest own heartbeat that the peer has echoed.
   };
 
   /// The gateways that support this one at a moment.
@@ -44,39 +46,37 @@
     MonoTime since;  ///< From when on all of them have done so without a break.
   };
 
-  /// @param lifetime without heartbeats after which a peer counts as dead.
+  /// @param lifetime of a support without heartbeats.
   IssuerSupport(const GatewayId& self, Duration lifetime);
 
   /// Sets the view that this gateway announces.
-  /// @param alone whether the deployment has no other gateway that may have another view.
-  void SetOwnView(MonoTime now, GatewayViewPtr view, bool alone);
+  /// @param announcement as the peers get it; incarnation and echo are ignored.
+  void SetOwnView(MonoTime now, const Announcement& announcement);
   void OnAnnouncement(MonoTime now, const GatewayId& peer, const Announcement& announcement);
 
   Support SupportFor(MonoTime now, const PoolId& pool) const;
   /// Returns how many of the gateways that support this one now have done so since `time`.
   size_t SupportersSince(MonoTime now, const PoolId& pool, MonoTime time) const;
-  /// Returns whom this gateway supports: the owner in its own view, but after another gateway has
-  /// joined the former owner until the new one may issue.
-  std::optional<GatewayHash> OwnIssuer(MonoTime now, const PoolId& pool) const;
+  /// Returns whom to ask: the owner in the latest view, or, while the owner in the settled view may
+  /// still count the support of this gateway and is in the latest view, that one.
+  std::optional<GatewayHash> OwnIssuer(const PoolId& pool) const;
 
  private:
-  /// A view and the time in which it was the latest one known of its gateway.
+  /// A view of a gateway.
   struct Entry {
     GatewayViewPtr view;
-    MonoTime since;
-    MonoTime until;        ///< Its support ends then at the latest.
+    uint64_t generation = 0;
+    MonoTime arrived;
     bool follows = false;  ///< No other view lies between the previous entry's and this one.
+    std::optional<MonoTime> settled_at;  ///< When it was known to be settled.
   };
   struct Supporter {
     Incarnation incarnation;
-    uint64_t generation = 0;
     MonoTime valid_since;  ///< From when on its echoes have been recent.
-    std::deque<Entry> entries;
-  };
-  /// When a gateway supports this one. It ends at `until`.
-  struct Interval {
-    MonoTime since;
-    MonoTime until;
+    MonoTime valid_until;
+    std::deque<Entry> entries;  ///< The latest views, in order; only the last one is in force.
+    std::vector<GatewayHash> unreleased;
+    MonoTime released_at;  ///< When `unreleased` changed.
   };
   /// The result of SupportFor, which holds until `expires` unless an announcement changes it.
   struct CachedSupport {
@@ -84,17 +84,20 @@
     Support support;
   };
 
-  Duration delay() const { return lifetime_ + kClockMargin; }
-  /// Returns the interval of support that `now` lies in, or the next one, if there is any.
-  std::optional<Interval> IntervalOf(MonoTime now,
-                                     const Supporter& supporter,
-                                     const PoolId& pool) const;
-  /// Drops the entries that no decision needs any longer.
-  static void DropOld(MonoTime now, std::deque<Entry>* entries);
+  /// Adds a view if it is new, and notes what is settled and released. @return whether anything
+  /// changed.
+  static bool UpdateViews(MonoTime now, const Announcement& announcement, Supporter* supporter);
+  static bool IsUnreleased(const Supporter& supporter, GatewayHash owner);
+  /// Returns whether all owners of a pool in the views from the settled one up to, but not with,
+  /// `entries[end]` have let go of the support.
+  bool FormerOwnersReleased(const Supporter& supporter, const PoolId& pool, size_t end) const;
+  /// Returns from when on a gateway has supported this one, or nothing if it does not.
+  std::optional<MonoTime> SupportedSince(MonoTime now,
+                                         const Supporter& supporter,
+                                         const PoolId& pool) const;
 
   GatewayHash self_;
   Duration lifetime_;
-  bool alone_ = false;
   Supporter own_;
   std::unordered_map<GatewayId, Supporter> peers_;
   mutable std::map<PoolId, CachedSupport> cache_;
--- a/cluster/membership.cc
+++ b/cluster/membership.cc
@@ -4,7 +4,8 @@
 
 namespace jd {
 
-Membership::Membership(NodeSettings settings) : settings_(std::move(settings)) {
+Membership::Membership(NodeSettings settings)
+    : settings_(std::move(settings)), views_(settings_.heartbeat * kDeadAfterHeartbeats) {
   roster_.push_back(settings_.id);
   for (const PeerSeed& seed : settings_.seeds) {
     if (seed.id == settings_.id) {
@@ -21,6 +22,7 @@
 }
 
 void Membership::Start(MonoTime now, MembershipOutput* output) {
+  views_.Start(now);
   resumed_at_ = now;
   last_event_ = now;
   next_heartbeat_ = now;
@@ -34,7 +36,7 @@
 void Membership::OnTimer(MonoTime now, MembershipOutput* output) {
   DetectPause(now);
   UpdateStates(now, output);
-  if (now >= next_heartbeat_) {
+  if (now >= next_heartbeat()) {
     SendHeartbeats(now, output);
   }
 }
@@ -57,7 +59,10 @@
     member.echoed = false;
     member.leaving = false;
     member.view_generation = 0;
+    member.view_settled = 0;
+    member.view = nullptr;
     member.view_echoed = 0;
+    views_.OnRestart(from);
   }
   UpdateViewOf(heartbeat, &member);
   member.id = from;
@@ -78,6 +83,10 @@
     member.last_echo = std::max(member.last_echo, heartbeat.echo);
     member.echoed = true;
     member.view_echoed = heartbeat.view_echo;
+    const uint64_t settled = views_.Settled(now);
+    const bool releases = views_.OnEcho(from, heartbeat.view_echo);
+    CheckFormerProcessForgotten();
+    has_view_news_ = has_view_news_ || releases || views_.Settled(now) != settled;
   }
   SetAddress(&member, heartbeat.address, heartbeat.peer_port, output);
   if (restarted) {
@@ -131,7 +140,7 @@
 }
 
 MonoTime Membership::next_timer() const {
-  MonoTime next = next_heartbeat_;
+  MonoTime next = next_heartbeat();
   for (const auto& [id, member] : members_) {
     if (member.state == MemberState::kUnknown || member.state == MemberState::kDead) {
       continue;
@@ -226,6 +235,7 @@
   for (auto& [id, member] : members_) {
     const MemberState state = StateOf(now, member);
     if (state != member.state) {
+      has_view_news_ = true;
       member.state = state;
       output->changes.push_back({id, state, false});
     }
@@ -240,21 +250,60 @@
   RemoveUnlistedPeers(output);
 }
 
+void Membership::AnnounceViews(MonoTime now) {
+  if (!announces_views_) {
+    announces_views_ = true;
+    UpdateAnnouncedView(now);
+  }
+}
+
 void Membership::UpdateViewOf(const Heartbeat& heartbeat, Member* member) {
+  const bool is_new = heartbeat.view_generation != member->view_generation;
   if (heartbeat.view != nullptr) {
     member->view = heartbeat.view;
-  } else if (heartbeat.view_generation != member->view_generation) {
+    has_view_news_ = has_view_news_ || is_new;
+  } else if (is_new) {
     member->view = nullptr;
   }
   member->view_generation = heartbeat.view_generation;
+  member->view_settled = heartbeat.view_settled;
+  member->unreleased = heartbeat.unreleased;
 }
 
-void Membership::UpdateAnnouncedView() {
-  GatewayViewPtr view = GatewayView::Of(owner_candidates());
-  if (*view != *announced_view_) {
-    announced_view_ = std::move(view);
-    ++view_generation_;
+void Membership::CheckFormerProcessForgotten() {
+  if (known_to_all_ || (settings_.gateways_listed_by_discovery && !has_vm_list_)) {
+    return;
   }
+  known_to_all_ = std::all_of(roster_.begin(), roster_.end(), [this](const GatewayId& id) {
+    const auto member = members_.find(id);
+    return id == settings_.id || (member != members_.end() && member->second.echoed);
+  });
+  if (known_to_all_) {
+    views_.OnFormerProcessForgotten();
+  }
+}
+
+void Membership::UpdateAnnouncedView(MonoTime now) {
+  const std::vector<GatewayId> candidates = owner_candidates();
+  if (!announces_views_ || (views_.generation() > 0 && candidates == views_.candidates())) {
+    return;
+  }
+  std::map<GatewayId, MonoTime> last_heard;
+  for (const auto& [id, member] : members_) {
+    last_heard[id] = member.last_heard;
+  }
+  views_.SetCandidates(now, candidates, last_heard);
+  has_view_news_ = true;
+}
+
+MonoTime Membership::next_heartbeat() const {
+  if (!announces_views_ || !has_view_news_) {
+    return next_heartbeat_;
+  }
+  const Duration interval =
+      std::max(settings_.heartbeat / kMaxViewNewsFactor,
+               settings_.heartbeat * static_cast<int>(members_.size()) / kPeersWithoutEarlyNews);
+  return std::min(next_heartbeat_, last_heartbeats_ + interval);
 }
 
 void Membership::ReplaceSilentConnection(MonoTime now,
@@ -278,7 +327,11 @@
 
 void Membership::SendHeartbeats(MonoTime now, MembershipOutput* output) {
   next_heartbeat_ = now + settings_.heartbeat;
-  UpdateAnnouncedView();
+  last_heartbeats_ = now;
+  UpdateAnnouncedView(now);
+  has_view_news_ = false;
+  const uint64_t settled = views_.Settled(now);
+  const std::vector<GatewayHash> unreleased = views_.Unreleased(now);
   for (auto& [id, member] : members_) {
     ReplaceSilentConnection(now, &member, output);
     Heartbeat heartbeat;
@@ -292,9 +345,11 @@
     heartbeat.sent = now;
     heartbeat.echo = member.last_sent;
     heartbeat.echo_incarnation = member.incarnation;
-    heartbeat.view_generation = view_generation_;
-    if (member.view_echoed != view_generation_) {
-      heartbeat.view = announced_view_;
+    heartbeat.view_generation = views_.generation();
+    heartbeat.view_settled = settled;
+    heartbeat.unreleased = unreleased;
+    if (views_.generation() > 0 && member.view_echoed != views_.generation()) {
+      heartbeat.view = views_.view();
     }
     heartbeat.view_echo = member.view == nullptr ? 0 : member.view_generation;
     output->heartbeats.emplace_back(id, std::move(heartbeat));
--- a/cluster/membership.h
+++ b/cluster/membership.h
@@ -7,10 +7,10 @@
 #include <utility>
 #include <vector>
 
-#include "cluster/gateway_view.h"
 #include "cluster/node_action.h"
 #include "cluster/node_settings.h"
 #include "cluster/peer_message.h"
+#include "cluster/view_announcer.h"
 #include "common/ids.h"
 #include "common/units.h"
 #include "common/vm_list.h"
@@ -43,11 +43,13 @@
   MonoTime last_sent;   ///< Send time of that heartbeat, by the peer's clock.
   MonoTime last_echo;  ///< Latest send time of an own heartbeat that it echoed, by the local clock.
   bool echoed = false;  ///< `last_echo` has been set since this process started or last paused.
-  uint64_t view_generation = 0;  ///< Of the view that its latest heartbeat names.
-  GatewayViewPtr view;           ///< That view; null until it has arrived.
-  MonoTime connected;            ///< When the connection to it was last opened or replaced.
-  int replacements = 0;          ///< Of the connection, since it last echoed a heartbeat.
-  uint64_t view_echoed = 0;      ///< Generation of the own view that it has received last.
+  uint64_t view_generation = 0;         ///< Of the view that its latest heartbeat names.
+  GatewayViewPtr view;                  ///< That view; null until it has arrived.
+  MonoTime connected;                   ///< When the connection to it was last opened or replaced.
+  int replacements = 0;                 ///< Of the connection, since it last echoed a heartbeat.
+  uint64_t view_settled = 0;            ///< Latest of its views that it says is settled.
+  std::vector<GatewayHash> unreleased;  ///< Owners that may still count its support.
+  uint64_t view_echoed = 0;             ///< Generation of the own view that it has received last.
 };
 
 /// A change of a peer's state. A restart of the peer is reported even if its state stays the same.
@@ -85,6 +87,11 @@
   static constexpr int kPausedAfterHeartbeats = 3;
   /// How often the time doubles after which the connection to a peer is replaced again.
   static constexpr int kMaxReplacementDoublings = 3;
+  /// Heartbeats with news of views are sent at most this many times as often as others.
+  static constexpr int kMaxViewNewsFactor = 4;
+  /// From this number of peers on, news of views wait for the next heartbeat: a change then
+  /// concerns a small part of the pools, and heartbeats to all peers cost more.
+  static constexpr int kPeersWithoutEarlyNews = 64;
 
   explicit Membership(NodeSettings settings);
 
@@ -115,8 +122,10 @@
   /// Returns the gateways that may own pools, including this one, ordered by id; empty while
   /// fresh() is false.
   std::vector<GatewayId> owner_candidates() const;
-  /// Returns the owner candidates that the latest heartbeats announced.
-  const GatewayViewPtr& announced_view() const { return announced_view_; }
+  /// Lets the heartbeats announce the owner candidates from now on.
+  void AnnounceViews(MonoTime now);
+  /// What the heartbeats announce of the owner candidates.
+  const ViewAnnouncer& views() const { return views_; }
   /// Returns the gateways among which the reserved slots are divided, ordered by id: those in the
   /// latest VM list, or this gateway and the seeds if no list has been read yet.
   std::vector<GatewayId> roster() const;
@@ -141,8 +150,13 @@
   /// run looks alike, so the time doubles until the peer echoes again.
   void ReplaceSilentConnection(MonoTime now, Member* member, MembershipOutput* output) const;
   /// Makes the current owner candidates the announced view.
-  void UpdateAnnouncedView();
-  static void UpdateViewOf(const Heartbeat& heartbeat, Member* member);
+  void UpdateAnnouncedView(MonoTime now);
+  /// Notes that this process is known as soon as each listed peer has echoed a heartbeat of it.
+  void CheckFormerProcessForgotten();
+  /// Updates what is known of a peer's view from its heartbeat.
+  void UpdateViewOf(const Heartbeat& heartbeat, Member* member);
+  /// Returns when the next heartbeats are due: earlier than usual if they have news of views.
+  MonoTime next_heartbeat() const;
   void SetAddress(Member* member,
                   const std::string& address,
                   uint16_t port,
@@ -160,9 +174,12 @@
   std::map<GatewayId, Member> members_;
   std::map<GatewayId, bool> awaited_peers_;  ///< Peers that fresh() still waits for.
   std::vector<GatewayId> roster_;
-  bool has_vm_list_ = false;  ///< A VM list has been read.
-  GatewayViewPtr announced_view_ = GatewayView::Of({});
-  uint64_t view_generation_ = 1;  ///< Counts the announced views.
+  bool has_vm_list_ = false;   ///< A VM list has been read.
+  bool known_to_all_ = false;  ///< Each listed peer has echoed a heartbeat of this process.
+  bool announces_views_ = false;
+  bool has_view_news_ = false;  ///< The next heartbeats announce, confirm or settle a view.
+  MonoTime last_heartbeats_;
+  ViewAnnouncer views_;
 };
 
 }  // namespace jd
--- a/cluster/node_effects.cc
+++ b/cluster/node_effects.cc
@@ -151,6 +151,8 @@
   IssuerSupport::Announcement announcement;
   announcement.incarnation = member->second.incarnation;
   announcement.generation = member->second.view_generation;
+  announcement.settled = member->second.view_settled;
+  announcement.unreleased = member->second.unreleased;
   if (member->second.echoed) {
     announcement.view = member->second.view;
     announcement.echo = member->second.last_echo;
@@ -212,6 +214,10 @@
   if (from->configuration_changed) {
     directory_.SetConfiguration(config_.configuration());
     quotas_.SetConfiguration(config_.configuration());
+    if (quotas_.HasQuotas()) {
+      membership_.AnnounceViews(now.mono);
+      UpdateQuotaMembers(now, membership_.owner_candidates());
+    }
     RecordListedRuns(now);
     dispatcher_.SetConfiguration(now.mono, config_.configuration());
     RecordTimelineEvent(now, EventKind::kConfigApplied, std::to_string(config_.version().value));
--- a/cluster/node_quota_calls.cc
+++ b/cluster/node_quota_calls.cc
@@ -93,7 +93,14 @@
     members.issuers = std::move(issuers);
   }
   members.listed = gateway_count_ > 0 ? gateway_count_ : membership_.roster().size();
-  issuer_support_.SetOwnView(now.mono, membership_.announced_view(), members.listed <= 1);
+  const ViewAnnouncer& views = membership_.views();
+  IssuerSupport::Announcement own;
+  own.generation = views.generation();
+  own.view = views.view();
+  // A gateway without others has nobody who may count another view.
+  own.settled = members.listed <= 1 ? views.generation() : views.Settled(now.mono);
+  own.unreleased = views.Unreleased(now.mono);
+  issuer_support_.SetOwnView(now.mono, own);
   members.contacts = zone_contacts_.OneOfEachZone(next_quota_contact_++);
   quotas_.SetMembers(now.mono, std::move(members));
 }
--- a/cluster/node_quotas.cc
+++ b/cluster/node_quotas.cc
@@ -43,10 +43,19 @@
     issuer_ids_[HashOf(issuer)] = issuer;
   }
   issuer_.KeepOnly([&](const WorkspaceId& workspace) {
-    return Issues(now, workspace) || IssuerOf(now, workspace) == self_;
+    return Issues(now, workspace) || IssuerOf(workspace) == self_;
   });
 }
 
+bool NodeQuotas::HasQuotas() const {
+  if (configuration_ == nullptr || configuration_->workspace_table == nullptr) {
+    return false;
+  }
+  const std::vector<KeyedWorkspace>& workspaces = configuration_->workspace_table->workspaces();
+  return std::any_of(workspaces.begin(), workspaces.end(),
+                     [](const KeyedWorkspace& workspace) { return IsLimit(workspace.quota); });
+}
+
 const KeyedWorkspace* NodeQuotas::LimitedWorkspace(const CallRequest& request) const {
   if (configuration_ == nullptr || configuration_->workspace_table == nullptr ||
       !request.caller_key) {
@@ -104,12 +113,12 @@
   }
 }
 
-std::optional<GatewayId> NodeQuotas::IssuerOf(MonoTime now, const WorkspaceId& workspace) const {
+std::optional<GatewayId> NodeQuotas::IssuerOf(const WorkspaceId& workspace) const {
   if (members_.issuers.empty()) {
     return std::nullopt;
   }
   const PoolId pool(workspace.value);
-  if (const std::optional<GatewayHash> issuer = support_->OwnIssuer(now, pool)) {
+  if (const std::optional<GatewayHash> issuer = support_->OwnIssuer(pool)) {
     const auto known = issuer_ids_.find(*issuer);
     if (known != issuer_ids_.end()) {
       return known->second;
@@ -124,7 +133,7 @@
 }
 
 std::optional<GatewayId> NodeQuotas::TargetOf(MonoTime now, const WorkspaceId& workspace) const {
-  std::optional<GatewayId> issuer = IssuerOf(now, workspace);
+  std::optional<GatewayId> issuer = IssuerOf(workspace);
   const auto silent = issuer ? silent_until_.find(*issuer) : silent_until_.end();
   if (issuer && (silent == silent_until_.end() || silent->second <= now)) {
     return issuer;
@@ -156,10 +165,10 @@
   const IssuerSupport::Support support = support_->SupportFor(now, pool);
   part.share = ShareOf(support.gateways);
   part.since = support.since;
-  const std::optional<MonoTime> refilled = issuer_.RefilledAt(workspace);
   part.lasting_share = part.share;
-  if (refilled && support.since > *refilled) {
-    part.lasting_share = ShareOf(support_->SupportersSince(now, pool, *refilled));
+  const MonoTime refilled = issuer_.RefilledAt(now, workspace, part.quota);
+  if (support.since > refilled) {
+    part.lasting_share = ShareOf(support_->SupportersSince(now, pool, refilled));
   }
   part.other_issuers = static_cast<int>(members_.contacts.size());
   return part;
@@ -193,7 +202,7 @@
   grant.transfer = request.transfer;
   std::map<GatewayId, QuotaRequest> relayed;
   for (const QuotaDemand& demand : request.demands) {
-    const std::optional<GatewayId> issuer = IssuerOf(now, demand.workspace);
+    const std::optional<GatewayId> issuer = IssuerOf(demand.workspace);
     // The gateway that asks may not know yet that another gateway is to take over.
     if (issuer == self_ || Issues(now, demand.workspace)) {
       grant.leases.push_back(request.transfer ? Lend(now, demand) : Decide(now, demand));
@@ -221,7 +230,7 @@
     if (!grant.transfer) {
       ApplyLease(now, grant.request_sent, lease);
     } else if (const std::optional<QuotaIssuer::Part> part = PartOf(now, lease.workspace);
-               part && IssuerOf(now, lease.workspace) == self_) {
+               part && IssuerOf(lease.workspace) == self_) {
       issuer_.OnLent(now, *part, lease);
     }
   }
--- a/cluster/node_quotas.h
+++ b/cluster/node_quotas.h
@@ -46,6 +46,8 @@
 
   void SetConfiguration(ConfigurationPtr configuration);
   void SetMembers(MonoTime now, Members members);
+  /// Returns whether any workspace has a quota.
+  bool HasQuotas() const;
 
   /// Decides about a new call. A call that is admitted, or waits, must be ended with OnCallEnded.
   /// @param retry_after is set if the call is refused.
@@ -75,7 +77,7 @@
   };
 
   /// Returns the gateway of this zone that issues for a workspace, or nothing if none is known.
-  std::optional<GatewayId> IssuerOf(MonoTime now, const WorkspaceId& workspace) const;
+  std::optional<GatewayId> IssuerOf(const WorkspaceId& workspace) const;
   /// Returns whether any gateway supports this one as the issuer for a workspace.
   bool Issues(MonoTime now, const WorkspaceId& workspace) const;
   /// Returns where to send a demand: the issuer, or, if it does not reply, a gateway of another
--- a/cluster/peer_message.h
+++ b/cluster/peer_message.h
@@ -36,7 +36,10 @@
   MonoTime echo;         ///< `sent` of the latest heartbeat received from the receiver.
   Incarnation echo_incarnation;  ///< Incarnation of the receiver that sent the echoed heartbeat.
   uint64_t view_generation = 0;  ///< Counts the views that the sender has announced.
-  GatewayViewPtr view;           ///< That view; null if the receiver has it.
+  uint64_t view_settled = 0;     ///< Latest of them that is settled, see ViewAnnouncer.
+  /// Owners in later views but the latest that may still count the sender's support, ordered.
+  std::vector<GatewayHash> unreleased;
+  GatewayViewPtr view;     ///< That view; null if the receiver has it.
   uint64_t view_echo = 0;  ///< Generation of the receiver's view that the sender has; 0: none.
 };
 
--- a/cluster/quota_issuer.cc
+++ b/cluster/quota_issuer.cc
@@ -24,6 +24,13 @@
   return std::chrono::duration<double>(duration).count();
 }
 
+// Returns the time in which a bucket gets as many tokens as it can hold.
+Duration FillTime(const Quota& quota) {
+  const double seconds = quota.burst / quota.calls_per_second;
+  const double longest = Seconds(kUnusedBucketLifetime);
+  return QuotaIssuer::kBurstPeriod + Scale(Duration(1s), std::min(seconds, longest));
+}
+
 // Issuers lend each other parts of tokens, so that a token can be put together from all zones.
 constexpr double kLoanUnitsPerToken = 1000;
 
@@ -78,9 +85,11 @@
   return std::exchange(shortages_, {});
 }
 
-std::optional<MonoTime> QuotaIssuer::RefilledAt(const WorkspaceId& workspace) const {
+MonoTime QuotaIssuer::RefilledAt(MonoTime now,
+                                 const WorkspaceId& workspace,
+                                 const Quota& quota) const {
   const auto found = buckets_.find(workspace);
-  return found == buckets_.end() ? std::nullopt : std::optional(found->second.refilled);
+  return found == buckets_.end() ? now - FillTime(quota) : found->second.refilled;
 }
 
 double QuotaIssuer::CapacityOf(const Part& part) {
@@ -99,15 +108,15 @@
   Bucket& bucket = entry->second;
   if (added) {
     bucket.tokens = kSpareTokens;
-    bucket.refilled = std::min(part.since, now);
-  } else if (part.since > bucket.refilled) {
-    Part lasting = part;
-    lasting.share = part.lasting_share;
-    bucket.tokens = std::min(bucket.tokens, CapacityOf(lasting));
-    bucket.refilled = std::min(part.since, now);
+    bucket.refilled = now - FillTime(part.quota);
   }
+  Part lasting = part;
+  lasting.share = part.lasting_share;
   const Duration elapsed = now - bucket.refilled;
-  bucket.tokens = std::min(bucket.tokens + RateOf(part) * Seconds(elapsed), CapacityOf(part));
+  const Duration with_whole_share = now - std::clamp(part.since, bucket.refilled, now);
+  bucket.tokens = std::min(bucket.tokens, CapacityOf(lasting)) + RateOf(lasting) * Seconds(elapsed);
+  bucket.tokens += (RateOf(part) - RateOf(lasting)) * Seconds(with_whole_share);
+  bucket.tokens = std::min(bucket.tokens, CapacityOf(part));
   bucket.calls_per_s *= std::exp(-Seconds(elapsed) / Seconds(kAveragePeriod));
   bucket.refilled = now;
   return bucket;
--- a/cluster/quota_issuer.h
+++ b/cluster/quota_issuer.h
@@ -4,7 +4,6 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <optional>
 #include <utility>
 #include <vector>
 
@@ -38,7 +37,7 @@
     double share = 1.0;     ///< From 0 to 1.
     int other_issuers = 0;  ///< Issuers of other zones that can lend.
     MonoTime since = {};    ///< From when on this gateway has issued this share.
-    /// The share that this gateway has issued since the bucket was last refilled or longer.
+    /// The share that this gateway has issued since RefilledAt or longer; at most `share`.
     double lasting_share = 1.0;
   };
 
@@ -53,8 +52,9 @@
   void OnLent(MonoTime now, const Part& part, const QuotaLease& lease);
   /// Returns how many tokens to request from each of the other issuers, if it is time to.
   std::vector<QuotaDemand> TakeShortages();
-  /// Returns when the bucket of a workspace was last refilled, or nothing if there is none.
-  std::optional<MonoTime> RefilledAt(const WorkspaceId& workspace) const;
+  /// Returns when the bucket of a workspace was last refilled. One that does not exist counts as
+  /// having been empty for as long as it takes to fill it.
+  MonoTime RefilledAt(MonoTime now, const WorkspaceId& workspace, const Quota& quota) const;
   /// Returns the number of workspaces with a bucket.
   size_t buckets() const { return buckets_.size(); }
 
@@ -73,7 +73,7 @@
   /// Returns the tokens that a bucket should keep for the demand of its own zone.
   static double ReserveOf(const Bucket& bucket);
   /// Returns the bucket of a workspace, with the tokens of the time since it was last refilled. A
-  /// share that this gateway issues since a later time yields tokens since then only, because
+  /// share that this gateway issues only since `part.since` yields tokens since then, because
   /// another issuer may have issued what it yielded before.
   Bucket& Refill(MonoTime now, const Part& part, const WorkspaceId& workspace);
   void CheckShortage(MonoTime now, const Part& part, const WorkspaceId& workspace, Bucket* bucket);
--- a/rpc/convert.cc
+++ b/rpc/convert.cc
@@ -1,12 +1,13 @@
 #include "rpc/convert.h"
 
 #include <algorithm>
+#include <memory>
 #include <optional>
 #include <utility>
 #include <vector>
 
 #include "rpc/frame.h"
-#include "rpc/packed_view.h"
+#include "rpc/packed_gateways.h"
 #include "rpc/quota_wire.h"
 #include "rpc/rollout_messages.h"
 #include "rpc/table_update.h"
@@ -48,9 +49,13 @@
   out.echo_incarnation = ToSigned(in.echo_incarnation.value);
   out.can_own = in.can_own;
   out.view_generation = ToSigned(in.view_generation);
+  out.view_settled = ToSigned(in.view_settled);
+  if (!in.unreleased.empty()) {
+    out.__set_unreleased(PackGateways(in.unreleased));
+  }
   out.view_echo = ToSigned(in.view_echo);
   if (in.view != nullptr) {
-    out.__set_view(PackView(*in.view));
+    out.__set_view(PackGateways(in.view->gateways()));
   }
   return out;
 }
@@ -68,9 +73,13 @@
   out.echo_incarnation = Incarnation(ToUnsigned(in.echo_incarnation));
   out.can_own = in.can_own;
   out.view_generation = ToUnsigned(in.view_generation);
+  out.view_settled = ToUnsigned(in.view_settled);
+  if (in.__isset.unreleased) {
+    out.unreleased = UnpackGateways(in.unreleased);
+  }
   out.view_echo = ToUnsigned(in.view_echo);
   if (in.__isset.view) {
-    out.view = UnpackView(in.view);
+    out.view = std::make_shared<const GatewayView>(UnpackGateways(in.view));
   }
   return out;
 }
--- a/rpc/gen-cpp/jackdawdeck_types.cpp
+++ b/rpc/gen-cpp/jackdawdeck_types.cpp
@@ -182,6 +182,15 @@
   this->view = val;
 __isset.view = true;
 }
+
+void Heartbeat::__set_view_settled(const int64_t val) {
+  this->view_settled = val;
+}
+
+void Heartbeat::__set_unreleased(const std::string& val) {
+  this->unreleased = val;
+__isset.unreleased = true;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -314,6 +323,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->view_settled);
+          this->__isset.view_settled = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->unreleased);
+          this->__isset.unreleased = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -384,6 +409,15 @@
     xfer += oprot->writeBinary(this->view);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("view_settled", ::apache::thrift::protocol::T_I64, 14);
+  xfer += oprot->writeI64(this->view_settled);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.unreleased) {
+    xfer += oprot->writeFieldBegin("unreleased", ::apache::thrift::protocol::T_STRING, 15);
+    xfer += oprot->writeBinary(this->unreleased);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -404,6 +438,8 @@
   swap(a.view_generation, b.view_generation);
   swap(a.view_echo, b.view_echo);
   swap(a.view, b.view);
+  swap(a.view_settled, b.view_settled);
+  swap(a.unreleased, b.unreleased);
   swap(a.__isset, b.__isset);
 }
 
@@ -421,6 +457,8 @@
   view_generation = other2.view_generation;
   view_echo = other2.view_echo;
   view = other2.view;
+  view_settled = other2.view_settled;
+  unreleased = other2.unreleased;
   __isset = other2.__isset;
 }
 Heartbeat& Heartbeat::operator=(const Heartbeat& other3) {
@@ -437,6 +475,8 @@
   view_generation = other3.view_generation;
   view_echo = other3.view_echo;
   view = other3.view;
+  view_settled = other3.view_settled;
+  unreleased = other3.unreleased;
   __isset = other3.__isset;
   return *this;
 }
@@ -456,6 +496,8 @@
   out << ", " << "view_generation=" << to_string(view_generation);
   out << ", " << "view_echo=" << to_string(view_echo);
   out << ", " << "view="; (__isset.view ? (out << to_string(view)) : (out << "<null>"));
+  out << ", " << "view_settled=" << to_string(view_settled);
+  out << ", " << "unreleased="; (__isset.unreleased ? (out << to_string(unreleased)) : (out << "<null>"));
   out << ")";
 }
 
--- a/rpc/gen-cpp/jackdawdeck_types.h
+++ b/rpc/gen-cpp/jackdawdeck_types.h
@@ -150,7 +150,7 @@
 std::ostream& operator<<(std::ostream& out, const HybridStamp& obj);
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : zone(false), address(false), peer_port(false), version(false), ready(false), leaving(false), sent(false), echo(false), echo_incarnation(false), can_own(false), view_generation(false), view_echo(false), view(false) {}
+  _Heartbeat__isset() : zone(false), address(false), peer_port(false), version(false), ready(false), leaving(false), sent(false), echo(false), echo_incarnation(false), can_own(false), view_generation(false), view_echo(false), view(false), view_settled(false), unreleased(false) {}
   bool zone :1;
   bool address :1;
   bool peer_port :1;
@@ -164,6 +164,8 @@
   bool view_generation :1;
   bool view_echo :1;
   bool view :1;
+  bool view_settled :1;
+  bool unreleased :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
@@ -184,7 +186,9 @@
               can_own(0),
               view_generation(0),
               view_echo(0),
-              view() {
+              view(),
+              view_settled(0),
+              unreleased() {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -201,6 +205,8 @@
   int64_t view_generation;
   int64_t view_echo;
   std::string view;
+  int64_t view_settled;
+  std::string unreleased;
 
   _Heartbeat__isset __isset;
 
@@ -230,6 +236,10 @@
 
   void __set_view(const std::string& val);
 
+  void __set_view_settled(const int64_t val);
+
+  void __set_unreleased(const std::string& val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(zone == rhs.zone))
@@ -260,6 +270,12 @@
       return false;
     else if (__isset.view && !(view == rhs.view))
       return false;
+    if (!(view_settled == rhs.view_settled))
+      return false;
+    if (__isset.unreleased != rhs.__isset.unreleased)
+      return false;
+    else if (__isset.unreleased && !(unreleased == rhs.unreleased))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
--- a/rpc/jackdawdeck.thrift
+++ b/rpc/jackdawdeck.thrift
@@ -27,6 +27,8 @@
   11: i64 view_generation
   12: i64 view_echo
   13: optional binary view
+  14: i64 view_settled
+  15: optional binary unreleased
 }
 
 struct HeldSlots {
--- a/rpc/packed_view.cc
+++ b/rpc/packed_gateways.cc
@@ -1,9 +1,7 @@
-#include "rpc/packed_view.h"
+#include "rpc/packed_gateways.h"
 
 #include <cstddef>
 #include <cstdint>
-#include <memory>
-#include <utility>
 #include <vector>
 
 #include "rpc/frame.h"
@@ -16,10 +14,10 @@
 
 }  // namespace
 
-std::string PackView(const GatewayView& view) {
+std::string PackGateways(const std::vector<GatewayHash>& gateways) {
   std::string bytes;
-  bytes.reserve(view.gateways().size() * kHashBytes);
-  for (const GatewayHash gateway : view.gateways()) {
+  bytes.reserve(gateways.size() * kHashBytes);
+  for (const GatewayHash gateway : gateways) {
     for (size_t i = 0; i < kHashBytes; ++i) {
       bytes.push_back(static_cast<char>(gateway.value >> (i * kByteBits)));
     }
@@ -27,9 +25,9 @@
   return bytes;
 }
 
-GatewayViewPtr UnpackView(const std::string& bytes) {
+std::vector<GatewayHash> UnpackGateways(const std::string& bytes) {
   if (bytes.size() % kHashBytes != 0 || bytes.size() / kHashBytes > GatewayView::kMaxGateways) {
-    throw FrameError("a view has " + std::to_string(bytes.size()) + " bytes");
+    throw FrameError("a list of gateways has " + std::to_string(bytes.size()) + " bytes");
   }
   std::vector<GatewayHash> gateways;
   gateways.reserve(bytes.size() / kHashBytes);
@@ -40,7 +38,7 @@
     }
     gateways.emplace_back(hash);
   }
-  return std::make_shared<const GatewayView>(std::move(gateways));
+  return gateways;
 }
 
 }  // namespace jd
--- a/tests/issuer_support_test.cc
+++ b/tests/issuer_support_test.cc
@@ -1,4 +1,5 @@
 #include "cluster/issuer_support.h"
+#include "cluster/view_announcer.h"
 
 #include <catch2/catch.hpp>
 
@@ -21,22 +22,26 @@
   return GatewayId("g" + std::to_string(gateway));
 }
 
-// Gateways whose views change at random, and whose heartbeats are delayed or lost. The messages of
+// Gateways whose views change at random, and whose heartbeats are delayed or lost, also all of one
+// gateway to another for some time. The messages of
 // one gateway to another keep their order.
 struct RandomViews {
   struct Gateway {
     std::unique_ptr<IssuerSupport> support;
+    std::unique_ptr<ViewAnnouncer> views;
     Incarnation incarnation;
-    GatewayViewPtr view = GatewayView::Of({});
-    uint64_t generation = 0;
     MonoTime next_heartbeat;
-    std::map<size_t, MonoTime> heard;        // Send time of the latest heartbeat of each peer.
-    std::map<size_t, Incarnation> heard_of;  // The process that sent it.
+    std::vector<GatewayId> candidates;
+    std::map<GatewayId, MonoTime> arrived;      // When heartbeats of the peers arrived.
+    std::map<GatewayId, MonoTime> heard;        // Send times of the latest ones.
+    std::map<GatewayId, Incarnation> heard_of;  // The processes that sent them.
+    std::map<GatewayId, uint64_t> seen;         // Generations of the views of the peers.
   };
   struct Message {
     size_t from, to;
     Incarnation receiver;  // The process whose heartbeat is echoed.
     IssuerSupport::Announcement announcement;
+    uint64_t view_echo = 0;
     MonoTime sent;
   };
 
@@ -53,6 +58,8 @@
     gateways[i] = {};
     gateways[i].incarnation = Incarnation(++last_incarnation);
     gateways[i].support = std::make_unique<IssuerSupport>(IdOf(i), kLifetime);
+    gateways[i].views = std::make_unique<ViewAnnouncer>(kLifetime);
+    gateways[i].views->Start(now);
     gateways[i].next_heartbeat = now + UpTo(kHeartbeat);
   }
   void ChangeView(size_t i) {
@@ -62,45 +69,68 @@
         ids.push_back(IdOf(peer));
       }
     }
-    GatewayViewPtr view = GatewayView::Of(ids);
-    if (*view != *gateways[i].view) {
-      gateways[i].view = std::move(view);
-      ++gateways[i].generation;
-    }
+    gateways[i].candidates = std::move(ids);
   }
   void SendHeartbeats(size_t from) {
     Gateway& sender = gateways[from];
     sender.next_heartbeat = now + kHeartbeat;
-    sender.support->SetOwnView(now, sender.view, false);
+    sender.views->SetCandidates(now, sender.candidates, sender.arrived);
+    IssuerSupport::Announcement own;
+    own.incarnation = sender.incarnation;
+    own.generation = sender.views->generation();
+    own.settled = sender.views->Settled(now);
+    own.unreleased = sender.views->Unreleased(now);
+    own.view = sender.views->view();
+    sender.support->SetOwnView(now, own);
     for (size_t to = 0; to < gateways.size(); ++to) {
-      if (to == from || Chance(loss)) {
+      if (to == from || Chance(loss) || silent_until[{from, to}] > now) {
         continue;
       }
-      IssuerSupport::Announcement announcement{sender.incarnation, sender.generation, nullptr, {}};
-      if (sender.heard.contains(to)) {
-        announcement.view = sender.view;
-        announcement.echo = sender.heard[to];
+      const GatewayId receiver = IdOf(to);
+      Message message{from, to, sender.heard_of[receiver], own, 0, now};
+      message.announcement.view = nullptr;
+      if (sender.heard.contains(receiver)) {
+        message.announcement.view = sender.views->view();
+        message.announcement.echo = sender.heard[receiver];
+        message.view_echo = sender.seen[receiver];
       }
       MonoTime& earliest = in_order[{from, to}];
       earliest = std::max(earliest, now + UpTo(longest_delay));
-      messages.emplace(earliest,
-                       Message{from, to, sender.heard_of[to], std::move(announcement), now});
+      messages.emplace(earliest, std::move(message));
     }
   }
   void Deliver(Message message) {
     Gateway& receiver = gateways[message.to];
-    if (message.announcement.incarnation < receiver.heard_of[message.from]) {
+    const GatewayId sender = IdOf(message.from);
+    if (message.announcement.incarnation < receiver.heard_of[sender]) {
       return;
     }
-    receiver.heard[message.from] = message.sent;
-    receiver.heard_of[message.from] = message.announcement.incarnation;
-    if (message.receiver != receiver.incarnation) {
+    if (message.announcement.incarnation != receiver.heard_of[sender]) {
+      receiver.views->OnRestart(sender);
+      receiver.seen.erase(sender);
+    }
+    receiver.arrived[sender] = now;
+    receiver.heard[sender] = message.sent;
+    receiver.heard_of[sender] = message.announcement.incarnation;
+    if (message.receiver == receiver.incarnation) {
+      receiver.views->OnEcho(sender, message.view_echo);
+    } else {
       message.announcement.view = nullptr;
     }
-    receiver.support->OnAnnouncement(now, IdOf(message.from), message.announcement);
+    if (message.announcement.view != nullptr) {
+      receiver.seen[sender] = message.announcement.generation;
+    }
+    receiver.support->OnAnnouncement(now, sender, message.announcement);
+  }
+  void SilenceAnyPair() {
+    std::uniform_int_distribution<size_t> any(0, gateways.size() - 1);
+    silent_until[{any(random), any(random)}] = now + UpTo(3s);
   }
   void Step() {
     now += 10ms;
+    if (Chance(silence)) {
+      SilenceAnyPair();
+    }
     while (!messages.empty() && messages.begin()->first <= now) {
       Message message = std::move(messages.begin()->second);
       messages.erase(messages.begin());
@@ -131,10 +161,12 @@
   MonoTime now = MonoTime(1000s);
   std::multimap<MonoTime, Message> messages;
   std::map<std::pair<size_t, size_t>, MonoTime> in_order;
+  std::map<std::pair<size_t, size_t>, MonoTime> silent_until;
   uint64_t last_incarnation = 0;
   double loss = 0;
   double view_change = 0;
   double restart = 0;
+  double silence = 0;
   Duration longest_delay{0};
 };
 
@@ -147,6 +179,7 @@
     f.loss = seed % 3 * 0.2;
     f.view_change = std::array{0.01, 0.1, 0.5}[seed % 3];
     f.restart = seed % 2 * 0.001;
+    f.silence = seed / 2 % 2 * 0.01;
     f.longest_delay = std::array{10ms, 400ms, 3000ms}[seed / 3 % 3];
     for (int step = 0; step < 2000; ++step) {
       f.Step();
@@ -167,8 +200,7 @@
   // Guards against parts of a quota that nobody issues in calm.
   RandomViews f(4, 1);
   for (size_t i = 0; i < 4; ++i) {
-    f.gateways[i].view = GatewayView::Of({IdOf(0), IdOf(1), IdOf(2), IdOf(3)});
-    f.gateways[i].generation = 1;
+    f.gateways[i].candidates = {IdOf(0), IdOf(1), IdOf(2), IdOf(3)};
   }
   f.longest_delay = 100ms;
   for (int step = 0; step < 1000; ++step) {
@@ -179,50 +211,98 @@
   }
 }
 
-TEST_CASE("the former issuer is supported until shortly before the new one",
-          "[issuer_support_test]") {
+TEST_CASE("an issuer takes over as soon as its predecessor knows", "[issuer_support_test]") {
   // Guards against a second without an issuer each time that a gateway joins.
   RandomViews f(4, 1);
   const auto set_views = [&f](const std::vector<GatewayId>& ids) {
-    for (size_t i = 0; i < 3; ++i) {
-      f.gateways[i].view = GatewayView::Of(ids);
-      ++f.gateways[i].generation;
+    for (RandomViews::Gateway& gateway : f.gateways) {
+      gateway.candidates = ids;
     }
   };
-  set_views({IdOf(0), IdOf(1), IdOf(2)});
+  const std::vector<GatewayId> former = {IdOf(0), IdOf(1), IdOf(2)};
+  const std::vector<GatewayId> all = {IdOf(0), IdOf(1), IdOf(2), IdOf(3)};
+  set_views(former);
   for (int step = 0; step < 300; ++step) {
     f.Step();
   }
   std::string pool = "p";
-  while (OwnerOf(PoolId(pool), {IdOf(0), IdOf(1), IdOf(2), IdOf(3)}) != IdOf(3)) {
+  while (OwnerOf(PoolId(pool), all) != IdOf(3)) {
     pool += "x";
   }
-  const GatewayHash former = HashOf(OwnerOf(PoolId(pool), {IdOf(0), IdOf(1), IdOf(2)}));
-  REQUIRE(f.gateways[0].support->OwnIssuer(f.now, PoolId(pool)) == former);
-  set_views({IdOf(0), IdOf(1), IdOf(2), IdOf(3)});
-  f.gateways[3].view = f.gateways[0].view;
-  f.gateways[3].generation = 1;
+  const GatewayHash before = HashOf(OwnerOf(PoolId(pool), former));
+  REQUIRE(f.gateways[0].support->OwnIssuer(PoolId(pool)) == before);
+  set_views(all);
   int without = 0;
-  for (int step = 0; step < 200; ++step) {
+  for (int step = 0; step < 100; ++step) {
     f.Step();
     without += f.Supporters(PoolId(pool)) == 0 ? 1 : 0;
-    if (step < 90) {
-      CHECK(f.gateways[0].support->OwnIssuer(f.now, PoolId(pool)) == former);
-    }
   }
-  CHECK(without <= 45);
-  CHECK(f.gateways[0].support->OwnIssuer(f.now, PoolId(pool)) == HashOf(IdOf(3)));
+  // A view is announced, echoed and settled, with a heartbeat each.
+  CHECK(without * 10ms <= 3 * kHeartbeat);
+  CHECK(f.gateways[0].support->OwnIssuer(PoolId(pool)) == HashOf(IdOf(3)));
   CHECK(f.gateways[3].support->SupportFor(f.now, PoolId(pool)).gateways == 4);
 }
 
-TEST_CASE("a gateway without others is supported by itself at once", "[issuer_support_test]") {
+TEST_CASE("a support does not last through a view that has not arrived", "[issuer_support_test]") {
+  // Guards against a support that the peer has given to another gateway in between.
   IssuerSupport support(IdOf(0), kLifetime);
-  support.SetOwnView(MonoTime(5s), GatewayView::Of({IdOf(0)}), true);
-  CHECK(support.SupportFor(MonoTime(5s), PoolId("p")).gateways == 1);
-  IssuerSupport cut_off(IdOf(0), kLifetime);
-  cut_off.SetOwnView(MonoTime(5s), GatewayView::Of({IdOf(0)}), false);
-  CHECK(cut_off.SupportFor(MonoTime(5s), PoolId("p")).gateways == 0);
-  CHECK(cut_off.SupportFor(MonoTime(7s), PoolId("p")).gateways == 1);
+  const PoolId pool("p");
+  const GatewayViewPtr view = GatewayView::Of({IdOf(0)});
+  MonoTime now = MonoTime(100s);
+  std::vector<GatewayHash> unreleased;
+  const auto supporters = [&](uint64_t generation, uint64_t settled, const GatewayViewPtr& named) {
+    now += 10ms;
+    support.OnAnnouncement(now, IdOf(1),
+                           {Incarnation(1), generation, settled, unreleased, named, now});
+    return support.SupportFor(now, pool).gateways;
+  };
+  CHECK(supporters(1, 0, view) == 0);
+  CHECK(supporters(1, 1, view) == 1);
+  CHECK(supporters(2, 1, view) == 1);
+  CHECK(supporters(4, 2, view) == 0);
+  CHECK(supporters(4, 4, view) == 1);
+  CHECK(supporters(5, 4, nullptr) == 0);
+  CHECK(supporters(5, 4, view) == 0);
+  CHECK(supporters(5, 5, view) == 1);
+  // The owner in between lets go of the pool before all others have let go of theirs.
+  CHECK(supporters(6, 6, GatewayView::Of({IdOf(1)})) == 0);
+  unreleased = {HashOf(IdOf(1))};
+  CHECK(supporters(7, 6, view) == 0);
+  unreleased = {HashOf(IdOf(2))};
+  CHECK(supporters(7, 6, view) == 1);
+}
+
+TEST_CASE("the support for a silent owner ends with its lifetime", "[issuer_support_test]") {
+  // Guards against a new issuer beside one that is cut off, and against one that waits for longer.
+  ViewAnnouncer views(kLifetime);
+  views.Start(MonoTime(10s));
+  views.SetCandidates(MonoTime(10s), {IdOf(0), IdOf(1), IdOf(2)}, {});
+  CHECK(views.Settled(MonoTime(11s)) == 0);
+  CHECK(views.Settled(MonoTime(11s) + ViewAnnouncer::kClockMargin) == 1);
+  const std::map<GatewayId, MonoTime> heard = {{IdOf(1), MonoTime(19s) + 500ms},
+                                               {IdOf(2), MonoTime(20s)}};
+  views.SetCandidates(MonoTime(20s), {IdOf(0), IdOf(2)}, heard);
+  CHECK(views.Settled(MonoTime(20s) + 500ms) == 1);
+  CHECK(views.Settled(MonoTime(20s) + 500ms + ViewAnnouncer::kClockMargin) == 2);
+  // A former process is forgotten earlier if all gateways know the new one.
+  ViewAnnouncer known(kLifetime);
+  known.Start(MonoTime(10s));
+  known.SetCandidates(MonoTime(10s), {IdOf(0)}, {});
+  CHECK(known.Settled(MonoTime(10s)) == 0);
+  known.OnFormerProcessForgotten();
+  CHECK(known.Settled(MonoTime(10s)) == 1);
+  // One that joins takes pools from all others.
+  views.SetCandidates(MonoTime(30s), {IdOf(0), IdOf(2), IdOf(3)}, {{IdOf(2), MonoTime(30s)}});
+  CHECK(views.Settled(MonoTime(30s)) == 2);
+  views.OnEcho(IdOf(2), 2);
+  CHECK(views.Settled(MonoTime(30s)) == 2);
+  views.OnEcho(IdOf(2), 3);
+  CHECK(views.Settled(MonoTime(30s)) == 3);
+  // The process of an owner that starts again has ended.
+  views.SetCandidates(MonoTime(40s), {IdOf(0), IdOf(3)}, {{IdOf(2), MonoTime(40s)}});
+  CHECK(views.Settled(MonoTime(40s)) == 3);
+  views.OnRestart(IdOf(2));
+  CHECK(views.Settled(MonoTime(40s)) == 4);
 }
 
 }  // namespace
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -112,6 +112,39 @@
 
 // Guards against a gateway that resumes after a pause of its process and acts as an owner, although
 // its view of its peers is outdated.
+TEST_CASE("gateways announce their views until each peer has them", "[membership_test]") {
+  // Guards against a view that a peer never gets, because the heartbeat that carried it was lost.
+  Cluster cluster;
+  for (auto& [id, node] : cluster.nodes) {
+    node.AnnounceViews(At(cluster.now));
+  }
+  cluster.cut = {{"a", "b"}};
+  cluster.Run(2000);
+  cluster.cut.clear();
+  cluster.Run(600);
+  const auto knows = [&](const std::string& of, const std::string& peer) {
+    const Member& member = cluster.at(of).members().at(GatewayId(peer));
+    const ViewAnnouncer& views = cluster.at(peer).views();
+    return member.view != nullptr && *member.view == *views.view() &&
+           member.view_generation == views.generation() &&
+           member.view_settled == views.generation();
+  };
+  for (const char* of : {"a", "b", "c"}) {
+    for (const char* peer : {"a", "b", "c"}) {
+      CHECK((std::string(of) == peer || knows(of, peer)));
+    }
+  }
+  CHECK(cluster.at("a").views().candidates().size() == 3);
+  const uint64_t generation = cluster.at("a").views().generation();
+  cluster.paused.insert("c");
+  // Dead after 1 s, a heartbeat earlier or later, and 50 ms for each step of the change.
+  cluster.Run(1400);
+  CHECK(cluster.at("a").views().generation() > generation);
+  CHECK(cluster.at("a").views().candidates().size() == 2);
+  CHECK(knows("a", "b"));
+  CHECK(knows("b", "a"));
+}
+
 TEST_CASE("a connection over which a peer receives nothing is replaced", "[membership_test]") {
   // Guards against two gateways that never hear each other again after one connection between them
   // went silent without a reset.
--- a/tests/quota_issuer_test.cc
+++ b/tests/quota_issuer_test.cc
@@ -24,6 +24,7 @@
   // Guards against a burst for each change of the issuer.
   Fixture f;
   f.part.since = f.now;
+  f.part.lasting_share = 0;
   CHECK(f.Issue(100) == 1);
   f.issuer.KeepOnly([](const WorkspaceId&) { return false; });
   CHECK(f.issuer.buckets() == 0);
--- a/tests/quota_network.h
+++ b/tests/quota_network.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "cluster/node_quotas.h"
+#include "cluster/view_announcer.h"
 #include "common/workspace_table.h"
 #include "rpc/convert.h"
 #include "rpc/frame.h"
@@ -44,10 +45,12 @@
     GatewayId id;
     size_t zone = 0;
     std::unique_ptr<IssuerSupport> support;
+    std::unique_ptr<ViewAnnouncer> views;
     std::unique_ptr<NodeQuotas> quotas;
     Incarnation incarnation;
-    GatewayViewPtr view = GatewayView::Of({});
-    uint64_t view_generation = 0;
+    std::vector<MonoTime> heard;             ///< When heartbeats of the others arrived.
+    std::vector<uint64_t> seen_generations;  ///< Of the views of the others.
+    std::vector<Incarnation> seen_incarnations;
     MonoTime next_members_update;
     bool alive = true;
     MonoTime paused_until;
@@ -62,7 +65,7 @@
   static constexpr Duration kTick = 1ms;
   static constexpr Duration kMembershipDelay = 1s;
   /// Rarer than in a deployment, to save time.
-  static constexpr Duration kHeartbeat = 500ms;
+  static constexpr Duration kHeartbeat = 700ms;
   static constexpr Duration kEchoAge = 200ms;
   static constexpr Duration kSupportLifetime = 1s;
   /// Difference between the times at which two gateways learn of a change of the members.
@@ -90,11 +93,14 @@
     gateway.alive = true;
     SetTimer(i, std::nullopt);
     gateway.incarnation = Incarnation(++last_incarnation_);
-    gateway.view = GatewayView::Of({});
-    gateway.view_generation = 0;
     next_members_update_ = now;
     gateway.next_members_update = now + (i * kMembershipPhase) % kMembershipDelay;
+    gateway.heard.clear();
+    gateway.seen_generations.clear();
+    gateway.seen_incarnations.clear();
     gateway.support = std::make_unique<IssuerSupport>(gateway.id, kSupportLifetime);
+    gateway.views = std::make_unique<ViewAnnouncer>(kSupportLifetime);
+    gateway.views->Start(now);
     gateway.quotas = std::make_unique<NodeQuotas>(gateway.id, gateway.support.get(), random());
     gateway.quotas->SetConfiguration(configuration);
   }
@@ -145,12 +151,16 @@
         members.contacts.push_back(listed[zone][any]);
       }
     }
-    GatewayViewPtr view = GatewayView::Of(members.issuers);
-    if (*view != *gateway.view) {
-      gateway.view = std::move(view);
-      ++gateway.view_generation;
+    if (members.issuers != gateway.views->candidates()) {
+      std::map<GatewayId, MonoTime> last_heard;
+      for (size_t i = 0; i < gateway.heard.size(); ++i) {
+        if (gateway.heard[i] != MonoTime()) {
+          last_heard[nodes[i].id] = gateway.heard[i];
+        }
+      }
+      gateway.views->SetCandidates(now, members.issuers, last_heard);
     }
-    gateway.support->SetOwnView(now, gateway.view, nodes.size() == 1);
+    SetOwnView(&gateway);
     gateway.quotas->SetMembers(now, std::move(members));
   }
   /// Does the same for the gateways whose turn it is.
@@ -167,24 +177,15 @@
   void SendHeartbeats() {
     next_heartbeats_ = now + kHeartbeat;
     for (size_t from = 0; from < nodes.size(); ++from) {
-      const Gateway& sender = nodes[from];
+      Gateway& sender = nodes[from];
       if (!sender.alive || sender.paused_until > now) {
         continue;
       }
-      for (size_t to = sender.zone; to < nodes.size(); ++to) {
-        Gateway& receiver = nodes[to];
-        if (to == from || receiver.zone != sender.zone || receiver.paused_until > now ||
-            !Reaches(from, to)) {
-          continue;
+      SetOwnView(&sender);
+      for (size_t to = sender.zone; to < nodes.size(); to += zones_) {
+        if (to != from && nodes[to].paused_until <= now && Reaches(from, to)) {
+          SendHeartbeat(from, to);
         }
-        IssuerSupport::Announcement announcement;
-        announcement.incarnation = sender.incarnation;
-        if (Reaches(to, from)) {
-          announcement.generation = sender.view_generation;
-          announcement.view = sender.view;
-          announcement.echo = now - kEchoAge;
-        }
-        receiver.support->OnAnnouncement(now, sender.id, announcement);
       }
     }
   }
@@ -276,6 +277,43 @@
   std::vector<Duration> retry_afters;
 
  private:
+  void SetOwnView(Gateway* gateway) {
+    const ViewAnnouncer& views = *gateway->views;
+    IssuerSupport::Announcement own;
+    own.generation = views.generation();
+    own.view = views.view();
+    own.settled = nodes.size() == 1 ? views.generation() : views.Settled(now);
+    own.unreleased = views.Unreleased(now);
+    gateway->support->SetOwnView(now, own);
+  }
+  void SendHeartbeat(size_t from, size_t to) {
+    const Gateway& sender = nodes[from];
+    Gateway& receiver = nodes[to];
+    receiver.heard.resize(nodes.size());
+    receiver.seen_generations.resize(nodes.size());
+    receiver.seen_incarnations.resize(nodes.size());
+    receiver.heard[from] = now;
+    if (receiver.seen_incarnations[from] != sender.incarnation) {
+      receiver.seen_incarnations[from] = sender.incarnation;
+      receiver.seen_generations[from] = 0;
+      receiver.views->OnRestart(sender.id);
+    }
+    IssuerSupport::Announcement announcement;
+    announcement.incarnation = sender.incarnation;
+    if (Reaches(to, from)) {
+      announcement.generation = sender.views->generation();
+      announcement.settled = sender.views->Settled(now);
+      announcement.unreleased = sender.views->Unreleased(now);
+      announcement.view = sender.views->view();
+      announcement.echo = now - kEchoAge;
+      if (to < sender.seen_generations.size() &&
+          sender.seen_incarnations[to] == receiver.incarnation) {
+        receiver.views->OnEcho(sender.id, sender.seen_generations[to]);
+      }
+      receiver.seen_generations[from] = announcement.generation;
+    }
+    receiver.support->OnAnnouncement(now, sender.id, announcement);
+  }
   void SetTimer(size_t i, std::optional<MonoTime> time) {
     if (nodes[i].next_timer) {
       timers_.erase({*nodes[i].next_timer, i});
