--- a/common/event_ring.cc
+++ b/common/event_ring.cc
@@ -1,71 +1,65 @@
 #include "common/event_ring.h"
 
+#include <iterator>
 #include <utility>
 
 namespace jd {
 
-std::string_view EventKindName(EventKind kind) {
-  switch (kind) {
-    case EventKind::kCallStarted:
-      return "call-started";
-    case EventKind::kCallFinished:
-      return "call-finished";
-    case EventKind::kCallRefused:
-      return "call-refused";
-    case EventKind::kAttemptStarted:
-      return "attempt-started";
-    case EventKind::kAttemptEnded:
-      return "attempt-ended";
-    case EventKind::kEndpointCold:
-      return "endpoint-cold";
-    case EventKind::kEndpointWarm:
-      return "endpoint-warm";
-    case EventKind::kEndpointDraining:
-      return "endpoint-draining";
-    case EventKind::kEndpointEjected:
-      return "endpoint-ejected";
-    case EventKind::kEndpointLimit:
-      return "endpoint-limit";
-    case EventKind::kEndpointHeld:
-      return "endpoint-held";
-    case EventKind::kEndpointReleased:
-      return "endpoint-released";
-    case EventKind::kPermitRefused:
-      return "permit-refused";
-    case EventKind::kQuotaExceeded:
-      return "quota-exceeded";
-    case EventKind::kSlotsLent:
-      return "slots-lent";
-    case EventKind::kSlotsExpired:
-      return "slots-expired";
-    case EventKind::kOwnerChanged:
-      return "owner-changed";
-    case EventKind::kPeerLive:
-      return "peer-live";
-    case EventKind::kPeerDead:
-      return "peer-dead";
-    case EventKind::kPeerOneWay:
-      return "peer-one-way";
-    case EventKind::kPeerLeaving:
-      return "peer-leaving";
-    case EventKind::kConfigApplied:
-      return "config-applied";
-    case EventKind::kZoneChanged:
-      return "zone-changed";
-    case EventKind::kStoreDown:
-      return "store-down";
-    case EventKind::kStoreUp:
-      return "store-up";
-    case EventKind::kCrashFingerprint:
-      return "crash-fingerprint";
-    case EventKind::kProbe:
-      return "probe";
-    case EventKind::kLeaseTaken:
-      return "lease-taken";
-    case EventKind::kLeaseLost:
-      return "lease-lost";
+namespace {
+
+struct NamedKind {
+  EventKind kind;
+  std::string_view name;
+};
+
+constexpr NamedKind kNamedKinds[] = {
+    {EventKind::kCallStarted, "call-started"},
+    {EventKind::kCallFinished, "call-finished"},
+    {EventKind::kCallRefused, "call-refused"},
+    {EventKind::kAttemptStarted, "attempt-started"},
+    {EventKind::kAttemptEnded, "attempt-ended"},
+    {EventKind::kEndpointCold, "endpoint-cold"},
+    {EventKind::kEndpointWarm, "endpoint-warm"},
+    {EventKind::kEndpointDraining, "endpoint-draining"},
+    {EventKind::kEndpointEjected, "endpoint-ejected"},
+    {EventKind::kEndpointLimit, "endpoint-limit"},
+    {EventKind::kEndpointHeld, "endpoint-held"},
+    {EventKind::kEndpointReleased, "endpoint-released"},
+    {EventKind::kPermitRefused, "permit-refused"},
+    {EventKind::kQuotaExceeded, "quota-exceeded"},
+    {EventKind::kSlotsLent, "slots-lent"},
+    {EventKind::kSlotsExpired, "slots-expired"},
+    {EventKind::kOwnerChanged, "owner-changed"},
+    {EventKind::kPeerLive, "peer-live"},
+    {EventKind::kPeerDead, "peer-dead"},
+    {EventKind::kConfigApplied, "config-applied"},
+    {EventKind::kZoneChanged, "zone-changed"},
+    {EventKind::kStoreDown, "store-down"},
+    {EventKind::kStoreUp, "store-up"},
+    {EventKind::kCrashFingerprint, "crash-fingerprint"},
+    {EventKind::kProbe, "probe"},
+    {EventKind::kLeaseTaken, "lease-taken"},
+    {EventKind::kLeaseLost, "lease-lost"},
+    {EventKind::kPeerOneWay, "peer-one-way"},
+    {EventKind::kPeerLeaving, "peer-leaving"},
+};
+
+/// Returns whether each kind stands at the index that is its value.
+constexpr bool InOrderOfKinds() {
+  for (size_t i = 0; i < std::size(kNamedKinds); ++i) {
+    if (static_cast<size_t>(kNamedKinds[i].kind) != i)
+      return false;
   }
-  return "unknown";
+  return true;
+}
+static_assert(InOrderOfKinds());
+static_assert(std::size(kNamedKinds) == kEventKinds, "a kind has no name");
+
+}  // namespace
+
+std::string_view EventKindName(EventKind kind) {
+  const auto index = static_cast<size_t>(kind);
+  return index < kEventKinds ? kNamedKinds[index].name : "unknown";
 }
 
 void EventRing::Add(Event event) {
--- a/common/event_ring.h
+++ b/common/event_ring.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <string>
@@ -43,6 +44,7 @@
   kPeerOneWay,
   kPeerLeaving,
 };
+inline constexpr size_t kEventKinds = static_cast<size_t>(EventKind::kPeerLeaving) + 1;
 
 /// Returns the kind's name in log lines and in the timeline, for example "call-started".
 std::string_view EventKindName(EventKind kind);
