Quotas: gateways that leave or start do not wait for processes that have ended

Cause, from the numbers of supporters that issuers had at each refusal (trial with log lines): 25 of 35 gateways had announced the issuer, but said that a former owner had not let go: one that had left, and whose process ended before it had echoed the new views, so that they waited for 1.05 s. A gateway that started announced no view for up to 1 s while any peer was down, or while its configuration was late, and knew no issuer to ask as long as it did not know the list of gateways.

Change: a gateway that leaves stops issuing with the notice that it leaves, so its peers let go of it at once. A gateway that starts announces its view after two heartbeats, also when only its peers have a configuration with quotas. It asks the issuers that it hears without the list, but issues nothing until it knows it.

Ruled out: supports that lapse without an echo (0 to 3 of 35 at the refusals) and gateways that wait for their former process (1 to 3).

--- a/cluster/issuer_support.cc
+++ b/cluster/issuer_support.cc
@@ -81,6 +81,11 @@
   return changed;
 }
 
+void IssuerSupport::Resign() {
+  resigned_ = true;
+  cache_.clear();
+}
+
 IssuerSupport::Support IssuerSupport::SupportFor(MonoTime now, const PoolId& pool) const {
   CachedSupport& cached = cache_[pool];
   if (now < cached.expires) {
@@ -158,7 +163,7 @@
 std::optional<MonoTime> IssuerSupport::SupportedSince(MonoTime now,
                                                       const Supporter& supporter,
                                                       const PoolId& pool) const {
-  if (now >= supporter.valid_until || supporter.entries.empty()) {
+  if (resigned_ || now >= supporter.valid_until || supporter.entries.empty()) {
     return std::nullopt;
   }
   const std::deque<Entry>& entries = supporter.entries;
--- a/cluster/issuer_support.h
+++ b/cluster/issuer_support.h
@@ -54,6 +54,9 @@
   void SetOwnView(MonoTime now, const Announcement& announcement);
   void OnAnnouncement(MonoTime now, const GatewayId& peer, const Announcement& announcement);
 
+  /// Counts no support from now on: this gateway is leaving and issues nothing any longer.
+  void Resign();
+
   Support SupportFor(MonoTime now, const PoolId& pool) const;
   /// Returns how many of the gateways that support this one now have done so since `time`.
   size_t SupportersSince(MonoTime now, const PoolId& pool, MonoTime time) const;
@@ -98,6 +101,7 @@
 
   GatewayHash self_;
   Duration lifetime_;
+  bool resigned_ = false;
   Supporter own_;
   std::unordered_map<GatewayId, Supporter> peers_;
   mutable std::map<PoolId, CachedSupport> cache_;
--- a/cluster/membership.cc
+++ b/cluster/membership.cc
@@ -62,7 +62,7 @@
     member.view_settled = 0;
     member.view = nullptr;
     member.view_echoed = 0;
-    views_.OnRestart(from);
+    views_.OnStoppedIssuing(from);
   }
   UpdateViewOf(heartbeat, &member);
   member.id = from;
@@ -71,7 +71,11 @@
   member.version = heartbeat.version;
   member.ready = heartbeat.ready;
   member.can_own = heartbeat.can_own;
-  member.leaving = member.leaving || heartbeat.leaving;
+  if (heartbeat.leaving && !member.leaving) {
+    member.leaving = true;
+    views_.OnStoppedIssuing(from);
+    has_view_news_ = true;
+  }
   member.last_heard = now;
   member.last_sent = heartbeat.sent;
   // An echo of a heartbeat from before a pause does not show that the peer receives heartbeats now.
@@ -152,10 +156,16 @@
 }
 
 std::vector<GatewayId> Membership::owner_candidates() const {
+  return fresh_ ? LiveGateways() : std::vector<GatewayId>();
+}
+
+std::vector<GatewayId> Membership::IssuerCandidates(MonoTime now) const {
+  const bool heard_the_live = now - resumed_at_ >= settings_.heartbeat * kHeardAfterHeartbeats;
+  return fresh_ || heard_the_live ? LiveGateways() : std::vector<GatewayId>();
+}
+
+std::vector<GatewayId> Membership::LiveGateways() const {
   std::vector<GatewayId> candidates;
-  if (!fresh_) {
-    return candidates;
-  }
   if (!leaving_ && own_status_.can_own) {
     candidates.push_back(settings_.id);
   }
@@ -258,6 +268,8 @@
 }
 
 void Membership::UpdateViewOf(const Heartbeat& heartbeat, Member* member) {
+  // A process that starts may get its configuration late, but its peers need its support.
+  announces_views_ = announces_views_ || heartbeat.view_generation > 0;
   const bool is_new = heartbeat.view_generation != member->view_generation;
   if (heartbeat.view != nullptr) {
     member->view = heartbeat.view;
@@ -284,13 +296,15 @@
 }
 
 void Membership::UpdateAnnouncedView(MonoTime now) {
-  const std::vector<GatewayId> candidates = owner_candidates();
+  const std::vector<GatewayId> candidates = IssuerCandidates(now);
   if (!announces_views_ || (views_.generation() > 0 && candidates == views_.candidates())) {
     return;
   }
   std::map<GatewayId, MonoTime> last_heard;
   for (const auto& [id, member] : members_) {
-    last_heard[id] = member.last_heard;
+    if (!member.leaving) {
+      last_heard[id] = member.last_heard;
+    }
   }
   views_.SetCandidates(now, candidates, last_heard);
   has_view_news_ = true;
--- a/cluster/membership.h
+++ b/cluster/membership.h
@@ -85,6 +85,9 @@
   /// Number of heartbeat intervals without any event after which this process counts as having been
   /// paused. A lower limit would mistake an ordinary scheduling delay for a pause.
   static constexpr int kPausedAfterHeartbeats = 3;
+  /// Number of heartbeat intervals in which live peers show that they receive the heartbeats of a
+  /// process that has started.
+  static constexpr int kHeardAfterHeartbeats = 2;
   /// How often the time doubles after which the connection to a peer is replaced again.
   static constexpr int kMaxReplacementDoublings = 3;
   /// Heartbeats with news of views are sent at most this many times as often as others.
@@ -122,9 +125,12 @@
   /// Returns the gateways that may own pools, including this one, ordered by id; empty while
   /// fresh() is false.
   std::vector<GatewayId> owner_candidates() const;
-  /// Lets the heartbeats announce the owner candidates from now on.
+  /// Returns the gateways that may issue quotas, as above, but also soon after a start: peers that
+  /// do not run are not waited for, because an issuer without support issues nothing.
+  std::vector<GatewayId> IssuerCandidates(MonoTime now) const;
+  /// Lets the heartbeats announce the issuer candidates from now on, as when a peer does.
   void AnnounceViews(MonoTime now);
-  /// What the heartbeats announce of the owner candidates.
+  /// What the heartbeats announce of the issuer candidates.
   const ViewAnnouncer& views() const { return views_; }
   /// Returns the gateways among which the reserved slots are divided, ordered by id: those in the
   /// latest VM list, or this gateway and the seeds if no list has been read yet.
@@ -149,7 +155,9 @@
   /// is silent: no message may arrive over it, while a new connection works. A peer that does not
   /// run looks alike, so the time doubles until the peer echoes again.
   void ReplaceSilentConnection(MonoTime now, Member* member, MembershipOutput* output) const;
-  /// Makes the current owner candidates the announced view.
+  /// Returns the gateways, including this one, that can own pools and are heard in both directions.
+  std::vector<GatewayId> LiveGateways() const;
+  /// Makes the current issuer candidates the announced view.
   void UpdateAnnouncedView(MonoTime now);
   /// Notes that this process is known as soon as each listed peer has echoed a heartbeat of it.
   void CheckFormerProcessForgotten();
--- a/cluster/node.cc
+++ b/cluster/node.cc
@@ -442,6 +442,8 @@
   dispatcher_.StopAdmission();
   slots_.HandOverPools(now.mono);
   MembershipOutput members;
+  // The peers take the notice that this gateway leaves as one that it issues nothing any longer.
+  issuer_support_.Resign();
   membership_.Leave(now.mono, &members);
   ApplyMembershipOutput(now, members, actions);
   OnLoopIterationEnd(now, actions);
--- a/cluster/node.h
+++ b/cluster/node.h
@@ -133,8 +133,8 @@
   void RecordPeerEvent(Now now, EventKind kind, const GatewayId& peer, NodeActions* actions);
   /// Passes on what the latest heartbeat of a peer says of its view.
   void UpdateIssuerSupport(Now now, const GatewayId& peer);
-  /// @param issuers the gateways that may issue tokens, if the list of gateways is known.
-  void UpdateQuotaMembers(Now now, std::vector<GatewayId> issuers);
+  /// Passes on which gateways may issue tokens, and how many there are.
+  void UpdateQuotaMembers(Now now);
   /// Carries out the dispatcher's actions: appends those of the event loop to `to`, records events,
   /// sends crash notices to peers and finishes the claims of request keys.
   void ApplyCallActions(Now now, const CallActions& from, NodeActions* to);
--- a/cluster/node_effects.cc
+++ b/cluster/node_effects.cc
@@ -200,7 +200,7 @@
     members.incarnations[id] = member.incarnation;
   }
   slots_.SetMembers(now.mono, members);
-  UpdateQuotaMembers(now, std::move(members.owner_candidates));
+  UpdateQuotaMembers(now);
 }
 
 void Node::ApplyConfigOutput(Now now, NodeConfig::Output* from, NodeActions* actions) {
@@ -216,7 +216,7 @@
     quotas_.SetConfiguration(config_.configuration());
     if (quotas_.HasQuotas()) {
       membership_.AnnounceViews(now.mono);
-      UpdateQuotaMembers(now, membership_.owner_candidates());
+      UpdateQuotaMembers(now);
     }
     RecordListedRuns(now);
     dispatcher_.SetConfiguration(now.mono, config_.configuration());
--- a/cluster/node_quota_calls.cc
+++ b/cluster/node_quota_calls.cc
@@ -87,18 +87,17 @@
   ApplyCallActions(now, out, actions);
 }
 
-void Node::UpdateQuotaMembers(Now now, std::vector<GatewayId> issuers) {
+void Node::UpdateQuotaMembers(Now now) {
   NodeQuotas::Members members;
-  if (!settings_.gateways_listed_by_discovery || gateway_count_ > 0) {
-    members.issuers = std::move(issuers);
-  }
-  members.listed = gateway_count_ > 0 ? gateway_count_ : membership_.roster().size();
+  members.issuers = membership_.IssuerCandidates(now.mono);
+  members.listed =
+      settings_.gateways_listed_by_discovery ? gateway_count_ : membership_.roster().size();
   const ViewAnnouncer& views = membership_.views();
   IssuerSupport::Announcement own;
   own.generation = views.generation();
   own.view = views.view();
   // A gateway without others has nobody who may count another view.
-  own.settled = members.listed <= 1 ? views.generation() : views.Settled(now.mono);
+  own.settled = members.listed == 1 ? views.generation() : views.Settled(now.mono);
   own.unreleased = views.Unreleased(now.mono);
   issuer_support_.SetOwnView(now.mono, own);
   members.contacts = zone_contacts_.OneOfEachZone(next_quota_contact_++);
--- a/cluster/node_quotas.cc
+++ b/cluster/node_quotas.cc
@@ -175,9 +175,10 @@
 }
 
 double NodeQuotas::ShareOf(size_t supporters) const {
-  return std::min(
-      static_cast<double>(supporters) / static_cast<double>(std::max<size_t>(members_.listed, 1)),
-      1.0);
+  if (members_.listed == 0) {
+    return 0;
+  }
+  return std::min(static_cast<double>(supporters) / static_cast<double>(members_.listed), 1.0);
 }
 
 QuotaLease NodeQuotas::Decide(MonoTime now, const QuotaDemand& demand) {
--- a/cluster/node_quotas.h
+++ b/cluster/node_quotas.h
@@ -28,7 +28,8 @@
   struct Members {
     std::vector<GatewayId> issuers;   ///< Gateways that may issue, including this one; empty while
                                       ///< it is not known which of the peers are live.
-    size_t listed = 1;                ///< Gateways of the deployment in all zones, live or not.
+    size_t listed = 1;                ///< Gateways of the deployment in all zones, live or not; 0:
+                                      ///< not known, so that this gateway issues nothing.
     std::vector<GatewayId> contacts;  ///< Any one gateway of each zone without peers.
   };
   struct Message {
--- a/cluster/view_announcer.cc
+++ b/cluster/view_announcer.cc
@@ -38,7 +38,7 @@
          }) > 0;
 }
 
-void ViewAnnouncer::OnRestart(const GatewayId& peer) {
+void ViewAnnouncer::OnStoppedIssuing(const GatewayId& peer) {
   std::erase_if(releases_, [&](const Release& release) { return release.owner == peer; });
 }
 
--- a/cluster/view_announcer.h
+++ b/cluster/view_announcer.h
@@ -14,8 +14,8 @@
 /// its former views has ended. See IssuerSupport for the other side.
 ///
 /// A former owner no longer counts the support of this gateway once it has the view that takes the
-/// support away, or if its process has ended. One that may not have the view counts it until
-/// `lifetime` after it sent the latest heartbeat that this gateway echoed.
+/// support away, or if its process is leaving or has ended. One that may not have the view counts
+/// it until `lifetime` after it sent the latest heartbeat that this gateway echoed.
 class ViewAnnouncer {
  public:
   /// By how much the clocks of two gateways may differ within the lifetime of a support.
@@ -32,15 +32,16 @@
   void OnFormerProcessForgotten() { former_until_ = MonoTime::min(); }
   /// Makes the owner candidates the announced view.
   /// @param candidates ordered by id.
-  /// @param last_heard when the latest heartbeats of the peers arrived.
+  /// @param last_heard when the latest heartbeats of the peers that may issue arrived.
   void SetCandidates(MonoTime now,
                      const std::vector<GatewayId>& candidates,
                      const std::map<GatewayId, MonoTime>& last_heard);
   /// Notes that a peer has received the view of this generation.
   /// @return whether the peer has let go of a support.
   bool OnEcho(const GatewayId& peer, uint64_t generation);
-  /// Notes that a former process of the peer has ended.
-  void OnRestart(const GatewayId& peer);
+  /// Notes that the process of the peer that may count a support issues nothing any longer: it is
+  /// leaving, or has ended.
+  void OnStoppedIssuing(const GatewayId& peer);
 
   /// Ordered by id.
   const std::vector<GatewayId>& candidates() const { return candidates_; }
--- a/tests/issuer_support_test.cc
+++ b/tests/issuer_support_test.cc
@@ -106,7 +106,7 @@
       return;
     }
     if (message.announcement.incarnation != receiver.heard_of[sender]) {
-      receiver.views->OnRestart(sender);
+      receiver.views->OnStoppedIssuing(sender);
       receiver.seen.erase(sender);
     }
     receiver.arrived[sender] = now;
@@ -243,6 +243,24 @@
   CHECK(f.gateways[3].support->SupportFor(f.now, PoolId(pool)).gateways == 4);
 }
 
+TEST_CASE("a gateway that leaves issues nothing", "[issuer_support_test]") {
+  // Guards against two issuers: the peers let go of one that leaves as soon as they are told.
+  RandomViews f(2, 1);
+  for (RandomViews::Gateway& gateway : f.gateways) {
+    gateway.candidates = {IdOf(0), IdOf(1)};
+  }
+  for (int step = 0; step < 200; ++step) {
+    f.Step();
+  }
+  const PoolId pool("p");
+  REQUIRE(f.Supporters(pool) == 2);
+  for (RandomViews::Gateway& gateway : f.gateways) {
+    gateway.support->Resign();
+  }
+  CHECK(f.Supporters(pool) == 0);
+  CHECK(f.gateways[0].support->SupportersSince(f.now, pool, f.now) == 0);
+}
+
 TEST_CASE("a support does not last through a view that has not arrived", "[issuer_support_test]") {
   // Guards against a support that the peer has given to another gateway in between.
   IssuerSupport support(IdOf(0), kLifetime);
@@ -301,7 +319,7 @@
   // The process of an owner that starts again has ended.
   views.SetCandidates(MonoTime(40s), {IdOf(0), IdOf(3)}, {{IdOf(2), MonoTime(40s)}});
   CHECK(views.Settled(MonoTime(40s)) == 3);
-  views.OnRestart(IdOf(2));
+  views.OnStoppedIssuing(IdOf(2));
   CHECK(views.Settled(MonoTime(40s)) == 4);
 }
 
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -145,6 +145,38 @@
   CHECK(knows("b", "a"));
 }
 
+TEST_CASE("the support for a gateway that leaves ends with its notice", "[membership_test]") {
+  // Guards against a second without an issuer each time that a gateway is stopped, when its process
+  // ends before it has echoed the new views.
+  Cluster cluster;
+  for (auto& [id, node] : cluster.nodes) {
+    node.AnnounceViews(At(cluster.now));
+  }
+  cluster.Run(2000);
+  MembershipOutput output;
+  cluster.at("c").Leave(At(cluster.now), &output);
+  cluster.Deliver(GatewayId("c"), output);
+  cluster.paused.insert("c");
+  cluster.Run(100);
+  for (const char* of : {"a", "b"}) {
+    const ViewAnnouncer& views = cluster.at(of).views();
+    CHECK(views.candidates() == std::vector{GatewayId("a"), GatewayId("b")});
+    CHECK(views.Unreleased(At(cluster.now)).empty());
+    CHECK(views.Settled(At(cluster.now)) == views.generation());
+  }
+}
+
+TEST_CASE("a process that starts announces its view while a peer is down", "[membership_test]") {
+  // Guards against a second in which a gateway supports no issuer after its start, because it waits
+  // for a peer that does not run or for its configuration.
+  Cluster cluster;
+  cluster.paused.insert("c");
+  cluster.at("b").AnnounceViews(At(cluster.now));
+  cluster.Run((Membership::kHeardAfterHeartbeats + 1) * 200 + 50);
+  CHECK(!cluster.at("a").fresh());
+  CHECK(cluster.at("a").views().candidates() == std::vector{GatewayId("a"), GatewayId("b")});
+}
+
 TEST_CASE("a connection over which a peer receives nothing is replaced", "[membership_test]") {
   // Guards against two gateways that never hear each other again after one connection between them
   // went silent without a reset.
--- a/tests/node_quotas_test.cc
+++ b/tests/node_quotas_test.cc
@@ -1,4 +1,5 @@
 // Tests of a gateway whose workspaces have quotas.
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <memory>
 #include <vector>
@@ -238,6 +239,42 @@
   CHECK(sends() == 1);
 }
 
+TEST_CASE("a gateway without the list of gateways asks an issuer and issues nothing itself",
+          "[node_quotas_test]") {
+  // Guards against refusals within a quota while a gateway that has started waits for the list, and
+  // against a gateway that takes itself for the only one.
+  IssuerSupport support(GatewayId("g1"), 1s);
+  NodeQuotas quotas(GatewayId("g1"), &support, 1);
+  quotas.SetConfiguration(MakeConfiguration(Quota{100, 100}));
+  std::vector<GatewayId> issuers = {GatewayId("g1"), GatewayId("g2")};
+  const bool own = GENERATE(false, true);
+  if (own != (OwnerOf(PoolId("w"), issuers) == GatewayId("g1"))) {
+    issuers = {own ? GatewayId("g1") : GatewayId("g2")};
+  }
+  MonoTime now(1000s);
+  support.SetOwnView(now, {{}, 1, 1, {}, GatewayView::Of(issuers), now});
+  quotas.SetMembers(now, {issuers, 0, {}});
+  now += 1s;
+  CallRequest request;
+  request.caller_key = "key";
+  size_t sent = 0;
+  size_t asked = 0;
+  for (uint64_t call = 1; call <= 50; ++call) {
+    request.id = CallId(call);
+    Duration retry_after{0};
+    quotas.Admit(now, request, &retry_after);
+    const NodeQuotas::Output output = quotas.Flush(now);
+    asked += output.messages.size();
+    sent += static_cast<size_t>(
+        std::count_if(output.decisions.begin(), output.decisions.end(),
+                      [](const QuotaLedger::Decision& decision) { return decision.admitted; }));
+    now += 10ms;
+  }
+  // A new bucket has one token.
+  CHECK(sent == (own ? 1 : 0));
+  CHECK((asked > 0) == !own);
+}
+
 TEST_CASE("calls of a workspace without a quota are not limited", "[node_quotas_test]") {
   Fixture f(std::nullopt);
   CHECK(f.SentUntilRefused() == 100);
--- a/tests/quota_network.h
+++ b/tests/quota_network.h
@@ -296,7 +296,7 @@
     if (receiver.seen_incarnations[from] != sender.incarnation) {
       receiver.seen_incarnations[from] = sender.incarnation;
       receiver.seen_generations[from] = 0;
-      receiver.views->OnRestart(sender.id);
+      receiver.views->OnStoppedIssuing(sender.id);
     }
     IssuerSupport::Announcement announcement;
     announcement.incarnation = sender.incarnation;
