Gateways known to a process are listed when they change, not with each heartbeat

Callers saw: on machines with a tenth of a core, later answers while many gateways were stopped and started.

Cause: each heartbeat of a peer built the lists of owner candidates, issuers and known processes anew, with a copy of each id (35 gateways in a zone: 340 heartbeats a second or more), also where no part used them.

Change: Membership keeps the list of the gateways that can own pools and updates it when one of them changes. Slots and quotas get theirs only where slots are lent and views are announced.

--- a/cluster/membership.cc
+++ b/cluster/membership.cc
@@ -19,6 +19,7 @@
     roster_.push_back(seed.id);
   }
   std::sort(roster_.begin(), roster_.end());
+  UpdateLiveGateways();
 }
 
 void Membership::Start(MonoTime now, MembershipOutput* output) {
@@ -140,6 +141,7 @@
 
 void Membership::Leave(MonoTime now, MembershipOutput* output) {
   leaving_ = true;
+  UpdateLiveGateways();
   SendHeartbeats(now, output);
 }
 
@@ -155,32 +157,39 @@
   return fresh_ ? next : std::min(next, resumed_at_ + dead_after());
 }
 
-std::vector<GatewayId> Membership::owner_candidates() const {
-  return fresh_ ? LiveGateways() : std::vector<GatewayId>();
+const std::vector<GatewayId>& Membership::owner_candidates() const {
+  return fresh_ ? live_ : no_gateways_;
 }
 
-std::vector<GatewayId> Membership::IssuerCandidates(MonoTime now) const {
+const std::vector<GatewayId>& Membership::IssuerCandidates(MonoTime now) const {
   const bool heard_the_live = now - resumed_at_ >= settings_.heartbeat * kHeardAfterHeartbeats;
-  return fresh_ || heard_the_live ? LiveGateways() : std::vector<GatewayId>();
+  return heard_the_live ? live_ : owner_candidates();
 }
 
-std::vector<GatewayId> Membership::LiveGateways() const {
-  std::vector<GatewayId> candidates;
+bool Membership::IsLive(const Member& member) {
+  const bool heard = member.state == MemberState::kLive || member.state == MemberState::kSuspect;
+  return heard && member.can_own;
+}
+
+void Membership::UpdateLiveGateways() {
+  live_.clear();
   if (!leaving_ && own_status_.can_own) {
-    candidates.push_back(settings_.id);
+    live_.push_back(settings_.id);
   }
   for (const auto& [id, member] : members_) {
-    const bool live = member.state == MemberState::kLive || member.state == MemberState::kSuspect;
-    if (live && member.can_own) {
-      candidates.push_back(id);
+    if (IsLive(member)) {
+      live_.push_back(id);
     }
   }
-  std::sort(candidates.begin(), candidates.end());
-  return candidates;
+  std::sort(live_.begin(), live_.end());
 }
 
-std::vector<GatewayId> Membership::roster() const {
-  return roster_;
+void Membership::SetOwnStatus(const OwnStatus& self) {
+  const bool changed = own_status_.can_own != self.can_own;
+  own_status_ = self;
+  if (changed) {
+    UpdateLiveGateways();
+  }
 }
 
 std::optional<GatewayId> Membership::LastHeard() const {
@@ -242,6 +251,7 @@
 }
 
 void Membership::UpdateStates(MonoTime now, MembershipOutput* output) {
+  bool live_changed = false;
   for (auto& [id, member] : members_) {
     const MemberState state = StateOf(now, member);
     if (state != member.state) {
@@ -252,6 +262,12 @@
     if (state != MemberState::kUnknown && state != MemberState::kOneWay) {
       awaited_peers_.erase(id);
     }
+    const bool live = IsLive(member);
+    live_changed = live_changed || live != member.counted_live;
+    member.counted_live = live;
+  }
+  if (live_changed) {
+    UpdateLiveGateways();
   }
   if (!fresh_ && (awaited_peers_.empty() || now - resumed_at_ >= dead_after())) {
     fresh_ = true;
@@ -296,7 +312,7 @@
 }
 
 void Membership::UpdateAnnouncedView(MonoTime now) {
-  const std::vector<GatewayId> candidates = IssuerCandidates(now);
+  const std::vector<GatewayId>& candidates = IssuerCandidates(now);
   if (!announces_views_ || (views_.generation() > 0 && candidates == views_.candidates())) {
     return;
   }
--- a/cluster/membership.h
+++ b/cluster/membership.h
@@ -39,8 +39,9 @@
   bool leaving = false;  ///< Has announced that it is shutting down.
   bool listed = false;   ///< Is in the latest VM list.
   MemberState state = MemberState::kUnknown;
-  MonoTime last_heard;  ///< Arrival time of its latest heartbeat, by the local clock.
-  MonoTime last_sent;   ///< Send time of that heartbeat, by the peer's clock.
+  bool counted_live = false;  ///< Is among the gateways that can own pools.
+  MonoTime last_heard;        ///< Arrival time of its latest heartbeat, by the local clock.
+  MonoTime last_sent;         ///< Send time of that heartbeat, by the peer's clock.
   MonoTime last_echo;  ///< Latest send time of an own heartbeat that it echoed, by the local clock.
   bool echoed = false;  ///< `last_echo` has been set since this process started or last paused.
   uint64_t view_generation = 0;         ///< Of the view that its latest heartbeat names.
@@ -114,7 +115,7 @@
   /// Announces to all peers at once that this gateway is shutting down.
   void Leave(MonoTime now, MembershipOutput* output);
   /// Sets the status that the next heartbeats announce.
-  void SetOwnStatus(const OwnStatus& self) { own_status_ = self; }
+  void SetOwnStatus(const OwnStatus& self);
 
   MonoTime next_timer() const;
   /// Returns whether the view may be used to derive the ownership of pools. After a start or a
@@ -124,17 +125,17 @@
   bool leaving() const { return leaving_; }
   /// Returns the gateways that may own pools, including this one, ordered by id; empty while
   /// fresh() is false.
-  std::vector<GatewayId> owner_candidates() const;
+  const std::vector<GatewayId>& owner_candidates() const;
   /// Returns the gateways that may issue quotas, as above, but also soon after a start: peers that
   /// do not run are not waited for, because an issuer without support issues nothing.
-  std::vector<GatewayId> IssuerCandidates(MonoTime now) const;
+  const std::vector<GatewayId>& IssuerCandidates(MonoTime now) const;
   /// Lets the heartbeats announce the issuer candidates from now on, as when a peer does.
   void AnnounceViews(MonoTime now);
   /// What the heartbeats announce of the issuer candidates.
   const ViewAnnouncer& views() const { return views_; }
   /// Returns the gateways among which the reserved slots are divided, ordered by id: those in the
   /// latest VM list, or this gateway and the seeds if no list has been read yet.
-  std::vector<GatewayId> roster() const;
+  const std::vector<GatewayId>& roster() const { return roster_; }
   const std::map<GatewayId, Member>& members() const { return members_; }
   /// Returns the ready peer whose heartbeat arrived last, or nothing if none was heard.
   std::optional<GatewayId> LastHeard() const;
@@ -155,8 +156,9 @@
   /// is silent: no message may arrive over it, while a new connection works. A peer that does not
   /// run looks alike, so the time doubles until the peer echoes again.
   void ReplaceSilentConnection(MonoTime now, Member* member, MembershipOutput* output) const;
-  /// Returns the gateways, including this one, that can own pools and are heard in both directions.
-  std::vector<GatewayId> LiveGateways() const;
+  /// Returns whether a peer can own pools and is heard in both directions.
+  static bool IsLive(const Member& member);
+  void UpdateLiveGateways();
   /// Makes the current issuer candidates the announced view.
   void UpdateAnnouncedView(MonoTime now);
   /// Notes that this process is known as soon as each listed peer has echoed a heartbeat of it.
@@ -180,7 +182,9 @@
   MonoTime last_event_;  ///< Time of the latest event; a long gap shows a pause.
   MonoTime next_heartbeat_;
   std::map<GatewayId, Member> members_;
+  std::vector<GatewayId> live_;  ///< Gateways, with this one, that can own pools, ordered by id.
   std::map<GatewayId, bool> awaited_peers_;  ///< Peers that fresh() still waits for.
+  const std::vector<GatewayId> no_gateways_;
   std::vector<GatewayId> roster_;
   bool has_vm_list_ = false;   ///< A VM list has been read.
   bool known_to_all_ = false;  ///< Each listed peer has echoed a heartbeat of this process.
--- a/cluster/node.h
+++ b/cluster/node.h
@@ -148,8 +148,8 @@
   /// Passes changed services, endpoints and zone shares on to the policy, the dispatcher and the
   /// slot owner.
   void UpdateServices(Now now, NodeActions* actions);
-  /// Passes the gateways that are known to Membership on to NodeSlots.
-  void UpdateSlotMembers(Now now);
+  /// Passes the gateways that are known to Membership on to the parts that need them.
+  void UpdateGatewayMembers(Now now);
   /// Schedules probes for the endpoints of the pools that this gateway owns, and for no others.
   void UpdateProbes(Now now);
   void OnLoadReport(Now now,
--- a/cluster/node_effects.cc
+++ b/cluster/node_effects.cc
@@ -187,12 +187,16 @@
       RecordPeerEvent(now, EventKind::kPeerOneWay, change.id, actions);
     }
   }
-  UpdateSlotMembers(now);
+  UpdateGatewayMembers(now);
   dispatcher_.SetHasPeers(!membership_.members().empty() || !zone_contacts_.gateways().empty());
   statements_.SetGatewayCount(std::max(membership_.members().size() + 1, gateway_count_));
 }
 
-void Node::UpdateSlotMembers(Now now) {
+void Node::UpdateGatewayMembers(Now now) {
+  UpdateQuotaMembers(now);
+  if (!slots_.lends()) {
+    return;
+  }
   NodeSlots::Members members;
   members.owner_candidates = membership_.owner_candidates();
   members.roster = membership_.roster();
@@ -200,7 +204,6 @@
     members.incarnations[id] = member.incarnation;
   }
   slots_.SetMembers(now.mono, members);
-  UpdateQuotaMembers(now);
 }
 
 void Node::ApplyConfigOutput(Now now, NodeConfig::Output* from, NodeActions* actions) {
@@ -269,7 +272,7 @@
   }
   slots_.SetZoneShares(now.mono, shares);
   slots_.SetServices(now.mono, changes.services, changes.removed);
-  UpdateSlotMembers(now);
+  UpdateGatewayMembers(now);
   UpdateProbes(now);
   CallActions out;
   dispatcher_.OnCapacityChanged(now.mono, &out);
--- a/cluster/node_quota_calls.cc
+++ b/cluster/node_quota_calls.cc
@@ -88,20 +88,21 @@
 }
 
 void Node::UpdateQuotaMembers(Now now) {
-  NodeQuotas::Members members;
-  members.issuers = membership_.IssuerCandidates(now.mono);
-  members.listed =
-      settings_.gateways_listed_by_discovery ? gateway_count_ : membership_.roster().size();
   const ViewAnnouncer& views = membership_.views();
+  if (views.generation() == 0) {
+    return;
+  }
+  const size_t listed =
+      settings_.gateways_listed_by_discovery ? gateway_count_ : membership_.roster().size();
   IssuerSupport::Announcement own;
   own.generation = views.generation();
   own.view = views.view();
   // A gateway without others has nobody who may count another view.
-  own.settled = members.listed == 1 ? views.generation() : views.Settled(now.mono);
+  own.settled = listed == 1 ? views.generation() : views.Settled(now.mono);
   own.unreleased = views.Unreleased(now.mono);
   issuer_support_.SetOwnView(now.mono, own);
-  members.contacts = zone_contacts_.OneOfEachZone(next_quota_contact_++);
-  quotas_.SetMembers(now.mono, std::move(members));
+  quotas_.SetDeployment(listed, zone_contacts_.OneOfEachZone(next_quota_contact_++));
+  quotas_.SetIssuers(now.mono, membership_.IssuerCandidates(now.mono));
 }
 
 }  // namespace jd
--- a/cluster/node_quotas.cc
+++ b/cluster/node_quotas.cc
@@ -32,14 +32,18 @@
   configuration_ = std::move(configuration);
 }
 
-void NodeQuotas::SetMembers(MonoTime now, Members members) {
-  if (members.issuers == members_.issuers) {
-    members_ = std::move(members);
+void NodeQuotas::SetDeployment(size_t listed, std::vector<GatewayId> contacts) {
+  listed_ = listed;
+  contacts_ = std::move(contacts);
+}
+
+void NodeQuotas::SetIssuers(MonoTime now, const std::vector<GatewayId>& issuers) {
+  if (issuers == issuers_) {
     return;
   }
-  members_ = std::move(members);
+  issuers_ = issuers;
   issuer_ids_.clear();
-  for (const GatewayId& issuer : members_.issuers) {
+  for (const GatewayId& issuer : issuers_) {
     issuer_ids_[HashOf(issuer)] = issuer;
   }
   issuer_.KeepOnly([&](const WorkspaceId& workspace) {
@@ -114,7 +118,7 @@
 }
 
 std::optional<GatewayId> NodeQuotas::IssuerOf(const WorkspaceId& workspace) const {
-  if (members_.issuers.empty()) {
+  if (issuers_.empty()) {
     return std::nullopt;
   }
   const PoolId pool(workspace.value);
@@ -125,7 +129,7 @@
     }
   }
   // The members have changed since the last heartbeats.
-  return OwnerOf(pool, members_.issuers);
+  return OwnerOf(pool, issuers_);
 }
 
 bool NodeQuotas::Issues(MonoTime now, const WorkspaceId& workspace) const {
@@ -138,7 +142,7 @@
   if (issuer && (silent == silent_until_.end() || silent->second <= now)) {
     return issuer;
   }
-  for (const GatewayId& contact : members_.contacts) {
+  for (const GatewayId& contact : contacts_) {
     const auto silent_contact = silent_until_.find(contact);
     if (silent_contact == silent_until_.end() || silent_contact->second <= now) {
       return contact;
@@ -170,15 +174,15 @@
   if (support.since > refilled) {
     part.lasting_share = ShareOf(support_->SupportersSince(now, pool, refilled));
   }
-  part.other_issuers = static_cast<int>(members_.contacts.size());
+  part.other_issuers = static_cast<int>(contacts_.size());
   return part;
 }
 
 double NodeQuotas::ShareOf(size_t supporters) const {
-  if (members_.listed == 0) {
+  if (listed_ == 0) {
     return 0;
   }
-  return std::min(static_cast<double>(supporters) / static_cast<double>(members_.listed), 1.0);
+  return std::min(static_cast<double>(supporters) / static_cast<double>(listed_), 1.0);
 }
 
 QuotaLease NodeQuotas::Decide(MonoTime now, const QuotaDemand& demand) {
@@ -308,7 +312,7 @@
   request.sent = now;
   request.demands = shortages;
   request.transfer = true;
-  for (const GatewayId& contact : members_.contacts) {
+  for (const GatewayId& contact : contacts_) {
     output_.messages.push_back({contact, request});
   }
 }
--- a/cluster/node_quotas.h
+++ b/cluster/node_quotas.h
@@ -24,14 +24,6 @@
 /// them.
 class NodeQuotas {
  public:
-  /// The gateways that this gateway knows.
-  struct Members {
-    std::vector<GatewayId> issuers;   ///< Gateways that may issue, including this one; empty while
-                                      ///< it is not known which of the peers are live.
-    size_t listed = 1;                ///< Gateways of the deployment in all zones, live or not; 0:
-                                      ///< not known, so that this gateway issues nothing.
-    std::vector<GatewayId> contacts;  ///< Any one gateway of each zone without peers.
-  };
   struct Message {
     GatewayId to;
     PeerBody body;
@@ -46,7 +38,14 @@
   NodeQuotas(GatewayId self, const IssuerSupport* support, uint64_t seed);
 
   void SetConfiguration(ConfigurationPtr configuration);
-  void SetMembers(MonoTime now, Members members);
+  /// Sets the gateways that may issue tokens, this one included; none while it is not known which
+  /// of the peers are live.
+  void SetIssuers(MonoTime now, const std::vector<GatewayId>& issuers);
+  /// Sets the size of the deployment.
+  /// @param listed gateways in all zones, live or not; 0: not known, so that this gateway issues
+  /// nothing.
+  /// @param contacts any one gateway of each zone without peers.
+  void SetDeployment(size_t listed, std::vector<GatewayId> contacts);
   /// Returns whether any workspace has a quota.
   bool HasQuotas() const;
 
@@ -100,10 +99,12 @@
   const IssuerSupport* support_;
   RandomEngine random_;
   ConfigurationPtr configuration_;
-  Members members_;
+  std::vector<GatewayId> issuers_;
+  size_t listed_ = 1;
+  std::vector<GatewayId> contacts_;
   QuotaLedger ledger_;
   QuotaIssuer issuer_;
-  std::map<GatewayHash, GatewayId> issuer_ids_;  ///< Of members_.issuers.
+  std::map<GatewayHash, GatewayId> issuer_ids_;  ///< Of issuers_.
   std::map<GatewayId, MonoTime> silent_until_;   ///< Issuers that have not replied.
   std::unordered_map<CallId, TrackedCall> calls_;
   std::unordered_map<AttemptId, WorkspaceId> attempts_;
--- a/cluster/node_slots.h
+++ b/cluster/node_slots.h
@@ -46,6 +46,8 @@
                    const std::vector<ServiceId>& removed);
   /// Sets the share of its slots, 0 to 1, that each zone that is returning to service may use.
   void SetZoneShares(MonoTime now, const std::map<ZoneId, double>& shares);
+  /// Returns whether slots are lent, so that the known gateways matter.
+  bool lends() const { return holder_ != nullptr; }
   /// Sets the known gateways and updates the ownership of all pools.
   void SetMembers(MonoTime now, const Members& members);
   /// Processes a slot request of a peer. Requests for unknown pools are ignored.
--- a/tests/node_quotas_test.cc
+++ b/tests/node_quotas_test.cc
@@ -253,7 +253,8 @@
   }
   MonoTime now(1000s);
   support.SetOwnView(now, {{}, 1, 1, {}, GatewayView::Of(issuers), now});
-  quotas.SetMembers(now, {issuers, 0, {}});
+  quotas.SetDeployment(0, {});
+  quotas.SetIssuers(now, issuers);
   now += 1s;
   CallRequest request;
   request.caller_key = "key";
--- a/tests/quota_network.h
+++ b/tests/quota_network.h
@@ -135,33 +135,34 @@
       return;
     }
     std::vector<std::vector<GatewayId>> listed(zones_);
-    NodeQuotas::Members members;
+    std::vector<GatewayId> issuers;
+    std::vector<GatewayId> contacts;
     for (size_t i = 0; i < nodes.size(); ++i) {
       listed[nodes[i].zone].push_back(nodes[i].id);
       if (i == self || (nodes[i].zone == gateway.zone && Reaches(i, self) && Reaches(self, i))) {
-        members.issuers.push_back(nodes[i].id);
+        issuers.push_back(nodes[i].id);
       }
     }
-    std::sort(members.issuers.begin(), members.issuers.end());
-    members.listed = nodes.size();
+    std::sort(issuers.begin(), issuers.end());
     for (size_t zone = 0; zone < zones_; ++zone) {
       // Any listed gateway of the zone, whether it is up or not.
       const auto any = std::uniform_int_distribution<size_t>(0, listed[zone].size() - 1)(random);
       if (zone != gateway.zone) {
-        members.contacts.push_back(listed[zone][any]);
+        contacts.push_back(listed[zone][any]);
       }
     }
-    if (members.issuers != gateway.views->candidates()) {
+    if (issuers != gateway.views->candidates()) {
       std::map<GatewayId, MonoTime> last_heard;
       for (size_t i = 0; i < gateway.heard.size(); ++i) {
         if (gateway.heard[i] != MonoTime()) {
           last_heard[nodes[i].id] = gateway.heard[i];
         }
       }
-      gateway.views->SetCandidates(now, members.issuers, last_heard);
+      gateway.views->SetCandidates(now, issuers, last_heard);
     }
     SetOwnView(&gateway);
-    gateway.quotas->SetMembers(now, std::move(members));
+    gateway.quotas->SetDeployment(nodes.size(), std::move(contacts));
+    gateway.quotas->SetIssuers(now, issuers);
   }
   /// Does the same for the gateways whose turn it is.
   void UpdateDueMembers() {
