A gateway without a configuration passes demands for tokens on again

Cause: told the quotas which gateways may issue only once views were announced, so a gateway that had not got its configuration yet refused the demands of other zones that it should have passed on.

Ruled out: a list of live gateways that is out of date (compared with a new one at each use: never different); changes in the slots, which this routing policy does not use.

Change: the quotas get the issuers and the number of gateways always. The test fails without it.

--- a/cluster/node_quota_calls.cc
+++ b/cluster/node_quota_calls.cc
@@ -88,19 +88,19 @@
 }
 
 void Node::UpdateQuotaMembers(Now now) {
-  const ViewAnnouncer& views = membership_.views();
-  if (views.generation() == 0) {
-    return;
-  }
   const size_t listed =
       settings_.gateways_listed_by_discovery ? gateway_count_ : membership_.roster().size();
-  IssuerSupport::Announcement own;
-  own.generation = views.generation();
-  own.view = views.view();
-  // A gateway without others has nobody who may count another view.
-  own.settled = listed == 1 ? views.generation() : views.Settled(now.mono);
-  own.unreleased = views.Unreleased(now.mono);
-  issuer_support_.SetOwnView(now.mono, own);
+  const ViewAnnouncer& views = membership_.views();
+  if (views.generation() > 0) {
+    IssuerSupport::Announcement own;
+    own.generation = views.generation();
+    own.view = views.view();
+    // A gateway without others has nobody who may count another view.
+    own.settled = listed == 1 ? views.generation() : views.Settled(now.mono);
+    own.unreleased = views.Unreleased(now.mono);
+    issuer_support_.SetOwnView(now.mono, own);
+  }
+  // Also without a configuration: demands of other zones are passed on to their issuers.
   quotas_.SetDeployment(listed, zone_contacts_.OneOfEachZone(next_quota_contact_++));
   quotas_.SetIssuers(now.mono, membership_.IssuerCandidates(now.mono));
 }
--- a/tests/node_quotas_test.cc
+++ b/tests/node_quotas_test.cc
@@ -239,6 +239,40 @@
   CHECK(sends() == 1);
 }
 
+TEST_CASE("a gateway without a configuration passes a demand on to the issuer",
+          "[node_quotas_test]") {
+  // Guards against refusals within a quota by a gateway of another zone that has just started.
+  NodeSettings settings = Settings();
+  settings.seeds = {{GatewayId("g2"), ZoneId("z1"), "10.0.0.2", 1}};
+  Node node(settings);
+  Now now{MonoTime(1000s), WallTime(1'700'000'000s)};
+  NodeActions actions;
+  node.Start(now, nullptr, &actions);
+  for (int i = 0; i < 5; ++i) {
+    now.mono += 200ms;
+    Heartbeat heartbeat;
+    heartbeat.zone = ZoneId("z1");
+    heartbeat.sent = now.mono;
+    heartbeat.echo = now.mono;
+    heartbeat.echo_incarnation = settings.incarnation;
+    node.OnPeerMessage(now, {GatewayId("g2"), Incarnation(5), {}, heartbeat}, &actions);
+    node.OnTimer(now, &actions);
+  }
+  actions.clear();
+  QuotaRequest request;
+  request.requester = GatewayId("other-zone");
+  request.sent = now.mono;
+  request.demands = {{WorkspaceId("w"), 1, 0, 0}};
+  node.OnPeerMessage(now, {GatewayId("other-zone"), Incarnation(7), {}, request}, &actions);
+  node.OnLoopIterationEnd(now, &actions);
+  const auto relayed = std::find_if(actions.begin(), actions.end(), [](const NodeAction& action) {
+    const auto* message = std::get_if<SendPeerMessage>(&action);
+    return message != nullptr && std::holds_alternative<QuotaRequest>(message->message.body);
+  });
+  REQUIRE(relayed != actions.end());
+  CHECK(std::get<SendPeerMessage>(*relayed).to == GatewayId("g2"));
+}
+
 TEST_CASE("a gateway without the list of gateways asks an issuer and issues nothing itself",
           "[node_quotas_test]") {
   // Guards against refusals within a quota while a gateway that has started waits for the list, and
