Heartbeats that announce views are sent every 300 ms

Cause: without lending of slots heartbeats are sent every second, and a support lasts five of them. A gateway that started therefore supported nobody for 5.05 s unless all others echoed it, and was alone for 2 s.

Change: heartbeats are sent every 300 ms at most once views are announced, so where quotas are configured, and a support lasts 1.5 s.

--- a/cluster/membership.cc
+++ b/cluster/membership.cc
@@ -5,7 +5,7 @@
 namespace jd {
 
 Membership::Membership(NodeSettings settings)
-    : settings_(std::move(settings)), views_(settings_.heartbeat * kDeadAfterHeartbeats) {
+    : settings_(std::move(settings)), views_(SupportLifetime(settings_.heartbeat)) {
   roster_.push_back(settings_.id);
   for (const PeerSeed& seed : settings_.seeds) {
     if (seed.id == settings_.id) {
@@ -145,6 +145,15 @@
   SendHeartbeats(now, output);
 }
 
+Duration Membership::SupportLifetime(Duration heartbeat) {
+  return std::min(heartbeat, kLongestHeartbeatWithViews) * kDeadAfterHeartbeats;
+}
+
+Duration Membership::heartbeat() const {
+  return announces_views_ ? std::min(settings_.heartbeat, kLongestHeartbeatWithViews)
+                          : settings_.heartbeat;
+}
+
 MonoTime Membership::next_timer() const {
   MonoTime next = next_heartbeat();
   for (const auto& [id, member] : members_) {
@@ -162,7 +171,7 @@
 }
 
 const std::vector<GatewayId>& Membership::IssuerCandidates(MonoTime now) const {
-  const bool heard_the_live = now - resumed_at_ >= settings_.heartbeat * kHeardAfterHeartbeats;
+  const bool heard_the_live = now - resumed_at_ >= heartbeat() * kHeardAfterHeartbeats;
   return heard_the_live ? live_ : owner_candidates();
 }
 
@@ -211,7 +220,7 @@
 }
 
 void Membership::DetectPause(MonoTime now) {
-  const bool paused = now - last_event_ > settings_.heartbeat * kPausedAfterHeartbeats;
+  const bool paused = now - last_event_ > heartbeat() * kPausedAfterHeartbeats;
   last_event_ = std::max(last_event_, now);
   if (!paused) {
     return;
@@ -331,8 +340,8 @@
     return next_heartbeat_;
   }
   const Duration interval =
-      std::max(settings_.heartbeat / kMaxViewNewsFactor,
-               settings_.heartbeat * static_cast<int>(members_.size()) / kPeersWithoutEarlyNews);
+      std::max(heartbeat() / kMaxViewNewsFactor,
+               heartbeat() * static_cast<int>(members_.size()) / kPeersWithoutEarlyNews);
   return std::min(next_heartbeat_, last_heartbeats_ + interval);
 }
 
@@ -356,7 +365,7 @@
 }
 
 void Membership::SendHeartbeats(MonoTime now, MembershipOutput* output) {
-  next_heartbeat_ = now + settings_.heartbeat;
+  next_heartbeat_ = now + heartbeat();
   last_heartbeats_ = now;
   UpdateAnnouncedView(now);
   has_view_news_ = false;
--- a/cluster/membership.h
+++ b/cluster/membership.h
@@ -97,8 +97,16 @@
   /// concerns a small part of the pools, and heartbeats to all peers cost more.
   static constexpr int kPeersWithoutEarlyNews = 64;
 
+  /// Longest interval between heartbeats that announce views: an issuer that is gone or cut off is
+  /// replaced once its supports have ended.
+  static constexpr Duration kLongestHeartbeatWithViews = 300ms;
+
   explicit Membership(NodeSettings settings);
 
+  /// Returns for how long an issuer counts a support without a new echo, the same in all gateways.
+  /// @param heartbeat the interval in the settings.
+  static Duration SupportLifetime(Duration heartbeat);
+
   /// Starts to send heartbeats to the seeds.
   void Start(MonoTime now, MembershipOutput* output);
   void OnTimer(MonoTime now, MembershipOutput* output);
@@ -144,8 +152,11 @@
   bool IsOutdated(const GatewayId& from, Incarnation incarnation) const;
 
  private:
-  Duration dead_after() const { return settings_.heartbeat * kDeadAfterHeartbeats; }
-  Duration suspect_after() const { return settings_.heartbeat * kSuspectAfterHeartbeats; }
+  /// Returns the interval between the heartbeats, which is at most `kLongestHeartbeatWithViews`
+  /// while they announce views.
+  Duration heartbeat() const;
+  Duration dead_after() const { return heartbeat() * kDeadAfterHeartbeats; }
+  Duration suspect_after() const { return heartbeat() * kSuspectAfterHeartbeats; }
   /// Marks the view as not fresh if no event has been handled for several heartbeat intervals.
   void DetectPause(MonoTime now);
   /// Updates the state of every peer and reports the changes.
--- a/cluster/node.cc
+++ b/cluster/node.cc
@@ -43,7 +43,7 @@
       claims_(settings.id, settings.incarnation),
       timeline_(settings.id, settings.event_capacity),
       operator_({&settings_, &config_, &membership_, &slots_, &timeline_}),
-      issuer_support_(settings.id, settings.heartbeat * Membership::kDeadAfterHeartbeats),
+      issuer_support_(settings.id, Membership::SupportLifetime(settings.heartbeat)),
       quotas_(settings.id, &issuer_support_, settings.seed),
       next_quota_contact_(settings.seed),
       rollouts_(RolloutMemberOf(settings)),
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -166,6 +166,24 @@
   }
 }
 
+TEST_CASE("heartbeats that announce views are frequent", "[membership_test]") {
+  // Guards against 5 s without an issuer after a death where heartbeats are rare.
+  NodeSettings settings = SettingsOf("a");
+  settings.heartbeat = 1s;
+  CHECK(Membership::SupportLifetime(settings.heartbeat) ==
+        Membership::kLongestHeartbeatWithViews * Membership::kDeadAfterHeartbeats);
+  CHECK(Membership::SupportLifetime(100ms) == 500ms);
+  Membership node(settings);
+  MembershipOutput output;
+  node.Start(At(100), &output);
+  CHECK(node.next_timer() == At(1100));
+  node.AnnounceViews(At(100));
+  CHECK(node.next_timer() <= At(100) + Membership::kLongestHeartbeatWithViews);
+  node.OnTimer(node.next_timer(), &output);
+  node.OnTimer(At(400), &output);
+  CHECK(node.next_timer() <= At(400) + Membership::kLongestHeartbeatWithViews);
+}
+
 TEST_CASE("a process that starts announces its view while a peer is down", "[membership_test]") {
   // Guards against a second in which a gateway supports no issuer after its start, because it waits
   // for a peer that does not run or for its configuration.
