--- a/tests/issuer_support_test.cc
+++ b/tests/issuer_support_test.cc
@@ -23,8 +23,7 @@
 }
 
 // Gateways whose views change at random, and whose heartbeats are delayed or lost, also all of one
-// gateway to another for some time. The messages of
-// one gateway to another keep their order.
+// gateway to another for some time. The messages of one gateway to another keep their order.
 struct RandomViews {
   struct Gateway {
     std::unique_ptr<IssuerSupport> support;
